--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,34 @@
+#include "base/log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+MmLogLevel mm_log_level = MM_LOG_ERROR;
+
+gboolean
+mm_log_setup(void) {
+  const char *level = g_getenv("LOG_LEVEL");
+
+  mm_log_level = MM_LOG_INFO;
+  if (level == NULL || strcmp(level, "info") == 0)
+    return TRUE;
+  if (strcmp(level, "error") == 0)
+    mm_log_level = MM_LOG_ERROR;
+  else if (strcmp(level, "debug") == 0)
+    mm_log_level = MM_LOG_DEBUG;
+  else
+    return FALSE;
+  return TRUE;
+}
+
+void
+mm_log_write(MmLogLevel level, const char *format, ...) {
+  static const char *const words[] = { "error", "info", "debug" };
+  char line[1024];
+  va_list args;
+
+  va_start(args, format);
+  g_vsnprintf(line, sizeof line, format, args);
+  va_end(args);
+  fprintf(stderr, "%s: %s\n", words[level], line);
+}
--- /dev/null
+++ b/src/base/types.h
@@ -0,0 +1,111 @@
+/* Small types of their own for ids, versions and times, so that the compiler keeps them apart. */
+#pragma once
+
+#include <glib.h>
+#include <string.h>
+
+/* A steady instant, in microseconds. Zero is "never". */
+typedef struct {
+  gint64 us;
+} MmTime;
+
+/* Who is entitled to give commands: the global term, sent to workers as their token. */
+typedef struct {
+  guint64 v;
+} MmTerm;
+
+/* A revision of the state service. */
+typedef struct {
+  guint64 v;
+} MmMark;
+
+/* One try at running a task: the term in the high bits, a running number in the low ones. */
+typedef struct {
+  guint64 v;
+} MmAttempt;
+
+/* Where a worker's message stands among its others: the larger is the newer. */
+typedef struct {
+  guint64 session;
+  guint64 seq;
+} MmStamp;
+
+/* An id of a job, machine, node, team, zone, image or machine type. */
+#define MM_NAME_MAX 63
+typedef struct {
+  char s[MM_NAME_MAX + 1];
+} MmName;
+
+static inline MmName
+mm_name(const char *s) {
+  MmName n = { { 0 } };
+  if (s != NULL)
+    g_strlcpy(n.s, s, sizeof n.s);
+  return n;
+}
+
+static inline gboolean
+mm_name_equal(const MmName *a, const MmName *b) {
+  return strcmp(a->s, b->s) == 0;
+}
+
+static inline gboolean
+mm_name_is_empty(const MmName *a) {
+  return a->s[0] == '\0';
+}
+
+static inline MmTime
+mm_time_add_ms(MmTime t, gint64 ms) {
+  return (MmTime){ t.us + ms * 1000 };
+}
+
+static inline gint64
+mm_time_ms_since(MmTime now, MmTime then) {
+  return (now.us - then.us) / 1000;
+}
+
+static inline gboolean
+mm_time_before(MmTime a, MmTime b) {
+  return a.us < b.us;
+}
+
+static inline MmTime
+mm_time_max(MmTime a, MmTime b) {
+  return a.us > b.us ? a : b;
+}
+
+static inline MmTime
+mm_time_min(MmTime a, MmTime b) {
+  return a.us < b.us ? a : b;
+}
+
+static inline gboolean
+mm_stamp_newer(MmStamp a, MmStamp b) {
+  return a.session != b.session ? a.session > b.session : a.seq > b.seq;
+}
+
+/* Room on a machine, or what a task takes of it. */
+typedef struct {
+  double cores;
+  double accelerators;
+  double memory_gb;
+} MmRoom;
+
+#define MM_ROOM_SLACK 1e-6
+
+static inline gboolean
+mm_room_fits(MmRoom need, MmRoom have) {
+  return need.cores <= have.cores + MM_ROOM_SLACK
+         && need.accelerators <= have.accelerators + MM_ROOM_SLACK
+         && need.memory_gb <= have.memory_gb + MM_ROOM_SLACK;
+}
+
+static inline MmRoom
+mm_room_add(MmRoom a, MmRoom b) {
+  return (MmRoom){ a.cores + b.cores, a.accelerators + b.accelerators, a.memory_gb + b.memory_gb };
+}
+
+static inline MmRoom
+mm_room_sub(MmRoom a, MmRoom b) {
+  return (MmRoom){ a.cores - b.cores, a.accelerators - b.accelerators, a.memory_gb - b.memory_gb };
+}
--- /dev/null
+++ b/src/checkin/roster.c
@@ -0,0 +1,462 @@
+#include "checkin/roster.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "base/wire.h"
+#include "owner/owner.h"
+#include "peers/links.h"
+#include "store/replica.h"
+#include "store/store.h"
+
+#define QUEUED_MAX 256
+#define TASKS_MAX 4096
+#define DRIFT 0.002
+#define LOST_MARGIN_MS 250
+
+static const char *const states[] = { "fetching", "gathering", "running", "flushing", "ended" };
+static const char *const causes[]
+    = { "", "done", "halted", "peers", "alone", "error", "no_room", "busy", "no_such" };
+
+static void
+machine_free(gpointer data) {
+  MmMachine *machine = data;
+
+  g_array_unref(machine->tasks);
+  g_array_unref(machine->images);
+  g_array_unref(machine->kept);
+  g_array_unref(machine->queued);
+  g_ptr_array_unref(machine->placed);
+  g_free(machine);
+}
+
+MmRoster *
+mm_roster_new(MmNode *node) {
+  MmRoster *roster = g_new0(MmRoster, 1);
+
+  roster->node = node;
+  roster->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
+  roster->order = g_ptr_array_new();
+  return roster;
+}
+
+void
+mm_roster_free(MmRoster *roster) {
+  g_ptr_array_unref(roster->order);
+  g_hash_table_unref(roster->machines);
+  g_free(roster);
+}
+
+MmMachine *
+mm_roster_find(const MmRoster *roster, const char *id) {
+  return g_hash_table_lookup(roster->machines, id);
+}
+
+static gint
+by_id(gconstpointer a, gconstpointer b) {
+  return strcmp((*(MmMachine *const *)a)->id.s, (*(MmMachine *const *)b)->id.s);
+}
+
+static void
+renumber(MmRoster *roster) {
+  g_ptr_array_sort(roster->order, by_id);
+  for (guint i = 0; i < roster->order->len; i++)
+    ((MmMachine *)g_ptr_array_index(roster->order, i))->index = i;
+}
+
+static MmMachine *
+find_or_add(MmRoster *roster, const char *id) {
+  MmMachine *machine = mm_roster_find(roster, id);
+
+  if (machine != NULL)
+    return machine;
+  machine = g_new0(MmMachine, 1);
+  machine->id = mm_name(id);
+  machine->tasks = g_array_new(FALSE, TRUE, sizeof(MmSeenTask));
+  machine->images = g_array_new(FALSE, TRUE, sizeof(MmCachedImage));
+  machine->kept = g_array_new(FALSE, TRUE, sizeof(MmTaskRef));
+  machine->queued = g_array_new(FALSE, TRUE, sizeof(MmCommand));
+  machine->placed = g_ptr_array_new_with_free_func(g_free);
+  machine->host = MM_HOST_SELF;
+  /* Nothing is known of its past: it may have been answered a moment ago. */
+  machine->answered = mm_node_now(roster->node);
+  machine->idle_since = machine->answered;
+  g_hash_table_insert(roster->machines, machine->id.s, machine);
+  g_ptr_array_add(roster->order, machine);
+  renumber(roster);
+  return machine;
+}
+
+void
+mm_roster_remove(MmRoster *roster, MmMachine *machine) {
+  mm_owner_machine_gone(roster->node->owner, machine);
+  g_ptr_array_remove(roster->order, machine);
+  renumber(roster);
+  g_hash_table_remove(roster->machines, machine->id.s);
+}
+
+/* ---- reading reports ---- */
+
+static gboolean
+read_task(MmSeenTask *task, const json_t *item) {
+  const char *text = mm_json_string(item, W_TASK);
+  const char *slash = text != NULL ? strrchr(text, '/') : NULL;
+  const char *state = mm_json_string(item, W_STATE);
+  const char *cause = mm_json_string(item, W_CAUSE);
+  char *end;
+
+  memset(task, 0, sizeof *task);
+  if (slash == NULL || slash - text > MM_NAME_MAX || !g_ascii_isdigit(slash[1]))
+    return FALSE;
+  memcpy(task->job.s, text, (gsize)(slash - text));
+  task->number = (guint)g_ascii_strtoull(slash + 1, &end, 10);
+  task->attempt.v = mm_json_count(item, W_ATTEMPT, 0);
+  task->saved = mm_json_flag(item, W_SAVED);
+  task->state = G_MAXUINT8;
+  for (guint i = 0; i < G_N_ELEMENTS(states); i++)
+    if (g_strcmp0(state, states[i]) == 0)
+      task->state = (guint8)i;
+  /* An unknown cause of ending is treated as a stop: the task has left the machine. */
+  task->cause = task->state == MM_SEEN_ENDED ? MM_CAUSE_STOPPED : MM_CAUSE_NONE;
+  for (guint i = 1; i < G_N_ELEMENTS(causes); i++)
+    if (g_strcmp0(cause, causes[i]) == 0)
+      task->cause = (guint8)i;
+  return *end == '\0' && task->state != G_MAXUINT8;
+}
+
+gboolean
+mm_report_parse(MmReport *report, const json_t *body, const char **reason) {
+  const json_t *tasks = mm_json_get(body, "kits");
+  const char *addr = mm_json_string(body, W_ADDR);
+  size_t i;
+  json_t *item;
+
+  memset(report, 0, sizeof *report);
+  report->tasks = g_array_new(FALSE, TRUE, sizeof(MmSeenTask));
+  if (!json_is_object(body) || mm_json_string(body, W_MACHINE) == NULL
+      || !json_is_integer(mm_json_get(body, W_SESSION)) || !json_is_integer(mm_json_get(body, W_SEQ))
+      || (tasks != NULL && (!json_is_array(tasks) || json_array_size(tasks) > TASKS_MAX))
+      || strlen(mm_json_string(body, W_MACHINE)) > MM_NAME_MAX) {
+    *reason = "not a worker's report";
+    return FALSE;
+  }
+  report->machine = mm_name(mm_json_string(body, W_MACHINE));
+  if (addr != NULL)
+    g_strlcpy(report->addr, addr, sizeof report->addr);
+  report->type = mm_name(mm_json_string(body, W_TYPE));
+  report->zone = mm_name(mm_json_string(body, W_ZONE));
+  report->spot = mm_json_flag(body, W_SPOT);
+  report->stamp.session = mm_json_count(body, W_SESSION, 0);
+  report->stamp.seq = mm_json_count(body, W_SEQ, 0);
+  report->token.v = mm_json_count(body, W_TOKEN, 0);
+  report->warned = mm_json_get(body, W_NOTICE) != NULL;
+  report->notice_s = mm_json_number(body, W_NOTICE, 0);
+  json_array_foreach(tasks, i, item) {
+    MmSeenTask task;
+    if (!read_task(&task, item)) {
+      *reason = "a task in the report is not readable";
+      return FALSE;
+    }
+    g_array_append_val(report->tasks, task);
+  }
+  return TRUE;
+}
+
+void
+mm_report_clear(MmReport *report) {
+  g_clear_pointer(&report->tasks, g_array_unref);
+}
+
+/* ---- image caches, which are inferred: a hint only ---- */
+
+static void
+image_used(MmRoster *roster, MmMachine *machine, const MmName *image, double gb) {
+  MmTime now = mm_node_now(roster->node);
+  double total = 0;
+  MmCachedImage *found = NULL;
+
+  for (guint i = 0; i < machine->images->len; i++) {
+    MmCachedImage *cached = &g_array_index(machine->images, MmCachedImage, i);
+    if (mm_name_equal(&cached->name, image))
+      found = cached;
+    total += cached->gb;
+  }
+  if (found != NULL) {
+    found->used = now;
+    return;
+  }
+  g_array_append_vals(machine->images, &(MmCachedImage){ *image, gb, now }, 1);
+  total += gb;
+  while (machine->type != NULL && total > machine->type->cache_gb && machine->images->len > 1) {
+    guint oldest = 0;
+    for (guint i = 1; i < machine->images->len; i++)
+      if (mm_time_before(g_array_index(machine->images, MmCachedImage, i).used,
+                         g_array_index(machine->images, MmCachedImage, oldest).used))
+        oldest = i;
+    total -= g_array_index(machine->images, MmCachedImage, oldest).gb;
+    g_array_remove_index_fast(machine->images, oldest);
+  }
+}
+
+gboolean
+mm_machine_caches(const MmMachine *machine, const MmName *image) {
+  for (guint i = 0; i < machine->images->len; i++)
+    if (mm_name_equal(&g_array_index(machine->images, MmCachedImage, i).name, image))
+      return TRUE;
+  return FALSE;
+}
+
+/* ---- taking reports in ---- */
+
+MmMachine *
+mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host) {
+  MmMachine *machine = find_or_add(roster, report->machine.s);
+  gboolean live = FALSE;
+
+  /* Also an old report may have been answered just now. */
+  if (!report->direct)
+    machine->answered = mm_time_max(machine->answered, heard_at);
+  if (machine->heard && !mm_stamp_newer(report->stamp, machine->stamp))
+    return NULL;
+  if (machine->lost)
+    mm_info("machine %s reports again, session %" G_GUINT64_FORMAT, machine->id.s,
+            report->stamp.session);
+  if (machine->heard && report->stamp.session != machine->stamp.session)
+    g_array_set_size(machine->images, 0);
+  machine->heard = TRUE;
+  machine->lost = FALSE;
+  if (report->addr[0] != '\0')
+    memcpy(machine->addr, report->addr, sizeof machine->addr);
+  if (!mm_name_is_empty(&report->type))
+    machine->type_name = report->type;
+  if (!mm_name_is_empty(&report->zone))
+    machine->zone = report->zone;
+  machine->type = mm_types_find(roster->node->types, &machine->type_name);
+  machine->spot = report->spot;
+  machine->stamp = report->stamp;
+  machine->token = report->token;
+  machine->seen = mm_time_max(machine->seen, heard_at);
+  if (!report->direct) {
+    machine->host = host;
+    machine->reported = mm_time_max(machine->reported, heard_at);
+  }
+  if (report->warned && !machine->warned)
+    machine->taken = mm_time_add_ms(heard_at, (gint64)(report->notice_s * 1000));
+  machine->warned = report->warned;
+  g_array_set_size(machine->tasks, 0);
+  g_array_append_vals(machine->tasks, report->tasks->data, report->tasks->len);
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
+    const MmJob *job = mm_book_find(roster->node->book, task->job.s);
+    live = live || task->state != MM_SEEN_ENDED;
+    if (job != NULL
+        && (task->state == MM_SEEN_RUNNING || task->state == MM_SEEN_WAITING
+            || (task->state == MM_SEEN_ENDED && task->cause == MM_CAUSE_DONE)))
+      image_used(roster, machine, &job->spec.image, job->spec.image_gb);
+  }
+  if (live)
+    machine->idle_since = heard_at;
+  mm_owner_report(roster->node->owner, machine, report);
+  return machine;
+}
+
+void
+mm_roster_registered(MmRoster *roster, const char *id, const json_t *value) {
+  MmMachine *machine = find_or_add(roster, id);
+
+  machine->registered = TRUE;
+  machine->registering = FALSE;
+  if (machine->heard)
+    return;
+  machine->type_name = mm_name(mm_json_string(value, "y"));
+  machine->type = mm_types_find(roster->node->types, &machine->type_name);
+  machine->zone = mm_name(mm_json_string(value, "z"));
+  machine->spot = mm_json_count(value, "s", 0) != 0;
+  if (mm_json_string(value, "a") != NULL)
+    g_strlcpy(machine->addr, mm_json_string(value, "a"), sizeof machine->addr);
+}
+
+void
+mm_roster_unregistered(MmRoster *roster, const char *id) {
+  MmMachine *machine = mm_roster_find(roster, id);
+
+  if (machine != NULL) {
+    machine->registered = FALSE;
+    mm_roster_remove(roster, machine);
+  }
+}
+
+void
+mm_roster_list_keys(const MmRoster *roster, const char *prefix, GPtrArray *keys) {
+  for (guint i = 0; i < roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(roster->order, i);
+    if (machine->registered)
+      g_ptr_array_add(keys, g_strconcat(prefix, machine->id.s, NULL));
+  }
+}
+
+/* ---- lost machines ---- */
+
+/* A machine is lost when its lease has certainly run out: no node can have answered it 200 for a
+ * whole lease. `settled` is the instant up to which this node knows of all answers by all nodes. */
+static void
+find_lost(MmRoster *roster) {
+  MmNode *node = roster->node;
+  MmTime settled = mm_links_settled(node->links);
+  gint64 lease_ms = (gint64)(node->settings->lease_s * 1000 * (1 + DRIFT)) + LOST_MARGIN_MS;
+
+  for (guint i = 0; i < roster->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(roster->order, i);
+    MmTime answered = mm_time_max(machine->answered, node->replica->node_gone);
+    if (machine->lost || mm_time_ms_since(settled, answered) < lease_ms)
+      continue;
+    mm_info("machine %s is lost: its lease has run out", machine->id.s);
+    machine->lost = TRUE;
+    mm_owner_machine_gone(node->owner, machine);
+    g_array_set_size(machine->tasks, 0);
+    g_array_set_size(machine->images, 0);
+  }
+}
+
+/* ---- registration: in the state service before the first start ---- */
+
+typedef struct {
+  MmRoster *roster;
+  GPtrArray *ids;
+} Registration;
+
+static void
+registration_answered(gpointer data, int status, json_t *body) {
+  Registration *r = data;
+
+  /* Whether it is registered is for the replica to show. */
+  for (guint i = 0; i < r->ids->len && status != 200; i++) {
+    MmMachine *machine = mm_roster_find(r->roster, g_ptr_array_index(r->ids, i));
+    if (machine != NULL)
+      machine->registering = FALSE;
+  }
+  g_ptr_array_unref(r->ids);
+  g_free(r);
+}
+
+static void
+register_new(MmRoster *roster) {
+  MmNode *node = roster->node;
+  Registration *r;
+  MmTxn txn;
+
+  if (mm_store_in_trouble(node->store) || !node->replica->loaded)
+    return;
+  r = g_new(Registration, 1);
+  *r = (Registration){ roster, g_ptr_array_new_with_free_func(g_free) };
+  txn = mm_txn();
+  for (guint i = 0; i < roster->order->len && txn.puts < node->settings->state_txn_ops; i++) {
+    MmMachine *machine = g_ptr_array_index(roster->order, i);
+    if (machine->registered || machine->registering || !machine->heard || machine->lost
+        || machine->releasing || machine->host != MM_HOST_SELF)
+      continue;
+    if (!mm_store_may_write(node->store, 1))
+      break;
+    machine->registering = TRUE;
+    mm_txn_put(&txn, MM_KEY_MACHINE, machine->id.s,
+               json_pack("{s:s, s:s, s:s, s:i}", "a", machine->addr, "y", machine->type_name.s, "z",
+                         machine->zone.s, "s", machine->spot ? 1 : 0),
+               0);
+    g_ptr_array_add(r->ids, g_strdup(machine->id.s));
+  }
+  if (txn.puts > 0) {
+    mm_store_commit(node->store, &txn, registration_answered, r);
+    return;
+  }
+  json_decref(txn.guards);
+  json_decref(txn.apply);
+  g_ptr_array_unref(r->ids);
+  g_free(r);
+}
+
+void
+mm_roster_tick(MmRoster *roster) {
+  find_lost(roster);
+  register_new(roster);
+}
+
+/* ---- rooms ---- */
+
+MmRoom
+mm_machine_free(const MmRoster *roster, const MmMachine *machine) {
+  MmRoom room = { 0 };
+
+  if (machine->type == NULL)
+    return room;
+  room = machine->type->room;
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
+    const MmJob *job;
+    if (task->state == MM_SEEN_ENDED)
+      continue;
+    job = mm_book_find(roster->node->book, task->job.s);
+    if (job == NULL)
+      return (MmRoom){ 0 };
+    room = mm_room_sub(room, job->spec.need);
+  }
+  for (guint i = 0; i < machine->placed->len; i++) {
+    const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
+    guint8 state = placed->job->tasks[placed->number].state;
+    if (state == MM_TASK_ISSUED || state == MM_TASK_RESERVED)
+      room = mm_room_sub(room, placed->job->spec.need);
+  }
+  return room;
+}
+
+gboolean
+mm_machine_usable(const MmRoster *roster, const MmMachine *machine) {
+  MmTime now = mm_node_now(roster->node);
+
+  return machine->heard && machine->registered && !machine->lost && !machine->warned
+         && !machine->releasing && machine->type != NULL && !mm_time_before(now, machine->shunned);
+}
+
+guint
+mm_roster_running(const MmRoster *roster, const char *job) {
+  guint running = 0;
+
+  for (guint i = 0; i < roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(roster->order, i);
+    for (guint k = 0; k < machine->tasks->len; k++) {
+      const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, k);
+      running += task->state == MM_SEEN_RUNNING && strcmp(task->job.s, job) == 0;
+    }
+  }
+  return running;
+}
+
+/* ---- commands ---- */
+
+json_t *
+mm_command_to_json(const MmCommand *command) {
+  static const char *const ops[] = { W_START, W_STOP, W_FORGET };
+  g_autofree char *task = g_strdup_printf("%s/%u", command->job.s, command->number);
+  json_t *json = json_pack("{s:s, s:s, s:I}", W_OP, ops[command->op], W_TASK, task, W_ATTEMPT,
+                           (json_int_t)command->attempt.v);
+
+  if (command->op == MM_OP_STOP)
+    json_object_set_new(json, W_GRACE, json_real(command->grace_s));
+  return json;
+}
+
+void
+mm_machine_queue(MmMachine *machine, guint64 session, const MmCommand *command) {
+  if (machine->queued_session != session)
+    g_array_set_size(machine->queued, 0);
+  machine->queued_session = session;
+  for (guint i = 0; i < machine->queued->len; i++) {
+    MmCommand *old = &g_array_index(machine->queued, MmCommand, i);
+    if (old->op == command->op && old->number == command->number
+        && old->attempt.v == command->attempt.v && mm_name_equal(&old->job, &command->job)) {
+      *old = *command;
+      return;
+    }
+  }
+  if (machine->queued->len < QUEUED_MAX)
+    g_array_append_val(machine->queued, *command);
+}
--- /dev/null
+++ b/src/checkin/roster.h
@@ -0,0 +1,145 @@
+/* The machines as their newest reports show them, whichever node heard these, and until when each
+ * may still have been answered. */
+#pragma once
+
+#include "fleet/types.h"
+#include "jobs/book.h"
+#include "node/node.h"
+
+/* A task's state and its cause of ending, as reported. */
+typedef enum { MM_SEEN_FETCHING, MM_SEEN_WAITING, MM_SEEN_RUNNING, MM_SEEN_SAVING, MM_SEEN_ENDED } MmSeenState;
+typedef enum {
+  MM_CAUSE_NONE,
+  MM_CAUSE_DONE,
+  MM_CAUSE_STOPPED,
+  MM_CAUSE_PEERS,
+  MM_CAUSE_ALONE,
+  MM_CAUSE_ERROR,
+  MM_CAUSE_NO_ROOM,
+  MM_CAUSE_BUSY,
+  MM_CAUSE_UNKNOWN
+} MmCause;
+
+typedef struct {
+  MmName job;
+  guint number;
+  MmAttempt attempt;
+  guint8 state;
+  guint8 cause;
+  gboolean saved;
+} MmSeenTask;
+
+/* One report, read from HTTP or from a peer. */
+typedef struct {
+  MmName machine;
+  char addr[64];
+  MmName type;
+  MmName zone;
+  gboolean spot;
+  MmStamp stamp;
+  MmTerm token;
+  gboolean warned;
+  double notice_s;
+  gboolean direct; /* the answer to a direct command: says nothing about starts under way */
+  GArray *tasks;   /* MmSeenTask */
+} MmReport;
+
+typedef struct {
+  MmName name;
+  double gb;
+  MmTime used;
+} MmCachedImage;
+
+typedef struct {
+  MmName job;
+  guint number;
+} MmTaskRef;
+
+#define MM_HOST_SELF -1
+
+struct MmMachine {
+  MmName id;
+  char addr[64];
+  MmName type_name;
+  const MmType *type; /* NULL while the cloud's types are not known */
+  MmName zone;
+  gboolean spot;
+  gboolean heard; /* a report has been seen; otherwise known from the register only */
+  MmStamp stamp;
+  MmTerm token;
+  gboolean warned;
+  MmTime taken; /* when the cloud may take it */
+  GArray *tasks; /* MmSeenTask of the newest report */
+  gint host;     /* the node that heard it last: a peer's index or MM_HOST_SELF */
+  MmTime answered; /* it may have been answered up to here, as far as this node knows */
+  MmTime seen;     /* newest report of any kind */
+  MmTime reported; /* newest report made to a node */
+  gboolean registered; /* in the state service, as the replica shows */
+  gboolean registering;
+  gboolean lost;
+  gboolean releasing;
+  GArray *images; /* MmCachedImage */
+  MmTime idle_since;
+  guint index; /* place in the order of names */
+
+  /* the owner's */
+  GPtrArray *placed; /* MmPlaced: tasks of parts held here that are or may be on it */
+  GArray *kept;      /* MmTaskRef: the kept-list of this machine */
+  MmTime clearing;   /* until when room that is being cleared on it is spoken for */
+  MmTime echo_asked; /* when it was last asked to echo the term */
+  guint faults;      /* errors of different jobs without a success between */
+  MmName fault_job;
+  MmTime shunned; /* no work until then */
+  MmTime full_until; /* it refused a start for lack of room */
+
+  /* the check-in's */
+  GArray *queued; /* MmCommand for the next answer */
+  guint64 queued_session;
+};
+
+typedef struct {
+  MmJob *job;
+  guint number;
+} MmPlaced;
+
+/* A command for a worker. */
+typedef enum { MM_OP_START, MM_OP_STOP, MM_OP_FORGET } MmOp;
+typedef struct {
+  MmOp op;
+  MmName job;
+  guint number;
+  MmAttempt attempt;
+  double grace_s;
+} MmCommand;
+
+struct MmRoster {
+  MmNode *node;
+  GHashTable *machines; /* id -> MmMachine */
+  GPtrArray *order;     /* MmMachine by id */
+};
+
+MmRoster *mm_roster_new(MmNode *node);
+void mm_roster_free(MmRoster *roster);
+MmMachine *mm_roster_find(const MmRoster *roster, const char *id);
+
+gboolean mm_report_parse(MmReport *report, const json_t *body, const char **reason);
+void mm_report_clear(MmReport *report);
+
+/* Takes a report in; NULL when it is older than what is known. `heard_at`: when it was made at the
+ * latest; `host`: the node that heard it. */
+MmMachine *mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host);
+void mm_roster_registered(MmRoster *roster, const char *id, const json_t *value);
+void mm_roster_unregistered(MmRoster *roster, const char *id);
+void mm_roster_list_keys(const MmRoster *roster, const char *prefix, GPtrArray *keys);
+void mm_roster_remove(MmRoster *roster, MmMachine *machine);
+void mm_roster_tick(MmRoster *roster);
+
+/* Room left beside everything reported and everything placed by this node's parts. Not more than
+ * nothing when a task on it belongs to a job that is not known here. */
+MmRoom mm_machine_free(const MmRoster *roster, const MmMachine *machine);
+gboolean mm_machine_caches(const MmMachine *machine, const MmName *image);
+/* A machine that may be given work at all. */
+gboolean mm_machine_usable(const MmRoster *roster, const MmMachine *machine);
+guint mm_roster_running(const MmRoster *roster, const char *job);
+json_t *mm_command_to_json(const MmCommand *command);
+void mm_machine_queue(MmMachine *machine, guint64 session, const MmCommand *command);
--- /dev/null
+++ b/src/config/operators.c
@@ -0,0 +1,146 @@
+#include "config/operators.h"
+
+#include <math.h>
+#include <string.h>
+
+#define SETTING(field, unit, fallback, least, most, meaning)                                       \
+  { #field, unit, meaning, G_STRUCT_OFFSET(MmOperators, field), fallback, least, most }
+
+/* Element names are the field names with dashes for underscores. docs/operators.md is kept in step
+ * with this table by a test. */
+const MmOperatorSetting mm_operator_settings[] = {
+  SETTING(claim_ttl_s, "s", 3, 0.5, 600, "how long a node's claim lasts without renewal"),
+  SETTING(claim_renew_s, "s", 0.7, 0.1, 300, "how often a node renews its claim"),
+  SETTING(peer_ping_s, "s", 0.5, 0.05, 60, "how often nodes ask each other for a sign of life"),
+  SETTING(wait_bound_s, "s", 8, 0, 86400,
+          "a task that waited longer goes first to any fitting machine, cached image or not"),
+  SETTING(ask_timeout_ms, "ms", 400, 10, 3000,
+          "how long an answer to a worker waits for owners' approvals"),
+  SETTING(starts_per_answer, "tasks", 8, 1, 1000, "most starts in one answer to a worker"),
+  SETTING(candidates, "tasks", 2, 1, 16, "candidates sent to an owner in one request"),
+  SETTING(idle_return_s, "s", 600, 1, 1e7, "a machine without tasks this long is returned"),
+  SETTING(silent_release_s, "s", 0, 0, 86400,
+          "a machine silent this long is returned to the cloud; 0 waits for its lease to end"),
+  SETTING(boot_patience, "times", 4, 1, 100,
+          "a machine booting this many times the nominal boot time is returned"),
+  SETTING(preempt_after_s, "s", 0.3, 0, 86400,
+          "how long urgent work waits for free room before it may preempt"),
+  SETTING(rent, "0 or 1", 1, 0, 1, "whether machines are rented when work waits"),
+  { NULL },
+};
+
+typedef struct {
+  MmOperators *operators;
+  const char *path;
+  const MmOperatorSetting *open; /* the setting whose element is open */
+  gboolean inside;
+  gboolean valued;
+} Parse;
+
+MmOperators
+mm_operators_defaults(void) {
+  MmOperators operators;
+
+  memset(&operators, 0, sizeof operators);
+  for (const MmOperatorSetting *s = mm_operator_settings; s->name != NULL; s++)
+    G_STRUCT_MEMBER(double, &operators, s->offset) = s->fallback;
+  return operators;
+}
+
+static void
+start_element(GMarkupParseContext *context, const char *name, const char **attributes,
+              const char **values, gpointer data, GError **error) {
+  Parse *parse = data;
+  g_autofree char *field = g_strdelimit(g_strdup(name), "-", '_');
+
+  if (!parse->inside) {
+    if (strcmp(name, "martenmount") != 0)
+      g_set_error(error, G_MARKUP_ERROR, G_MARKUP_ERROR_UNKNOWN_ELEMENT,
+                  "the outermost element must be <martenmount>, not <%s>", name);
+    parse->inside = TRUE;
+    return;
+  }
+  if (parse->open != NULL) {
+    g_set_error(error, G_MARKUP_ERROR, G_MARKUP_ERROR_INVALID_CONTENT,
+                "<%s> stands inside another setting", name);
+    return;
+  }
+  for (const MmOperatorSetting *s = mm_operator_settings; s->name != NULL; s++)
+    if (strcmp(field, s->name) == 0)
+      parse->open = s;
+  parse->valued = FALSE;
+  if (parse->open == NULL)
+    g_set_error(error, G_MARKUP_ERROR, G_MARKUP_ERROR_UNKNOWN_ELEMENT, "<%s>: unknown setting",
+                name);
+}
+
+static void
+end_element(GMarkupParseContext *context, const char *name, gpointer data, GError **error) {
+  Parse *parse = data;
+
+  if (parse->open != NULL && !parse->valued)
+    g_set_error(error, G_MARKUP_ERROR, G_MARKUP_ERROR_EMPTY, "<%s>: has no value", name);
+  parse->open = NULL;
+}
+
+static void
+element_text(GMarkupParseContext *context, const char *text, gsize length, gpointer data,
+             GError **error) {
+  Parse *parse = data;
+  g_autofree char *value = g_strstrip(g_strndup(text, length));
+  char *end = NULL;
+  double v;
+
+  if (value[0] == '\0')
+    return;
+  if (parse->open == NULL) {
+    g_set_error(error, G_MARKUP_ERROR, G_MARKUP_ERROR_INVALID_CONTENT, "stray text \"%s\"", value);
+    return;
+  }
+  v = g_ascii_strtod(value, &end);
+  if (*end != '\0' || !isfinite(v) || v < parse->open->least || v > parse->open->most) {
+    g_set_error(error, G_MARKUP_ERROR, G_MARKUP_ERROR_INVALID_CONTENT,
+                "<%s>: \"%s\" must be a number from %g to %g (%s)",
+                g_markup_parse_context_get_element(context), value, parse->open->least,
+                parse->open->most, parse->open->unit);
+    return;
+  }
+  G_STRUCT_MEMBER(double, parse->operators, parse->open->offset) = v;
+  parse->valued = TRUE;
+}
+
+gboolean
+mm_operators_parse(MmOperators *operators, const char *path, const char *xml, gssize length,
+                   char **reason) {
+  static const GMarkupParser parser
+      = { .start_element = start_element, .end_element = end_element, .text = element_text };
+  Parse parse = { .operators = operators, .path = path };
+  GMarkupParseContext *context = g_markup_parse_context_new(&parser, 0, &parse, NULL);
+  g_autoptr(GError) error = NULL;
+  gboolean good = g_markup_parse_context_parse(context, xml, length, &error)
+                  && g_markup_parse_context_end_parse(context, &error);
+
+  if (!good) {
+    int line = 0;
+    g_markup_parse_context_get_position(context, &line, NULL);
+    *reason = g_strdup_printf("%s: line %d: %s", path, line, error->message);
+  } else if (operators->claim_renew_s * 2 > operators->claim_ttl_s) {
+    *reason = g_strdup_printf("%s: <claim-renew-s>: must be at most half of <claim-ttl-s>", path);
+    good = FALSE;
+  }
+  g_markup_parse_context_free(context);
+  return good;
+}
+
+gboolean
+mm_operators_read(MmOperators *operators, const char *path, char **reason) {
+  g_autofree char *xml = NULL;
+  g_autoptr(GError) error = NULL;
+  gsize length;
+
+  if (!g_file_get_contents(path, &xml, &length, &error)) {
+    *reason = g_strdup_printf("%s: %s", path, error->message);
+    return FALSE;
+  }
+  return mm_operators_parse(operators, path, xml, (gssize)length, reason);
+}
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,60 @@
+/* What the platform's settings file says, checked. */
+#pragma once
+
+#include "base/types.h"
+
+typedef struct {
+  MmName label;
+  MmName zone;
+  char *endpoint;
+} MmPeerSettings;
+
+typedef struct {
+  MmName name;
+  MmRoom guaranteed; /* memory is never set: the settings speak of cores and accelerators */
+  MmRoom limit;      /* 0: none */
+} MmTeamSettings;
+
+typedef enum { MM_AIM_WAIT, MM_AIM_FINISHED, MM_AIM_DEADLINE, MM_AIM_OTHER } MmAimKind;
+
+typedef struct {
+  MmAimKind kind;
+  MmName job_class;
+  double within_s;
+  double share;
+} MmAim;
+
+typedef struct {
+  MmName label;
+  MmName zone;
+  char *front;
+  char *cluster_listen;
+  char *cloud;
+  char *state;
+  GArray *peers; /* MmPeerSettings */
+  GArray *teams; /* MmTeamSettings */
+  GArray *aims;  /* MmAim */
+  guint node_count;
+  double report_s;
+  double lease_s;
+  double gang_wait_s;
+  double gang_peer_s;
+  double cancel_s;
+  double state_rps;
+  double state_write_rps;
+  guint state_value_bytes;
+  guint state_txn_ops;
+  double cloud_rps;
+  double cloud_list_lag_s;
+  double cpu_share;
+  double memory_mb;
+  guint max_sockets;
+} MmSettings;
+
+/* NULL with a one-line reason naming file, field and what is wrong. */
+MmSettings *mm_settings_read(const char *path, char **reason);
+MmSettings *mm_settings_from_json(const char *path, const void *root, char **reason);
+void mm_settings_free(MmSettings *settings);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(MmSettings, mm_settings_free)
+
+const MmTeamSettings *mm_settings_team(const MmSettings *settings, const MmName *name);
--- /dev/null
+++ b/src/config/toml.cc
@@ -0,0 +1,60 @@
+#include "config/toml.h"
+
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+static json_t *
+to_json(const toml::node &node) {
+  if (auto table = node.as_table()) {
+    json_t *object = json_object();
+    for (auto &&[key, value] : *table)
+      json_object_set_new(object, std::string(key.str()).c_str(), to_json(value));
+    return object;
+  }
+  if (auto array = node.as_array()) {
+    json_t *list = json_array();
+    for (auto &&value : *array)
+      json_array_append_new(list, to_json(value));
+    return list;
+  }
+  if (auto text = node.as_string())
+    return json_string(text->get().c_str());
+  if (auto number = node.as_integer())
+    return json_integer(number->get());
+  if (auto number = node.as_floating_point()) {
+    json_t *real = json_real(number->get());
+    return real != nullptr ? real : json_null(); // JSON has no infinities
+  }
+  if (auto flag = node.as_boolean())
+    return json_boolean(flag->get());
+  return json_null();
+}
+
+json_t *
+mm_toml_read(const char *path, char **reason) {
+  std::ifstream file(path);
+  if (!file) {
+    *reason = strdup(std::strerror(errno));
+    return nullptr;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  if (file.bad() || text.fail()) {
+    *reason = strdup("cannot be read");
+    return nullptr;
+  }
+  try {
+    const std::string document = text.str();
+    return to_json(toml::parse(std::string_view(document), std::string_view(path)));
+  } catch (const toml::parse_error &error) {
+    std::ostringstream message;
+    message << "line " << error.source().begin.line << ": " << error.description();
+    *reason = strdup(message.str().c_str());
+    return nullptr;
+  }
+}
--- /dev/null
+++ b/src/edge/http-client.c
@@ -0,0 +1,119 @@
+#include "edge/edge.h"
+
+#include <libsoup/soup.h>
+
+#define CONNECTIONS_MAX 200
+#define CONNECTIONS_A_HOST 24
+#define IDLE_S 60
+
+struct MmHttpClient {
+  SoupSession *session;
+  char *bases[3]; /* by MmTarget; none for workers */
+};
+
+typedef struct {
+  SoupMessage *message;
+  GCancellable *cancellable;
+  guint timer;
+  MmAnswered answered;
+  gpointer data;
+} Call;
+
+MmHttpClient *
+mm_http_client_new(const MmSettings *settings) {
+  MmHttpClient *client = g_new0(MmHttpClient, 1);
+
+  client->session = soup_session_new_with_options(
+      "max-conns", CONNECTIONS_MAX, "max-conns-per-host", CONNECTIONS_A_HOST, "idle-timeout",
+      IDLE_S, "proxy-resolver", NULL, NULL);
+  soup_session_remove_feature_by_type(client->session, SOUP_TYPE_CONTENT_DECODER);
+  soup_session_remove_feature_by_type(client->session, SOUP_TYPE_AUTH_MANAGER);
+  client->bases[MM_TARGET_STORE] = g_strconcat("http://", settings->state, NULL);
+  client->bases[MM_TARGET_CLOUD] = g_strconcat("http://", settings->cloud, NULL);
+  return client;
+}
+
+static gboolean
+timed_out(gpointer data) {
+  Call *call = data;
+
+  call->timer = 0;
+  g_cancellable_cancel(call->cancellable);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+finished(GObject *source, GAsyncResult *result, gpointer data) {
+  Call *call = data;
+  g_autoptr(GError) error = NULL;
+  g_autoptr(GBytes) bytes
+      = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
+  g_autoptr(json_t) body = NULL;
+  int status = 0;
+
+  if (call->timer != 0)
+    g_source_remove(call->timer);
+  if (bytes != NULL) {
+    gsize length;
+    const char *text = g_bytes_get_data(bytes, &length);
+    status = (int)soup_message_get_status(call->message);
+    if (length > 0)
+      body = json_loadb(text, length, JSON_DECODE_ANY, NULL);
+    if (length > 0 && body == NULL && status == 200) {
+      mm_info("an answer is not JSON and is treated as none");
+      status = 0;
+    }
+  } else {
+    mm_debug("no answer: %s", error->message);
+  }
+  call->answered(call->data, status, body);
+  g_object_unref(call->message);
+  g_object_unref(call->cancellable);
+  g_free(call);
+}
+
+typedef struct {
+  MmAnswered answered;
+  gpointer data;
+} Refusal;
+
+static gboolean
+refused(gpointer data) {
+  Refusal *refusal = data;
+
+  refusal->answered(refusal->data, 0, NULL);
+  g_free(refusal);
+  return G_SOURCE_REMOVE;
+}
+
+void
+mm_http_client_request(MmHttpClient *client, MmTarget target, const char *address,
+                       const char *method, const char *path, const json_t *body, guint timeout_ms,
+                       MmAnswered answered, gpointer data) {
+  g_autofree char *uri
+      = target == MM_TARGET_WORKER ? g_strconcat("http://", address, path, NULL)
+                                   : g_strconcat(client->bases[target], path, NULL);
+  SoupMessage *message = soup_message_new(method, uri);
+  Call *call;
+
+  if (message == NULL) {
+    Refusal *refusal = g_new(Refusal, 1);
+    *refusal = (Refusal){ answered, data };
+    mm_info("%s is not an address that can be asked", uri);
+    g_idle_add(refused, refusal);
+    return;
+  }
+  if (body != NULL) {
+    char *text = json_dumps(body, JSON_COMPACT);
+    g_autoptr(GBytes) bytes = g_bytes_new_take(text, strlen(text));
+    soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+  }
+  call = g_new0(Call, 1);
+  call->message = message;
+  call->cancellable = g_cancellable_new();
+  call->answered = answered;
+  call->data = data;
+  call->timer = g_timeout_add(timeout_ms, timed_out, call);
+  soup_session_send_and_read_async(client->session, message, G_PRIORITY_DEFAULT,
+                                   call->cancellable, finished, call);
+}
--- /dev/null
+++ b/src/edge/main.c
@@ -0,0 +1,135 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "edge/edge.h"
+
+#define EXIT_USAGE 2
+
+typedef struct {
+  MmHttpClient *client;
+  MmPeerSockets *peers;
+} Edge;
+
+static MmTime
+edge_now(gpointer self) {
+  return mm_clock_now();
+}
+
+static gint64
+edge_wall_ms(gpointer self) {
+  return mm_clock_wall_ms();
+}
+
+static void
+edge_request(gpointer self, MmTarget target, const char *address, const char *method,
+             const char *path, const json_t *body, guint timeout_ms, MmAnswered answered,
+             gpointer data) {
+  mm_http_client_request(((Edge *)self)->client, target, address, method, path, body, timeout_ms,
+                         answered, data);
+}
+
+static void
+edge_send(gpointer self, guint peer, const Mm__Frame *frame) {
+  mm_peer_sockets_send(((Edge *)self)->peers, peer, frame);
+}
+
+typedef struct {
+  void (*call)(gpointer data);
+  gpointer data;
+} Later;
+
+static gboolean
+later_due(gpointer data) {
+  Later *later = data;
+
+  later->call(later->data);
+  g_free(later);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+edge_later(gpointer self, guint ms, void (*call)(gpointer data), gpointer data) {
+  Later *later = g_new(Later, 1);
+
+  *later = (Later){ call, data };
+  g_timeout_add(ms, later_due, later);
+}
+
+static gboolean
+tick(gpointer data) {
+  mm_node_tick(data);
+  return G_SOURCE_CONTINUE;
+}
+
+static int
+run(const MmSettings *settings, const MmOperators *operators) {
+  Edge edge = { mm_http_client_new(settings), mm_peer_sockets_new(settings) };
+  MmPort port = { &edge, edge_now, edge_wall_ms, edge_request, edge_send, edge_later };
+  MmNode *node = mm_node_new(settings, operators, &port, g_random_int());
+  g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
+  g_autoptr(GError) error = NULL;
+
+  if (!mm_peer_sockets_start(edge.peers, node, &error)
+      || mm_http_server_new(node, settings->front, &error) == NULL) {
+    mm_error("cannot listen: %s", error->message);
+    return EXIT_FAILURE;
+  }
+  mm_info("%s serves %s in zone %s", settings->label.s, settings->front, settings->zone.s);
+  g_timeout_add(MM_NODE_TICK_MS, tick, node);
+  mm_node_start(node);
+  g_main_loop_run(loop); /* until the process is killed */
+  return EXIT_SUCCESS;
+}
+
+int
+main(int argc, char **argv) {
+  g_autofree char *config = NULL;
+  g_autofree char *operators_path = NULL;
+  gboolean check = FALSE, version = FALSE;
+  const GOptionEntry entries[] = {
+    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "The platform's settings (TOML)", "FILE" },
+    { "operators", 'o', 0, G_OPTION_ARG_FILENAME, &operators_path, "The operators' settings (XML)",
+      "FILE" },
+    { "check", 0, 0, G_OPTION_ARG_NONE, &check, "Read the settings, say whether they hold, exit",
+      NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version and exit", NULL },
+    { NULL },
+  };
+  g_autoptr(GOptionContext) context = g_option_context_new("- a cluster scheduler");
+  g_autoptr(GError) error = NULL;
+  g_autoptr(MmSettings) settings = NULL;
+  MmOperators operators = mm_operators_defaults();
+  g_autofree char *reason = NULL;
+
+  /* No name look-ups, proxies or volumes are wanted: loading GIO's modules only costs start-up. */
+  g_setenv("GIO_MODULE_DIR", "/nonexistent", TRUE);
+  g_setenv("GIO_USE_VFS", "local", TRUE);
+  g_option_context_add_main_entries(context, entries, NULL);
+  if (!g_option_context_parse(context, &argc, &argv, &error) || argc > 1) {
+    g_autofree char *help = g_option_context_get_help(context, TRUE, NULL);
+    fprintf(stderr, "martenmount: %s\n%s", error != NULL ? error->message : "stray argument", help);
+    return EXIT_USAGE;
+  }
+  if (version) {
+    puts("martenmount " MM_VERSION);
+    return EXIT_SUCCESS;
+  }
+  if (!mm_log_setup())
+    fprintf(stderr, "martenmount: LOG_LEVEL is none of error, info, debug: info holds\n");
+  if (config == NULL) {
+    fprintf(stderr, "martenmount: --config FILE is required\n");
+    return EXIT_USAGE;
+  }
+  settings = mm_settings_read(config, &reason);
+  if (settings == NULL
+      || (operators_path != NULL && !mm_operators_read(&operators, operators_path, &reason))) {
+    fprintf(stderr, "martenmount: %s\n", reason);
+    return EXIT_USAGE;
+  }
+  if (check) {
+    puts("the settings hold");
+    return EXIT_SUCCESS;
+  }
+  return run(settings, &operators);
+}
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,460 @@
+#include "fleet/fleet.h"
+
+#include <math.h>
+
+#include "base/wire.h"
+#include "owner/owner.h"
+#include "parts/claims.h"
+#include "rank/rank.h"
+#include "store/replica.h"
+#include "store/store.h"
+
+#define PLAN_EVERY_MS 1000
+#define LIST_PAGE 500
+#define RENT_MAX 50
+#define RELEASE_MAX 100
+#define REFUSED_MS 8000
+#define REFUSED_MOST_MS 30000
+#define BOOT_FLOOR_S 30
+#define UNLISTED_MS 60000
+
+static void list(MmFleet *fleet, const char *after);
+
+MmFleet *
+mm_fleet_new(MmNode *node) {
+  MmFleet *fleet = g_new0(MmFleet, 1);
+
+  fleet->node = node;
+  fleet->listed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+  fleet->offers = g_array_new(FALSE, TRUE, sizeof(MmOffer));
+  return fleet;
+}
+
+void
+mm_fleet_free(MmFleet *fleet) {
+  g_hash_table_unref(fleet->listed);
+  g_array_unref(fleet->offers);
+  g_free(fleet);
+}
+
+/* ---- the list ---- */
+
+static MmOffer *
+offer_for(MmFleet *fleet, const MmName *type, const MmName *zone, gboolean spot) {
+  MmOffer offer = { .type = *type, .zone = *zone, .spot = spot };
+
+  for (guint i = 0; i < fleet->offers->len; i++) {
+    MmOffer *known = &g_array_index(fleet->offers, MmOffer, i);
+    if (mm_name_equal(&known->type, type) && mm_name_equal(&known->zone, zone)
+        && known->spot == spot)
+      return known;
+  }
+  g_array_append_val(fleet->offers, offer);
+  return &g_array_index(fleet->offers, MmOffer, fleet->offers->len - 1);
+}
+
+static void
+take_listed(MmFleet *fleet, const json_t *item) {
+  MmTime now = mm_node_now(fleet->node);
+  const char *id = mm_json_string(item, W_JOB_ID);
+  const char *state = mm_json_string(item, W_STATE);
+  MmListed *listed;
+
+  if (id == NULL || id[0] == '\0' || strlen(id) > MM_NAME_MAX)
+    return;
+  listed = g_hash_table_lookup(fleet->listed, id);
+  if (listed == NULL) {
+    MmOffer *offer;
+    listed = g_new0(MmListed, 1);
+    listed->id = mm_name(id);
+    listed->type = mm_name(mm_json_string(item, W_TYPE));
+    listed->zone = mm_name(mm_json_string(item, W_ZONE));
+    listed->spot = mm_json_flag(item, W_SPOT);
+    listed->first = now;
+    g_hash_table_insert(fleet->listed, listed->id.s, listed);
+    offer = offer_for(fleet, &listed->type, &listed->zone, listed->spot);
+    offer->asked -= offer->asked > 0;
+  }
+  listed->running = g_strcmp0(state, W_RUNNING) == 0;
+  listed->failed = g_strcmp0(state, W_FAILED) == 0;
+  listed->age_s = mm_json_number(item, W_AGE, 0);
+  listed->listed = now;
+}
+
+static void
+listed_answered(gpointer data, int status, json_t *body) {
+  MmFleet *fleet = data;
+  const json_t *items = mm_json_get(body, W_MACHINES);
+  MmTime now = mm_node_now(fleet->node);
+  double lag = MAX(fleet->node->settings->cloud_list_lag_s, 1);
+  size_t i;
+  json_t *item;
+  const char *last = NULL;
+
+  fleet->listing = FALSE;
+  fleet->next_list = mm_time_add_ms(now, (gint64)(lag * 1000 / 2));
+  if (status != 200 || !json_is_array(items)) {
+    mm_info("no machine list from the cloud: status %d", status);
+    return;
+  }
+  json_array_foreach(items, i, item) {
+    take_listed(fleet, item);
+    last = mm_json_string(item, W_JOB_ID);
+  }
+  if (mm_json_flag(body, W_MORE) && last != NULL) {
+    list(fleet, last);
+    return;
+  }
+  fleet->list_known = TRUE;
+}
+
+static void
+list(MmFleet *fleet, const char *after) {
+  g_autofree char *path
+      = g_strdup_printf(W_MACHINES_PATH "?%s%s%s" W_LIMIT "=%d", after != NULL ? W_AFTER "=" : "",
+                        after != NULL ? after : "", after != NULL ? "&" : "", LIST_PAGE);
+
+  fleet->listing = TRUE;
+  fleet->node->port.request(fleet->node->port.self, MM_TARGET_CLOUD, NULL, "GET", path, NULL, 3000,
+                            listed_answered, fleet);
+}
+
+/* ---- returning ---- */
+
+typedef struct {
+  MmFleet *fleet;
+  GPtrArray *ids;
+} Release;
+
+static void
+unregister_answered(gpointer data, int status, json_t *body) {
+  /* The replica shows whether it happened; if not, the machine stays registered and lost. */
+}
+
+static void
+release_answered(gpointer data, int status, json_t *body) {
+  Release *release = data;
+  MmFleet *fleet = release->fleet;
+  MmNode *node = fleet->node;
+
+  fleet->releasing = FALSE;
+  for (guint i = 0; i < release->ids->len; i++) {
+    const char *id = g_ptr_array_index(release->ids, i);
+    MmListed *listed = g_hash_table_lookup(fleet->listed, id);
+    MmMachine *machine = mm_roster_find(node->roster, id);
+
+    if (listed != NULL)
+      listed->releasing = status == 200;
+    if (machine == NULL)
+      continue;
+    machine->releasing = status == 200;
+    if (status != 200)
+      continue;
+    /* A 200 proves that the machine and all on it are gone; the other owners learn it from the
+     * register. */
+    mm_info("machine %s has been returned", id);
+    mm_owner_machine_gone(node->owner, machine);
+    if (machine->registered) {
+      MmTxn txn = mm_txn();
+      mm_txn_delete(&txn, MM_KEY_MACHINE, id);
+      mm_store_commit(node->store, &txn, unregister_answered, fleet);
+    } else {
+      mm_roster_remove(node->roster, machine);
+    }
+  }
+  g_ptr_array_unref(release->ids);
+  g_free(release);
+}
+
+static gboolean
+useless(MmFleet *fleet, MmListed *listed) {
+  MmNode *node = fleet->node;
+  MmTime now = mm_node_now(node);
+  MmMachine *machine = mm_roster_find(node->roster, listed->id.s);
+  const MmType *type = mm_types_find(node->types, &listed->type);
+  double patience_s = type != NULL ? MAX(type->boot_s * node->operators->boot_patience,
+                                         BOOT_FLOOR_S)
+                                   : 600;
+  gint64 known_ms = mm_time_ms_since(now, listed->first);
+
+  if (listed->failed)
+    return TRUE;
+  if (machine == NULL || !machine->heard)
+    /* Never came up, or is up and never reported. */
+    return listed->age_s > patience_s
+           && (!listed->running || known_ms > 4000 * (gint64)node->settings->lease_s);
+  if (machine->lost)
+    return mm_time_ms_since(now, machine->seen) > 2000 * (gint64)node->settings->lease_s;
+  if (node->operators->silent_release_s > 0
+      && mm_time_ms_since(now, machine->seen) > (gint64)(node->operators->silent_release_s * 1000)
+      && mm_time_ms_since(now, fleet->node->started) > 20000)
+    return TRUE;
+  /* Idle, with nothing waiting anywhere. */
+  if (machine->tasks->len == 0 && machine->placed->len == 0
+      && mm_time_ms_since(now, machine->idle_since)
+             > (gint64)(node->operators->idle_return_s * 1000)) {
+    for (guint v = 0; v < node->rank->n_views; v++)
+      if (node->rank->views[v].unfinished > 0)
+        return FALSE;
+    return TRUE;
+  }
+  return FALSE;
+}
+
+static void
+return_machines(MmFleet *fleet) {
+  MmNode *node = fleet->node;
+  MmTime now = mm_node_now(node);
+  Release *release;
+  GHashTableIter iter;
+  gpointer value;
+  json_t *names;
+
+  if (fleet->releasing)
+    return;
+  names = json_array();
+  release = g_new(Release, 1);
+  *release = (Release){ fleet, g_ptr_array_new_with_free_func(g_free) };
+  g_hash_table_iter_init(&iter, fleet->listed);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    MmListed *listed = value;
+    MmMachine *machine = mm_roster_find(node->roster, listed->id.s);
+    if (mm_time_ms_since(now, listed->listed) > UNLISTED_MS) {
+      /* Gone from the list for long: taken or returned. */
+      if (machine == NULL || machine->lost || listed->releasing) {
+        if (machine != NULL && machine->registered) {
+          MmTxn txn = mm_txn();
+          mm_txn_delete(&txn, MM_KEY_MACHINE, machine->id.s);
+          mm_store_commit(node->store, &txn, unregister_answered, fleet);
+        }
+        g_hash_table_iter_remove(&iter);
+      }
+      continue;
+    }
+    if (listed->releasing || release->ids->len >= RELEASE_MAX || !useless(fleet, listed))
+      continue;
+    mm_info("returning machine %s (%s, %.0f s old)", listed->id.s,
+            listed->failed ? "failed" : machine == NULL ? "never came up" : "not needed or silent",
+            listed->age_s);
+    listed->releasing = TRUE;
+    if (machine != NULL)
+      machine->releasing = TRUE;
+    g_ptr_array_add(release->ids, g_strdup(listed->id.s));
+    json_array_append_new(names, json_string(listed->id.s));
+  }
+  if (release->ids->len > 0) {
+    g_autoptr(json_t) body = json_pack("{s:o}", W_MACHINES, names);
+    fleet->releasing = TRUE;
+    node->port.request(node->port.self, MM_TARGET_CLOUD, NULL, "POST", W_RELEASE_PATH, body, 5000,
+                       release_answered, release);
+    return;
+  }
+  json_decref(names);
+  g_ptr_array_unref(release->ids);
+  g_free(release);
+}
+
+/* ---- renting ---- */
+
+typedef struct {
+  MmFleet *fleet;
+  MmName type;
+  MmName zone;
+  gboolean spot;
+  guint count;
+} Rent;
+
+static void
+rent_answered(gpointer data, int status, json_t *body) {
+  Rent *rent = data;
+  MmFleet *fleet = rent->fleet;
+  MmOffer *offer = offer_for(fleet, &rent->type, &rent->zone, rent->spot);
+  MmTime now = mm_node_now(fleet->node);
+  guint got = (guint)json_array_size(mm_json_get(body, W_MACHINES));
+
+  fleet->renting = FALSE;
+  if (status == 200 && got > 0) {
+    mm_info("rented %u of %u %s in %s%s", got, rent->count, rent->type.s, rent->zone.s,
+            rent->spot ? ", spot" : "");
+    offer->asked += got;
+    offer->asked_at = now;
+    offer->refusals = 0;
+  }
+  if (status != 200 || got < rent->count) {
+    gint64 pause = status == 503 || status == 200
+                       ? MIN(REFUSED_MS << MIN(offer->refusals, 4), REFUSED_MOST_MS)
+                       : 1000;
+    offer->refusals++;
+    offer->until = mm_time_add_ms(now, pause);
+  }
+  g_free(rent);
+}
+
+static void
+rent(MmFleet *fleet, const MmType *type, const MmName *zone, gboolean spot, guint count) {
+  MmNode *node = fleet->node;
+  /* Never used twice, not by another node nor by another life of this one. */
+  g_autofree char *name
+      = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, node->settings->label.s,
+                        node->claims->claim, ++fleet->requests);
+  g_autoptr(json_t) body = json_pack("{s:s, s:s, s:s, s:b, s:I}", W_REQUEST, name, W_TYPE,
+                                     type->name.s, W_ZONE, zone->s, W_SPOT, spot, W_COUNT,
+                                     (json_int_t)MIN(count, RENT_MAX));
+  Rent *call = g_new(Rent, 1);
+
+  *call = (Rent){ fleet, type->name, *zone, spot, MIN(count, RENT_MAX) };
+  fleet->renting = TRUE;
+  node->port.request(node->port.self, MM_TARGET_CLOUD, NULL, "POST", W_MACHINES_PATH, body, 5000,
+                     rent_answered, call);
+}
+
+/* How many of the job's tasks one such machine holds beside the work it is kept for. */
+static guint
+slots(MmFleet *fleet, const MmJob *job, const MmType *type) {
+  const MmRank *rank = fleet->node->rank;
+  MmRoom room = type->room;
+  guint n = 1000;
+
+  if (room.accelerators > 0 && job->spec.need.accelerators <= 0 && rank->accelerated)
+    room = mm_room_sub(room, (MmRoom){ rank->largest.cores, 0, rank->largest.memory_gb });
+  if (job->spec.need.cores > 0)
+    n = MIN(n, (guint)MAX(room.cores / job->spec.need.cores + 1e-6, 0));
+  if (job->spec.need.accelerators > 0)
+    n = MIN(n, (guint)MAX(room.accelerators / job->spec.need.accelerators + 1e-6, 0));
+  if (job->spec.need.memory_gb > 0)
+    n = MIN(n, (guint)MAX(room.memory_gb / job->spec.need.memory_gb + 1e-6, 0));
+  return n;
+}
+
+/* Machines of this kind on the way: listed but not heard, or rented and not listed. */
+static guint
+coming(MmFleet *fleet, const MmType *type, const MmName *zone, gboolean spot) {
+  MmOffer *offer = offer_for(fleet, &type->name, zone, spot);
+  MmTime now = mm_node_now(fleet->node);
+  guint n;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (mm_time_ms_since(now, offer->asked_at)
+      > (gint64)(3000 * MAX(fleet->node->settings->cloud_list_lag_s, 1)))
+    offer->asked = 0;
+  n = offer->asked;
+  g_hash_table_iter_init(&iter, fleet->listed);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    const MmListed *listed = value;
+    const MmMachine *machine = mm_roster_find(fleet->node->roster, listed->id.s);
+    n += !listed->releasing && !listed->failed && (machine == NULL || !machine->heard)
+         && mm_time_ms_since(now, listed->listed) < UNLISTED_MS
+         && mm_name_equal(&listed->type, &type->name) && mm_name_equal(&listed->zone, zone)
+         && listed->spot == spot;
+  }
+  return n;
+}
+
+typedef struct {
+  const MmType *type;
+  MmName zone;
+  gboolean spot;
+  guint slots;
+  double cost; /* of one slot */
+} Option;
+
+static gint
+cheaper_first(gconstpointer a, gconstpointer b) {
+  const Option *x = a, *y = b;
+
+  return x->cost < y->cost ? -1 : x->cost > y->cost;
+}
+
+static GArray *
+options_for(MmFleet *fleet, const MmJob *job) {
+  MmNode *node = fleet->node;
+  GArray *options = g_array_new(FALSE, TRUE, sizeof(Option));
+
+  for (guint i = 0; i < node->types->types->len; i++) {
+    const MmType *type = g_ptr_array_index(node->types->types, i);
+    if (!mm_spec_allows_type(&job->spec, &type->name))
+      continue;
+    for (guint z = 0; z < type->zones->len; z++) {
+      const MmName *zone = &g_array_index(type->zones, MmName, z);
+      if (!mm_name_is_empty(&job->spec.zone) && !mm_name_equal(&job->spec.zone, zone))
+        continue;
+      for (guint spot = 0; spot < 2; spot++) {
+        Option option = { type, *zone, spot == 1, slots(fleet, job, type), 0 };
+        if ((spot && !job->spec.spot) || option.slots == 0)
+          continue;
+        option.cost = (spot ? type->spot_price : type->price) / option.slots;
+        g_array_append_val(options, option);
+      }
+    }
+  }
+  g_array_sort(options, cheaper_first);
+  return options;
+}
+
+/* Waiting tasks of all owners against what is free and what is coming; the first kind of machine that
+ * is short is rented, cheapest slot first. One request at a time. */
+static void
+plan(MmFleet *fleet) {
+  MmNode *node = fleet->node;
+  MmRank *rank = node->rank;
+  MmTime now = mm_node_now(node);
+  g_autoptr(GHashTable) promised = g_hash_table_new(g_direct_hash, g_direct_equal);
+
+  if (fleet->renting || !fleet->list_known || node->operators->rent < 0.5)
+    return;
+  for (guint v = 0; v < rank->n_views; v++) {
+    for (guint i = 0; i < rank->views[v].waiting->len; i++) {
+      const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
+      const MmJob *job = mm_book_find(node->book, waiting->job.s);
+      g_autoptr(GArray) options = NULL;
+      guint tasks = 0;
+
+      if (job == NULL || job->cancelled)
+        continue;
+      for (guint k = 1; k < waiting->ranges->len; k += 2)
+        tasks += g_array_index(waiting->ranges, guint, k);
+      options = options_for(fleet, job);
+      for (guint o = 0; o < options->len && tasks > 0; o++) {
+        const Option *option = &g_array_index(options, Option, o);
+        MmOffer *offer = offer_for(fleet, &option->type->name, &option->zone, option->spot);
+        gpointer key = GUINT_TO_POINTER((guint)(offer - (MmOffer *)fleet->offers->data) + 1);
+        guint on_way = coming(fleet, option->type, &option->zone, option->spot);
+        guint used = GPOINTER_TO_UINT(g_hash_table_lookup(promised, key));
+        guint room = on_way * option->slots;
+        guint take = MIN(tasks, room > used ? room - used : 0);
+
+        g_hash_table_insert(promised, key, GUINT_TO_POINTER(used + take));
+        tasks -= take;
+        if (tasks == 0 || mm_time_before(now, offer->until))
+          continue;
+        rent(fleet, option->type, &option->zone, option->spot,
+             (tasks + option->slots - 1) / option->slots);
+        return;
+      }
+    }
+  }
+}
+
+void
+mm_fleet_tick(MmFleet *fleet) {
+  MmNode *node = fleet->node;
+  MmTime now = mm_node_now(node);
+  gboolean active = mm_claims_valid(node->claims) && mm_claims_holds(node->claims, MM_PART_FLEET);
+
+  if (active != fleet->active) {
+    fleet->active = active;
+    fleet->list_known = FALSE;
+    g_hash_table_remove_all(fleet->listed);
+    mm_info("the fleet is %s", active ? "held here" : "no longer held here");
+  }
+  if (!active || !mm_types_known(node->types))
+    return;
+  if (!fleet->listing && !mm_time_before(now, fleet->next_list))
+    list(fleet, NULL);
+  if (mm_time_before(now, fleet->next_plan))
+    return;
+  fleet->next_plan = mm_time_add_ms(now, PLAN_EVERY_MS);
+  return_machines(fleet);
+  plan(fleet);
+}
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,47 @@
+/* The one part that talks to the cloud about machines: what should be rented or returned. */
+#pragma once
+
+#include "checkin/roster.h"
+#include "node/node.h"
+
+typedef struct {
+  MmName id;
+  MmName type;
+  MmName zone;
+  gboolean spot;
+  gboolean running;
+  gboolean failed;
+  double age_s;     /* as of the list */
+  MmTime listed;    /* when last listed */
+  MmTime first;     /* when first listed here */
+  gboolean releasing;
+} MmListed;
+
+/* A kind of machine that was refused for lack of capacity: not asked for again for a while. */
+typedef struct {
+  MmName type;
+  MmName zone;
+  gboolean spot;
+  MmTime until;
+  guint refusals;
+  guint asked; /* rented but not yet listed */
+  MmTime asked_at;
+} MmOffer;
+
+struct MmFleet {
+  MmNode *node;
+  gboolean active;
+  GHashTable *listed; /* id -> MmListed */
+  GArray *offers;     /* MmOffer */
+  gboolean listing;
+  gboolean renting;
+  gboolean releasing;
+  gboolean list_known;
+  MmTime next_list;
+  MmTime next_plan;
+  guint64 requests;
+};
+
+MmFleet *mm_fleet_new(MmNode *node);
+void mm_fleet_free(MmFleet *fleet);
+void mm_fleet_tick(MmFleet *fleet);
--- /dev/null
+++ b/src/fleet/types.h
@@ -0,0 +1,31 @@
+/* The cloud's machine types, which every node needs to judge submissions and rooms. */
+#pragma once
+
+#include "jobs/spec.h"
+#include "node/node.h"
+
+typedef struct {
+  MmName name;
+  MmRoom room;
+  double cache_gb;
+  double fetch_gb_per_s;
+  double price;
+  double spot_price;
+  double boot_s;
+  GArray *zones; /* MmName */
+} MmType;
+
+struct MmTypes {
+  MmNode *node;
+  GPtrArray *types; /* MmType; grows and changes, entries are never freed while the node lives */
+  gboolean asking;
+  MmTime next;
+};
+
+MmTypes *mm_types_new(MmNode *node);
+void mm_types_free(MmTypes *types);
+void mm_types_tick(MmTypes *types);
+gboolean mm_types_known(const MmTypes *types);
+const MmType *mm_types_find(const MmTypes *types, const MmName *name);
+gboolean mm_types_any_fits(const MmTypes *types, const MmSpec *spec);
+gboolean mm_type_in_zone(const MmType *type, const MmName *zone);
--- /dev/null
+++ b/src/jobs/api.c
@@ -0,0 +1,241 @@
+/* Nothing is said to a user that the state service does not hold: a job is written before 201, a
+ * cancellation before it is told. Answers that may still change are read through the state service;
+ * final ones never change, so they may come from memory. */
+#include "jobs/api.h"
+
+#include "base/wire.h"
+#include "checkin/roster.h"
+#include "fleet/types.h"
+#include "jobs/book.h"
+#include "owner/owner.h"
+#include "peers/links.h"
+#include "store/store.h"
+
+#define CANCEL_TRIES 6
+
+typedef struct {
+  MmNode *node;
+  MmExchange *exchange;
+  MmName id;
+  gboolean cancel;
+  guint tries;
+  MmSpec spec;
+  gint64 at_ms;
+  json_t *record; /* the job's record as last read */
+} Call;
+
+static void lookup(Call *call);
+
+static Call *
+call_new(MmNode *node, MmExchange *exchange, const char *id) {
+  Call *call = g_new0(Call, 1);
+
+  call->node = node;
+  call->exchange = exchange;
+  call->id = mm_name(id);
+  return call;
+}
+
+static void
+finish(Call *call, int status, json_t *body, guint retry_after_s) {
+  mm_exchange_answer(call->exchange, status, body, retry_after_s);
+  mm_spec_clear(&call->spec);
+  json_decref(call->record);
+  g_free(call);
+}
+
+/* The final answer of this request: come again later. */
+static void
+give_up(Call *call) {
+  finish(call, 503, mm_json_error("the state service does not answer"),
+         mm_store_in_trouble(call->node->store) ? 2 : 1);
+}
+
+static json_t *
+state_body(const char *id, const char *state, guint done, guint running) {
+  return json_pack("{s:s, s:s, s:I, s:I}", W_JOB_ID, id, W_STATE, state, W_DONE, (json_int_t)done,
+                   W_RUNNING, (json_int_t)running);
+}
+
+/* From the record as the state service just showed it; counts are for display only. */
+static void
+answer_from_record(Call *call) {
+  MmJob *job = mm_book_find(call->node->book, call->id.s);
+  guint running = mm_roster_running(call->node->roster, call->id.s);
+  guint done = 0;
+  const char *state = W_PENDING;
+
+  if (job != NULL)
+    done = job->tasks != NULL ? job->done.count : job->recorded.count;
+  if (mm_json_count(call->record, "c", 0) != 0)
+    state = W_CANCELLED;
+  else if (running > 0)
+    state = W_RUNNING;
+  finish(call, 200, state_body(call->id.s, state, done, running), 0);
+}
+
+static void
+final_read(gpointer data, int status, json_t *body) {
+  Call *call = data;
+  const json_t *value = mm_json_get(body, W_VALUE);
+  const char *state = mm_json_string(value, "m");
+
+  if (status == 404) {
+    finish(call, 404, mm_json_error("no such job"), 0);
+  } else if (status == 200 && state != NULL) {
+    mm_book_keep_final(call->node->book, call->id.s, state, (guint)mm_json_count(value, "n", 0));
+    finish(call, 200, mm_book_final(call->node->book, call->id.s), 0);
+  } else {
+    give_up(call);
+  }
+}
+
+static void
+cancel_written(gpointer data, int status, json_t *body) {
+  Call *call = data;
+
+  if (status == 409 && ++call->tries < CANCEL_TRIES) {
+    lookup(call);
+    return;
+  }
+  if (status != 200) {
+    give_up(call);
+    return;
+  }
+  mm_owner_cancelled(call->node->owner, call->id.s);
+  mm_links_tell_cancelled(call->node->links, call->id.s);
+  finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
+}
+
+static void
+write_cancel(Call *call, MmMark mark) {
+  MmTxn txn = mm_txn();
+
+  json_object_set_new(call->record, "c", json_integer(1));
+  mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, mark);
+  mm_txn_put(&txn, MM_KEY_JOB, call->id.s, json_incref(call->record), 0);
+  mm_store_commit(call->node->store, &txn, cancel_written, call);
+}
+
+static void
+record_read(gpointer data, int status, json_t *body) {
+  Call *call = data;
+
+  if (status == 404) {
+    /* Finished jobs move from the one key to the other, so this order cannot miss one. */
+    mm_store_get(call->node->store, MM_KEY_FINAL, call->id.s, final_read, call);
+    return;
+  }
+  if (status != 200 || !json_is_object(mm_json_get(body, W_VALUE))) {
+    give_up(call);
+    return;
+  }
+  json_decref(call->record);
+  call->record = json_deep_copy(mm_json_get(body, W_VALUE));
+  if (call->cancel && mm_json_count(call->record, "c", 0) == 0)
+    write_cancel(call, (MmMark){ mm_json_count(body, W_VERSION, 0) });
+  else
+    answer_from_record(call);
+}
+
+static void
+lookup(Call *call) {
+  json_t *final = mm_book_final(call->node->book, call->id.s);
+
+  if (final != NULL)
+    finish(call, 200, final, 0);
+  else if (mm_store_in_trouble(call->node->store) && call->tries == 0
+           && mm_time_ms_since(mm_node_now(call->node), call->node->store->last_refused) < 500)
+    give_up(call);
+  else
+    mm_store_get(call->node->store, MM_KEY_JOB, call->id.s, record_read, call);
+}
+
+void
+mm_api_status(MmNode *node, const char *id, MmExchange *exchange) {
+  if (!mm_spec_id_is_valid(id)) {
+    mm_exchange_answer(exchange, 404, mm_json_error("no such job"), 0);
+    return;
+  }
+  lookup(call_new(node, exchange, id));
+}
+
+void
+mm_api_cancel(MmNode *node, const char *id, MmExchange *exchange) {
+  Call *call;
+
+  if (!mm_spec_id_is_valid(id)) {
+    mm_exchange_answer(exchange, 404, mm_json_error("no such job"), 0);
+    return;
+  }
+  call = call_new(node, exchange, id);
+  call->cancel = TRUE;
+  lookup(call);
+}
+
+static void
+submit_written(gpointer data, int status, json_t *body) {
+  Call *call = data;
+
+  if (status == 200)
+    finish(call, 201, json_pack("{s:s, s:s}", W_JOB_ID, call->id.s, W_STATE, W_PENDING), 0);
+  else if (status == 409)
+    lookup(call); /* known already: its state now */
+  else
+    give_up(call);
+}
+
+static const char *
+never_runs(const MmNode *node, const MmSpec *spec) {
+  const MmTeamSettings *team = mm_settings_team(node->settings, &spec->team);
+  double times = spec->kind == MM_KIND_ARRAY ? 1 : spec->tasks;
+
+  if (team == NULL)
+    return "unknown team";
+  if ((team->limit.cores > 0 && spec->need.cores * times > team->limit.cores + MM_ROOM_SLACK)
+      || (team->limit.accelerators > 0
+          && spec->need.accelerators * times > team->limit.accelerators + MM_ROOM_SLACK))
+    return "the job needs more than the team's limit";
+  if (!mm_types_any_fits(node->types, spec))
+    return "a task fits no allowed machine type";
+  return NULL;
+}
+
+void
+mm_api_submit(MmNode *node, const json_t *body, MmExchange *exchange) {
+  Call *call = call_new(node, exchange, "");
+  const char *reason = NULL;
+  MmTxn txn;
+  json_t *record;
+
+  if (!mm_spec_parse(&call->spec, body, &reason)) {
+    finish(call, 400, mm_json_error(reason), 0);
+    return;
+  }
+  call->id = call->spec.id;
+  if (!mm_types_known(node->types)) {
+    finish(call, 503, mm_json_error("the machine types are not known yet"), 1);
+    return;
+  }
+  reason = never_runs(node, &call->spec);
+  if (reason != NULL) {
+    finish(call, 422, mm_json_error(reason), 0);
+    return;
+  }
+  if (mm_store_in_trouble(node->store)
+      && mm_time_ms_since(mm_node_now(node), node->store->last_refused) < 500) {
+    give_up(call);
+    return;
+  }
+  record = mm_job_record(&call->spec, mm_node_wall_ms(node), FALSE, NULL);
+  if (json_dumpb(record, NULL, 0, JSON_COMPACT) + 512 > node->settings->state_value_bytes) {
+    json_decref(record);
+    finish(call, 400, mm_json_error("the job's description is too long"), 0);
+    return;
+  }
+  txn = mm_txn();
+  mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, (MmMark){ 0 });
+  mm_txn_guard(&txn, MM_KEY_FINAL, call->id.s, (MmMark){ 0 });
+  mm_txn_put(&txn, MM_KEY_JOB, call->id.s, record, 0);
+  mm_store_commit(node->store, &txn, submit_written, call);
+}
--- /dev/null
+++ b/src/jobs/book.c
@@ -0,0 +1,159 @@
+#include "jobs/book.h"
+
+#include "base/wire.h"
+#include "owner/owner.h"
+#include "parts/claims.h"
+
+#define FINALS_KEPT 4096
+#define ENDED_KEPT 8192
+
+static void
+job_free(gpointer data) {
+  MmJob *job = data;
+
+  mm_spec_clear(&job->spec);
+  mm_done_set_clear(&job->recorded);
+  mm_done_set_clear(&job->done);
+  g_free(job->tasks);
+  g_free(job->part);
+  g_free(job);
+}
+
+MmBook *
+mm_book_new(MmNode *node) {
+  MmBook *book = g_new0(MmBook, 1);
+
+  book->node = node;
+  book->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+  book->order = g_ptr_array_new();
+  book->finals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  book->final_order = g_queue_new();
+  book->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  book->ended_order = g_queue_new();
+  return book;
+}
+
+void
+mm_book_free(MmBook *book) {
+  g_ptr_array_unref(book->order);
+  g_hash_table_unref(book->jobs);
+  g_queue_free(book->final_order);
+  g_hash_table_unref(book->finals);
+  g_queue_free(book->ended_order);
+  g_hash_table_unref(book->ended);
+  g_free(book);
+}
+
+MmJob *
+mm_book_find(const MmBook *book, const char *id) {
+  return g_hash_table_lookup(book->jobs, id);
+}
+
+static gint
+older_first(gconstpointer a, gconstpointer b) {
+  const MmJob *x = *(MmJob *const *)a, *y = *(MmJob *const *)b;
+
+  if (x->submitted_ms != y->submitted_ms)
+    return x->submitted_ms < y->submitted_ms ? -1 : 1;
+  return strcmp(x->spec.id.s, y->spec.id.s);
+}
+
+void
+mm_book_put(MmBook *book, const char *id, const json_t *value, MmMark mark) {
+  MmJob *job = mm_book_find(book, id);
+
+  if (job != NULL && mark.v < job->mark.v)
+    return;
+  if (job == NULL) {
+    const char *reason = NULL;
+    job = g_new0(MmJob, 1);
+    if (!mm_spec_parse(&job->spec, mm_json_get(value, "s"), &reason)) {
+      mm_error("job record %s is not readable: %s", id, reason);
+      g_free(job);
+      return;
+    }
+    job->submitted_ms = (gint64)mm_json_count(value, "at", 0);
+    job->part = mm_claims_part_of_team(&job->spec.team);
+    mm_done_set_init(&job->recorded, job->spec.tasks);
+    g_hash_table_insert(book->jobs, job->spec.id.s, job);
+    g_ptr_array_add(book->order, job);
+    g_ptr_array_sort(book->order, older_first);
+  }
+  job->mark = mark;
+  if (!mm_done_set_parse(&job->recorded, mm_json_string(value, "d")))
+    mm_error("job record %s: done set is not readable", id);
+  if (mm_json_count(value, "c", 0) != 0)
+    job->cancelled = TRUE;
+  mm_owner_job_changed(book->node->owner, job);
+}
+
+static void
+bounded_add(GHashTable *table, GQueue *order, guint most, const char *id, char *value) {
+  if (!g_hash_table_contains(table, id)) {
+    char *key = g_strdup(id);
+    g_queue_push_tail(order, key);
+    g_hash_table_insert(table, key, value);
+  } else {
+    g_hash_table_insert(table, g_strdup(id), value);
+  }
+  while (g_queue_get_length(order) > most)
+    g_hash_table_remove(table, g_queue_pop_head(order));
+}
+
+void
+mm_book_remove(MmBook *book, const char *id) {
+  MmJob *job = mm_book_find(book, id);
+
+  bounded_add(book->ended, book->ended_order, ENDED_KEPT, id, NULL);
+  if (job == NULL)
+    return;
+  mm_owner_job_removed(book->node->owner, job);
+  g_ptr_array_remove(book->order, job);
+  g_hash_table_remove(book->jobs, id);
+}
+
+void
+mm_book_list_keys(const MmBook *book, const char *prefix, GPtrArray *keys) {
+  for (guint i = 0; i < book->order->len; i++)
+    g_ptr_array_add(
+        keys, g_strconcat(prefix, ((MmJob *)g_ptr_array_index(book->order, i))->spec.id.s, NULL));
+}
+
+gboolean
+mm_book_is_over(const MmBook *book, const char *id) {
+  return g_hash_table_contains(book->finals, id) || g_hash_table_contains(book->ended, id);
+}
+
+void
+mm_book_keep_final(MmBook *book, const char *id, const char *state, guint done) {
+  g_autoptr(json_t) answer = json_pack("{s:s, s:s, s:I, s:i}", W_JOB_ID, id, W_STATE, state,
+                                       W_DONE, (json_int_t)done, W_RUNNING, 0);
+  char *text = json_dumps(answer, JSON_COMPACT);
+
+  bounded_add(book->finals, book->final_order, FINALS_KEPT, id, g_strdup(text));
+  free(text);
+}
+
+json_t *
+mm_book_final(const MmBook *book, const char *id) {
+  const char *text = g_hash_table_lookup(book->finals, id);
+
+  return text != NULL ? json_loads(text, 0, NULL) : NULL;
+}
+
+json_t *
+mm_job_record(const MmSpec *spec, gint64 submitted_ms, gboolean cancelled, const char *done_text) {
+  json_t *record = json_pack("{s:o, s:I}", "s", mm_spec_to_json(spec), "at",
+                             (json_int_t)submitted_ms);
+
+  if (done_text != NULL && done_text[0] != '\0')
+    json_object_set_new(record, "d", json_string(done_text));
+  if (cancelled)
+    json_object_set_new(record, "c", json_integer(1));
+  return record;
+}
+
+double
+mm_job_waited_s(const MmNode *node, const MmJob *job) {
+  return MAX(0.0, (double)(mm_node_wall_ms(node) - job->submitted_ms) / 1000.0);
+}
--- /dev/null
+++ b/src/jobs/book.h
@@ -0,0 +1,87 @@
+/* Job records: the unfinished jobs as the state service holds them, and the final states of those
+ * that are over. */
+#pragma once
+
+#include "jobs/doneset.h"
+#include "jobs/spec.h"
+#include "node/node.h"
+
+typedef struct MmMachine MmMachine;
+
+/* Where a task may be. Only the owner of its team knows. */
+typedef enum {
+  MM_TASK_IDLE,     /* on no machine, and no start can be under way */
+  MM_TASK_RESERVED, /* gang: a place is chosen, the start not given out yet */
+  MM_TASK_ISSUED,   /* a start may be under way */
+  MM_TASK_FETCHING,
+  MM_TASK_WAITING, /* for its gang */
+  MM_TASK_RUNNING,
+  MM_TASK_SAVING,
+  MM_TASK_DONE
+} MmTaskState;
+
+typedef struct {
+  guint8 state;
+  guint8 errors;
+  gboolean stopping; /* we told it to stop */
+  MmMachine *machine;
+  MmAttempt attempt;
+  MmStamp issued;    /* the report whose answer carries the start */
+  MmTime since;      /* when the state began; for idle tasks, when the wait began */
+  MmTime not_before; /* retry pause */
+  MmTime told;       /* when it was last told to stop */
+  MmName avoid;      /* the machine that failed it last */
+} MmTask;
+
+typedef struct {
+  MmSpec spec;
+  gint64 submitted_ms; /* time of day */
+  gboolean cancelled;
+  MmMark mark;
+  char *part;
+  MmDoneSet recorded; /* what the state service holds */
+
+  /* The owner's view; NULL where the part is not held here. */
+  MmTask *tasks;
+  MmDoneSet done;
+  guint idle;      /* tasks in MM_TASK_IDLE */
+  guint live;      /* tasks that are or may be on a machine */
+  guint first_idle; /* no idle task has a lower number */
+  gboolean writing;
+  MmTime wrote;
+  MmTime dirty;
+  guint failed_tasks; /* errors in a row without a success: the job itself may be broken */
+  MmTime paused_until;
+  double seen_s; /* sum of the run times seen, and how many */
+  guint seen_n;
+  gboolean known_after_claim; /* submitted after the part was taken */
+  MmTime claimed_room;        /* until when room is being cleared for it */
+} MmJob;
+
+struct MmBook {
+  MmNode *node;
+  GHashTable *jobs;   /* id -> MmJob */
+  GPtrArray *order;   /* MmJob, oldest submission first */
+  GHashTable *finals; /* id -> json text of the final answer; bounded */
+  GQueue *final_order;
+  GHashTable *ended; /* ids whose records went away here: final, state not read yet; bounded */
+  GQueue *ended_order;
+};
+
+MmBook *mm_book_new(MmNode *node);
+void mm_book_free(MmBook *book);
+
+MmJob *mm_book_find(const MmBook *book, const char *id);
+void mm_book_put(MmBook *book, const char *id, const json_t *value, MmMark mark);
+void mm_book_remove(MmBook *book, const char *id);
+void mm_book_list_keys(const MmBook *book, const char *prefix, GPtrArray *keys);
+
+/* Known to be over: its record is gone, or its final state is known. */
+gboolean mm_book_is_over(const MmBook *book, const char *id);
+void mm_book_keep_final(MmBook *book, const char *id, const char *state, guint done);
+/* The final answer for the user, or NULL. */
+json_t *mm_book_final(const MmBook *book, const char *id);
+
+json_t *mm_job_record(const MmSpec *spec, gint64 submitted_ms, gboolean cancelled,
+                      const char *done_text);
+double mm_job_waited_s(const MmNode *node, const MmJob *job);
--- /dev/null
+++ b/src/jobs/doneset.c
@@ -0,0 +1,117 @@
+#include "jobs/doneset.h"
+
+#include <string.h>
+
+void
+mm_done_set_init(MmDoneSet *set, guint size) {
+  set->size = size;
+  set->count = 0;
+  set->bits = g_new0(guint64, (size + 63) / 64);
+}
+
+void
+mm_done_set_clear(MmDoneSet *set) {
+  g_clear_pointer(&set->bits, g_free);
+  set->size = set->count = 0;
+}
+
+gboolean
+mm_done_set_has(const MmDoneSet *set, guint number) {
+  return number < set->size && (set->bits[number / 64] >> (number % 64) & 1) != 0;
+}
+
+gboolean
+mm_done_set_add(MmDoneSet *set, guint number) {
+  if (number >= set->size || mm_done_set_has(set, number))
+    return FALSE;
+  set->bits[number / 64] |= G_GUINT64_CONSTANT(1) << (number % 64);
+  set->count++;
+  return TRUE;
+}
+
+typedef struct {
+  guint first;
+  guint last;
+} Run;
+
+static gint
+longer_first(gconstpointer a, gconstpointer b) {
+  const Run *x = a, *y = b;
+  guint nx = x->last - x->first, ny = y->last - y->first;
+
+  if (nx != ny)
+    return nx > ny ? -1 : 1;
+  return x->first < y->first ? -1 : x->first > y->first;
+}
+
+static gint
+lower_first(gconstpointer a, gconstpointer b) {
+  const Run *x = a, *y = b;
+
+  return x->first < y->first ? -1 : x->first > y->first;
+}
+
+static gsize
+run_text(const Run *run, char *buffer, gsize size) {
+  if (run->first == run->last)
+    return (gsize)g_snprintf(buffer, size, "%u,", run->first);
+  return (gsize)g_snprintf(buffer, size, "%u-%u,", run->first, run->last);
+}
+
+char *
+mm_done_set_text(const MmDoneSet *set, gsize most) {
+  g_autoptr(GArray) runs = g_array_new(FALSE, FALSE, sizeof(Run));
+  GString *text = g_string_new(NULL);
+  char buffer[32];
+  gsize length = 0;
+  guint kept = 0;
+
+  for (guint i = 0; i < set->size; i++) {
+    Run run = { i, i };
+    if (!mm_done_set_has(set, i))
+      continue;
+    while (mm_done_set_has(set, run.last + 1))
+      run.last++;
+    g_array_append_val(runs, run);
+    i = run.last;
+  }
+  g_array_sort(runs, longer_first);
+  while (kept < runs->len
+         && (length += run_text(&g_array_index(runs, Run, kept), buffer, sizeof buffer)) <= most)
+    kept++;
+  g_array_set_size(runs, kept);
+  g_array_sort(runs, lower_first);
+  for (guint i = 0; i < runs->len; i++) {
+    run_text(&g_array_index(runs, Run, i), buffer, sizeof buffer);
+    g_string_append(text, buffer);
+  }
+  if (text->len > 0)
+    g_string_truncate(text, text->len - 1);
+  return g_string_free(text, FALSE);
+}
+
+gboolean
+mm_done_set_parse(MmDoneSet *set, const char *text) {
+  while (text != NULL && *text != '\0') {
+    char *end;
+    guint64 first, last;
+
+    if (!g_ascii_isdigit(*text))
+      return FALSE;
+    first = last = g_ascii_strtoull(text, &end, 10);
+    if (*end == '-') {
+      text = end + 1;
+      if (!g_ascii_isdigit(*text))
+        return FALSE;
+      last = g_ascii_strtoull(text, &end, 10);
+    }
+    if (last < first || last >= set->size || (*end != ',' && *end != '\0'))
+      return FALSE;
+    for (guint64 i = first; i <= last; i++)
+      mm_done_set_add(set, (guint)i);
+    if (*end == ',' && end[1] == '\0')
+      return FALSE;
+    text = *end == ',' ? end + 1 : end;
+  }
+  return TRUE;
+}
--- /dev/null
+++ b/src/jobs/spec.h
@@ -0,0 +1,44 @@
+/* What a user asks for, read and checked. */
+#pragma once
+
+#include "base/json.h"
+#include "base/types.h"
+
+#define MM_JOB_TASKS_MAX 100000
+#define MM_JOB_TYPES_MAX 64
+
+typedef enum { MM_KIND_ARRAY, MM_KIND_GANG, MM_KIND_SERVICE } MmKind;
+typedef enum { MM_LOW, MM_NORMAL, MM_URGENT, MM_CRITICAL } MmPriority;
+
+typedef struct {
+  MmName id;
+  MmName job_class;
+  MmName team;
+  MmKind kind;
+  MmPriority priority;
+  guint tasks;
+  MmRoom need;
+  MmName image;
+  double image_gb;
+  MmName *types; /* allowed machine types; none: any */
+  guint n_types;
+  MmName zone; /* empty: any */
+  gboolean one_zone;
+  gboolean spread;
+  gboolean spot;
+  double estimate_s;
+  double checkpoint_s;
+  double save_s;
+  double deadline_s; /* below 0: none */
+} MmSpec;
+
+/* FALSE with a reason (static text) when the body is malformed. */
+gboolean mm_spec_parse(MmSpec *spec, const json_t *body, const char **reason);
+/* The known fields only, as they are to be stored. */
+json_t *mm_spec_to_json(const MmSpec *spec);
+void mm_spec_clear(MmSpec *spec);
+/* Whether this is an id in the form that users' ids always have. */
+gboolean mm_spec_id_is_valid(const char *id);
+gboolean mm_spec_allows_type(const MmSpec *spec, const MmName *type);
+/* How many of the job's tasks one zone may hold. */
+guint mm_spec_zone_limit(const MmSpec *spec);
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,142 @@
+#include "node/node.h"
+
+#include "base/wire.h"
+#include "checkin/checkin.h"
+#include "checkin/roster.h"
+#include "fleet/fleet.h"
+#include "fleet/types.h"
+#include "jobs/api.h"
+#include "jobs/book.h"
+#include "owner/owner.h"
+#include "parts/claims.h"
+#include "peers/links.h"
+#include "rank/rank.h"
+#include "store/replica.h"
+#include "store/store.h"
+
+#define TROUBLE_ALONE_MS 2000
+
+MmNode *
+mm_node_new(const MmSettings *settings, const MmOperators *operators, const MmPort *port,
+            guint32 seed) {
+  MmNode *node = g_new0(MmNode, 1);
+
+  node->settings = settings;
+  node->operators = operators;
+  node->port = *port;
+  node->rand = g_rand_new_with_seed(seed);
+  node->started = mm_node_now(node);
+  node->store = mm_store_new(node);
+  node->replica = mm_replica_new(node);
+  node->claims = mm_claims_new(node);
+  node->book = mm_book_new(node);
+  node->types = mm_types_new(node);
+  node->roster = mm_roster_new(node);
+  node->checkin = mm_checkin_new(node);
+  node->rank = mm_rank_new(node);
+  node->owner = mm_owner_new(node);
+  node->fleet = mm_fleet_new(node);
+  node->links = mm_links_new(node);
+  return node;
+}
+
+void
+mm_node_free(MmNode *node) {
+  mm_checkin_free(node->checkin);
+  mm_links_free(node->links);
+  mm_fleet_free(node->fleet);
+  mm_owner_free(node->owner);
+  mm_rank_free(node->rank);
+  mm_roster_free(node->roster);
+  mm_types_free(node->types);
+  mm_book_free(node->book);
+  mm_claims_free(node->claims);
+  mm_replica_free(node->replica);
+  mm_store_free(node->store);
+  g_rand_free(node->rand);
+  g_free(node);
+}
+
+void
+mm_node_start(MmNode *node) {
+  mm_replica_start(node->replica);
+  mm_node_tick(node);
+}
+
+void
+mm_node_tick(MmNode *node) {
+  mm_claims_tick(node->claims);
+  mm_links_tick(node->links);
+  mm_types_tick(node->types);
+  mm_checkin_tick(node->checkin);
+  mm_roster_tick(node->roster);
+  mm_owner_tick(node->owner);
+  mm_rank_tick(node->rank);
+  mm_fleet_tick(node->fleet);
+}
+
+/* A node that alone is refused by the state service sends its users elsewhere. In an outage for all,
+ * being unhealthy would help nobody. */
+static gboolean
+healthy(const MmNode *node) {
+  MmTime now = mm_node_now(node);
+
+  if (!node->replica->loaded || !mm_types_known(node->types))
+    return FALSE;
+  return !mm_store_in_trouble(node->store)
+         || mm_time_ms_since(now, node->store->last_served) < TROUBLE_ALONE_MS
+         || mm_time_ms_since(now, mm_links_last_refused(node->links)) < TROUBLE_ALONE_MS
+         || mm_links_other(node->links) < 0;
+}
+
+static void
+wrong_method(MmExchange *exchange) {
+  mm_exchange_answer(exchange, 405, mm_json_error("this path does not take that method"), 0);
+}
+
+static void
+handle_job(MmNode *node, const char *method, const char *rest, MmExchange *exchange) {
+  const char *slash = strchr(rest, '/');
+
+  if (slash == NULL) {
+    if (strcmp(method, "GET") == 0)
+      mm_api_status(node, rest, exchange);
+    else
+      wrong_method(exchange);
+  } else if (strcmp(slash + 1, W_CANCEL_WORD) == 0) {
+    g_autofree char *id = g_strndup(rest, (gsize)(slash - rest));
+    if (strcmp(method, "POST") == 0)
+      mm_api_cancel(node, id, exchange);
+    else
+      wrong_method(exchange);
+  } else {
+    mm_exchange_answer(exchange, 404, mm_json_error("no such path"), 0);
+  }
+}
+
+void
+mm_node_handle(MmNode *node, const char *method, const char *path, json_t *body,
+               MmExchange *exchange) {
+  if (strcmp(path, W_REPORT_PATH) == 0) {
+    if (strcmp(method, "POST") == 0)
+      mm_checkin_report(node->checkin, body, exchange);
+    else
+      wrong_method(exchange);
+  } else if (strcmp(path, W_JOBS_PATH) == 0) {
+    if (strcmp(method, "POST") == 0)
+      mm_api_submit(node, body, exchange);
+    else
+      wrong_method(exchange);
+  } else if (g_str_has_prefix(path, W_JOBS_PATH "/")) {
+    handle_job(node, method, path + strlen(W_JOBS_PATH "/"), exchange);
+  } else if (strcmp(path, "/healthz") == 0) {
+    if (strcmp(method, "GET") != 0)
+      wrong_method(exchange);
+    else if (healthy(node))
+      mm_exchange_answer(exchange, 200, json_pack("{s:s}", "status", "ok"), 0);
+    else
+      mm_exchange_answer(exchange, 503, mm_json_error("not ready"), 1);
+  } else {
+    mm_exchange_answer(exchange, 404, mm_json_error("no such path"), 0);
+  }
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,65 @@
+/* One controller node: the slices and what they share. */
+#pragma once
+
+#include "base/json.h"
+#include "base/log.h"
+#include "base/types.h"
+#include "config/operators.h"
+#include "config/settings.h"
+#include "node/port.h"
+
+typedef struct MmNode MmNode;
+typedef struct MmStore MmStore;
+typedef struct MmReplica MmReplica;
+typedef struct MmClaims MmClaims;
+typedef struct MmBook MmBook;
+typedef struct MmRoster MmRoster;
+typedef struct MmCheckin MmCheckin;
+typedef struct MmRank MmRank;
+typedef struct MmOwner MmOwner;
+typedef struct MmTypes MmTypes;
+typedef struct MmFleet MmFleet;
+typedef struct MmLinks MmLinks;
+
+struct MmNode {
+  const MmSettings *settings;
+  const MmOperators *operators;
+  MmPort port;
+  GRand *rand;
+  MmTime started;
+
+  MmStore *store;
+  MmReplica *replica;
+  MmClaims *claims;
+  MmBook *book;
+  MmRoster *roster;
+  MmCheckin *checkin;
+  MmRank *rank;
+  MmOwner *owner;
+  MmTypes *types;
+  MmFleet *fleet;
+  MmLinks *links;
+};
+
+MmNode *mm_node_new(const MmSettings *settings, const MmOperators *operators, const MmPort *port,
+                    guint32 seed);
+/* Only when no answer to one of its requests can come any more. */
+void mm_node_free(MmNode *node);
+
+void mm_node_start(MmNode *node);
+/* To be called every MM_NODE_TICK_MS: the loops that close the gap between wanted and real. */
+#define MM_NODE_TICK_MS 50
+void mm_node_tick(MmNode *node);
+/* A request to `front`. Path without query; the body is lent and NULL when absent or not JSON. */
+void mm_node_handle(MmNode *node, const char *method, const char *path, json_t *body,
+                    MmExchange *exchange);
+
+static inline MmTime
+mm_node_now(const MmNode *node) {
+  return node->port.now(node->port.self);
+}
+
+static inline gint64
+mm_node_wall_ms(const MmNode *node) {
+  return node->port.wall_ms(node->port.self);
+}
--- /dev/null
+++ b/src/owner/approve.c
@@ -0,0 +1,313 @@
+#include "owner/owner.h"
+
+#include <math.h>
+
+#include "base/wire.h"
+#include "parts/claims.h"
+#include "peers/links.h"
+#include "store/replica.h"
+
+#define KEPT_MAX 64
+#define AVOID_MS 60000
+
+MmAttempt
+mm_owner_next_attempt(MmOwner *owner, const MmHeld *held) {
+  /* Terms never come twice and the sequence starts anew with the process, which takes a new term
+   * before it approves anything: so no attempt is ever given out twice, with no write per start. */
+  return (MmAttempt){ held->term.v << 24 | (++owner->sequence & 0xffffff) };
+}
+
+gboolean
+mm_owner_open(const MmOwner *owner, const MmJob *job) {
+  const MmHeld *held = mm_owner_held(owner, job);
+
+  return held != NULL && job->tasks != NULL && !job->cancelled
+         && (held->ready || job->known_after_claim)
+         && !mm_time_before(mm_node_now(owner->node), job->paused_until);
+}
+
+gboolean
+mm_owner_goes_first(const MmOwner *owner, const MmJob *job) {
+  return job->spec.priority >= MM_URGENT
+         || mm_job_waited_s(owner->node, job) > owner->node->operators->wait_bound_s;
+}
+
+/* Where a job has a deadline, the earlier deadline counts; elsewhere its age does. */
+static double
+pressing_at(const MmJob *job) {
+  double at = (double)job->submitted_ms / 1000.0;
+
+  if (job->spec.deadline_s >= 0)
+    at += job->spec.deadline_s;
+  return at;
+}
+
+gint
+mm_owner_compare_pressing(gconstpointer a, gconstpointer b) {
+  const MmJob *x = *(MmJob *const *)a, *y = *(MmJob *const *)b;
+  double px = pressing_at(x), py = pressing_at(y);
+
+  if (x->spec.priority != y->spec.priority)
+    return x->spec.priority > y->spec.priority ? -1 : 1;
+  if (px != py)
+    return px < py ? -1 : 1;
+  return strcmp(x->spec.id.s, y->spec.id.s);
+}
+
+gboolean
+mm_owner_place_allowed(const MmJob *job, const MmMachine *machine) {
+  guint here = 0;
+
+  if (!mm_rank_allows(job, machine))
+    return FALSE;
+  if (!job->spec.one_zone && !job->spec.spread)
+    return TRUE;
+  for (guint i = 0; i < job->spec.tasks; i++) {
+    const MmTask *task = &job->tasks[i];
+    gboolean same;
+    if (task->machine == NULL)
+      continue;
+    same = mm_name_equal(&task->machine->zone, &machine->zone);
+    here += same;
+    if (job->spec.one_zone && !same)
+      return FALSE;
+  }
+  return !job->spec.spread || here < mm_spec_zone_limit(&job->spec);
+}
+
+/* What the team's tasks take or might take: all that may be on a machine, stops under way included,
+ * and on a machine that has not been heard whatever fits there. */
+gboolean
+mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks) {
+  MmRoom limit = held->team->limit;
+  MmRoom used = { 0 };
+  MmBook *book = owner->node->book;
+  GHashTableIter iter;
+  gpointer id;
+
+  if (limit.cores <= 0 && limit.accelerators <= 0)
+    return TRUE;
+  for (guint i = 0; i < book->order->len; i++) {
+    const MmJob *other = g_ptr_array_index(book->order, i);
+    if (other->tasks == NULL || other->live == 0 || strcmp(other->part, held->name) != 0)
+      continue;
+    used.cores += other->live * other->spec.need.cores;
+    used.accelerators += other->live * other->spec.need.accelerators;
+  }
+  g_hash_table_iter_init(&iter, held->unheard);
+  while (g_hash_table_iter_next(&iter, &id, NULL)) {
+    const MmMachine *machine = mm_roster_find(owner->node->roster, id);
+    if (machine == NULL || machine->type == NULL)
+      return FALSE;
+    used = mm_room_add(used, machine->type->room);
+  }
+  used.cores += tasks * job->spec.need.cores;
+  used.accelerators += tasks * job->spec.need.accelerators;
+  return (limit.cores <= 0 || used.cores <= limit.cores + MM_ROOM_SLACK)
+         && (limit.accelerators <= 0 || used.accelerators <= limit.accelerators + MM_ROOM_SLACK);
+}
+
+/* Work in a hurry does not fetch its image where another machine could start it at its next report. */
+static gboolean
+better_elsewhere(MmOwner *owner, const MmJob *job, const MmTask *task, const MmMachine *here) {
+  MmNode *node = owner->node;
+  MmTime now = mm_node_now(node);
+  gint64 period_ms = (gint64)(node->settings->report_s * 1000);
+
+  if (mm_machine_caches(here, &job->spec.image)
+      || mm_time_ms_since(now, task->since) > period_ms * 3 / 2)
+    return FALSE;
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    if (machine != here && mm_machine_usable(node->roster, machine)
+        && mm_machine_caches(machine, &job->spec.image)
+        && mm_time_ms_since(now, machine->reported) < period_ms * 3 / 2
+        && mm_room_fits(job->spec.need, mm_machine_free(node->roster, machine))
+        && mm_owner_place_allowed(job, machine)
+        && mm_rank_leaves_accelerators(node->rank, job, machine))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static gboolean
+task_may_start(MmOwner *owner, MmHeld *held, MmJob *job, guint number, const MmAsk *ask) {
+  const MmTask *task = &job->tasks[number];
+  MmTime now = mm_node_now(owner->node);
+
+  return task->state == MM_TASK_IDLE && !mm_time_before(now, task->not_before)
+         && !(mm_name_equal(&task->avoid, &ask->machine->id)
+              && mm_time_ms_since(now, task->since) < AVOID_MS)
+         && mm_room_fits(job->spec.need, ask->room)
+         && mm_room_fits(job->spec.need, mm_machine_free(owner->node->roster, ask->machine))
+         && mm_owner_place_allowed(job, ask->machine)
+         && mm_rank_leaves_accelerators(owner->node->rank, job, ask->machine)
+         && mm_owner_quota_allows(owner, held, job, 1);
+}
+
+static void
+approve(MmOwner *owner, MmHeld *held, MmJob *job, guint number, const MmAsk *ask,
+        MmApproval *approval) {
+  MmAttempt attempt = mm_owner_next_attempt(owner, held);
+
+  mm_owner_place(owner, job, number, ask->machine, MM_TASK_ISSUED, attempt);
+  job->tasks[number].issued = ask->stamp;
+  *approval
+      = (MmApproval){ job->spec.id, number, attempt, mm_name(held->name), held->term };
+}
+
+static gboolean
+try_task(MmOwner *owner, MmJob *job, guint number, const MmAsk *ask, MmApproval *approval) {
+  MmHeld *held;
+
+  if (job == NULL || !mm_owner_open(owner, job) || number >= job->spec.tasks
+      || mm_job_is_gang(job))
+    return FALSE;
+  held = mm_owner_held(owner, job);
+  if (!task_may_start(owner, held, job, number, ask))
+    return FALSE;
+  if (mm_owner_goes_first(owner, job)
+      && better_elsewhere(owner, job, &job->tasks[number], ask->machine))
+    return FALSE;
+  approve(owner, held, job, number, ask, approval);
+  return TRUE;
+}
+
+/* The job's lowest unassigned task, if it may start there. */
+static gboolean
+try_job(MmOwner *owner, MmJob *job, const MmAsk *ask, MmApproval *approval) {
+  guint tries = 8;
+
+  for (guint i = job->first_idle; i < job->spec.tasks && tries > 0; i++) {
+    if (job->tasks[i].state != MM_TASK_IDLE)
+      continue;
+    if (try_task(owner, job, i, ask, approval))
+      return TRUE;
+    tries--;
+  }
+  return FALSE;
+}
+
+/* Work that goes first to any fitting machine, most pressing first. */
+static gboolean
+try_first(MmOwner *owner, const MmAsk *ask, GPtrArray *jobs, MmApproval *approval) {
+  for (guint i = 0; i < jobs->len; i++) {
+    MmJob *job = g_ptr_array_index(jobs, i);
+    if (mm_owner_goes_first(owner, job) && try_job(owner, job, ask, approval))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static void
+keep(MmMachine *machine, const MmTaskRef *task) {
+  for (guint i = 0; i < machine->kept->len; i++) {
+    const MmTaskRef *kept = &g_array_index(machine->kept, MmTaskRef, i);
+    if (kept->number == task->number && mm_name_equal(&kept->job, &task->job))
+      return;
+  }
+  if (machine->kept->len < KEPT_MAX)
+    g_array_append_val(machine->kept, *task);
+}
+
+/* The kept-list answers the machine's next request first. */
+static gboolean
+try_kept(MmOwner *owner, const MmAsk *ask, MmMachine *whose, guint at, MmApproval *approval) {
+  MmTaskRef task = g_array_index(whose->kept, MmTaskRef, at);
+
+  g_array_remove_index(whose->kept, at);
+  return try_task(owner, mm_book_find(owner->node->book, task.job.s), task.number, ask, approval);
+}
+
+/* A random task from the longest kept-list; without any, the oldest unassigned task that fits. */
+static gboolean
+try_pull(MmOwner *owner, const MmAsk *ask, GPtrArray *jobs, MmApproval *approval) {
+  MmRoster *roster = owner->node->roster;
+  MmMachine *longest = NULL;
+
+  for (guint i = 0; i < roster->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(roster->order, i);
+    if (machine->kept->len > (longest != NULL ? longest->kept->len : 0))
+      longest = machine;
+  }
+  if (longest != NULL
+      && try_kept(owner, ask, longest,
+                  (guint)g_rand_int_range(owner->node->rand, 0, (gint32)longest->kept->len),
+                  approval))
+    return TRUE;
+  for (guint i = 0; i < jobs->len; i++)
+    if (try_job(owner, g_ptr_array_index(jobs, i), ask, approval))
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+mm_owner_ask(MmOwner *owner, const MmAsk *ask, MmApproval *approval) {
+  MmBook *book = owner->node->book;
+  g_autoptr(GPtrArray) jobs = NULL;
+
+  if (!mm_claims_valid(owner->node->claims) || !mm_machine_usable(owner->node->roster, ask->machine)
+      || mm_stamp_newer(ask->machine->stamp, ask->stamp)
+      || mm_time_before(mm_node_now(owner->node), ask->machine->full_until))
+    return FALSE;
+  if (mm_owner_reserved(owner, ask, approval))
+    return TRUE;
+  jobs = g_ptr_array_new();
+  for (guint i = 0; i < book->order->len; i++) {
+    MmJob *job = g_ptr_array_index(book->order, i);
+    if (job->tasks != NULL && job->idle > 0 && !mm_job_is_gang(job)
+        && mm_room_fits(job->spec.need, ask->room) && mm_owner_open(owner, job))
+      g_ptr_array_add(jobs, job);
+  }
+  if (jobs->len == 0)
+    return FALSE;
+  g_ptr_array_sort(jobs, mm_owner_compare_pressing);
+  if (try_first(owner, ask, jobs, approval))
+    return TRUE;
+  while (ask->machine->kept->len > 0)
+    if (try_kept(owner, ask, ask->machine, 0, approval))
+      return TRUE;
+  for (guint i = 0; i < ask->n; i++) {
+    if (!try_task(owner, mm_book_find(book, ask->tasks[i].job.s), ask->tasks[i].number, ask,
+                  approval))
+      continue;
+    for (guint k = i + 1; k < ask->n; k++) {
+      const MmJob *job = mm_book_find(book, ask->tasks[k].job.s);
+      if (job != NULL && job->tasks != NULL && ask->tasks[k].number < job->spec.tasks
+          && job->tasks[ask->tasks[k].number].state == MM_TASK_IDLE)
+        keep(ask->machine, &ask->tasks[k]);
+    }
+    return TRUE;
+  }
+  return ask->pull && try_pull(owner, ask, jobs, approval);
+}
+
+void
+mm_owner_peer_ask(MmOwner *owner, guint peer, const Mm__Ask *message) {
+  MmMachine *machine = mm_roster_find(owner->node->roster, message->machine);
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Answer answer = MM__ANSWER__INIT;
+  Mm__Approval granted = MM__APPROVAL__INIT;
+  MmApproval approval;
+  MmAsk ask = { .machine = machine,
+                .stamp = { message->session, message->seq },
+                .room = { message->cores, message->accelerators, message->memory_gb },
+                .pull = message->pull };
+
+  for (size_t i = 0; i < message->n_candidates && ask.n < MM_RANK_CANDIDATES_MAX; i++)
+    ask.tasks[ask.n++] = (MmTaskRef){ mm_name(message->candidates[i]->job),
+                                      message->candidates[i]->number };
+  answer.id = message->id;
+  if (machine != NULL && mm_owner_ask(owner, &ask, &approval)) {
+    granted.job = approval.job.s;
+    granted.number = approval.number;
+    granted.attempt = approval.attempt.v;
+    granted.team = approval.part.s;
+    granted.term = approval.term.v;
+    answer.approval = &granted;
+  }
+  answer.unfinished = mm_owner_unfinished(owner);
+  frame.body_case = MM__FRAME__BODY_ANSWER;
+  frame.answer = &answer;
+  mm_links_send(owner->node->links, peer, &frame);
+}
--- /dev/null
+++ b/src/owner/gang.c
@@ -0,0 +1,156 @@
+/* Gangs of several tasks: the owner picks all places at once or none, then gives the starts out as the
+ * machines report. A gang that is not complete in time is stopped and planned anew. */
+#include "owner/owner.h"
+
+#include "parts/claims.h"
+
+/* Several report periods: within them every machine asks for work. */
+#define RESERVED_PERIODS 3
+
+typedef struct {
+  MmMachine *machine;
+  MmRoom room;
+} Place;
+
+static void
+release_gang(MmOwner *owner, MmJob *job) {
+  for (guint i = 0; i < job->spec.tasks; i++) {
+    MmTask *task = &job->tasks[i];
+    if (task->state == MM_TASK_RESERVED)
+      mm_owner_unplace(owner, job, i);
+    else if (task->machine != NULL && !task->stopping) {
+      task->stopping = TRUE;
+      task->told = mm_node_now(owner->node);
+      mm_owner_stop(owner, task->machine, &job->spec.id, i, task->attempt,
+                    mm_owner_grace_s(job));
+    }
+  }
+}
+
+static GArray *
+open_places(MmOwner *owner, const MmJob *job, const MmName *zone) {
+  MmRoster *roster = owner->node->roster;
+  GArray *places = g_array_new(FALSE, FALSE, sizeof(Place));
+  MmTime now = mm_node_now(owner->node);
+  gint64 recent_ms = (gint64)(owner->node->settings->report_s * 2500);
+
+  for (guint i = 0; i < roster->order->len; i++) {
+    Place place = { g_ptr_array_index(roster->order, i), { 0 } };
+    if (!mm_machine_usable(roster, place.machine) || !mm_rank_allows(job, place.machine)
+        || mm_time_ms_since(now, place.machine->reported) > recent_ms
+        || (zone != NULL && !mm_name_equal(&place.machine->zone, zone)))
+      continue;
+    place.room = mm_machine_free(roster, place.machine);
+    if (mm_room_fits(job->spec.need, place.room))
+      g_array_append_val(places, place);
+  }
+  return places;
+}
+
+/* Reserves places for the whole gang; FALSE, with nothing reserved, when they do not suffice. */
+static gboolean
+reserve(MmOwner *owner, MmHeld *held, MmJob *job, const MmName *zone) {
+  g_autoptr(GArray) places = open_places(owner, job, zone);
+  g_autoptr(GPtrArray) chosen = g_ptr_array_new();
+  MmAttempt attempt;
+
+  for (guint pass = 0; pass < 2; pass++) {
+    for (guint i = 0; i < places->len; i++) {
+      Place *place = &g_array_index(places, Place, i);
+      /* First where the image is, then anywhere. */
+      if (pass == 0 && !mm_machine_caches(place->machine, &job->spec.image))
+        continue;
+      while (chosen->len < job->spec.tasks && mm_room_fits(job->spec.need, place->room)) {
+        if (job->spec.spread) {
+          guint here = 0;
+          for (guint k = 0; k < chosen->len; k++)
+            here += mm_name_equal(&((MmMachine *)g_ptr_array_index(chosen, k))->zone,
+                                  &place->machine->zone);
+          if (here >= mm_spec_zone_limit(&job->spec))
+            break;
+        }
+        place->room = mm_room_sub(place->room, job->spec.need);
+        g_ptr_array_add(chosen, place->machine);
+      }
+    }
+  }
+  if (chosen->len < job->spec.tasks)
+    return FALSE;
+  attempt = mm_owner_next_attempt(owner, held);
+  for (guint i = 0; i < job->spec.tasks; i++)
+    mm_owner_place(owner, job, i, g_ptr_array_index(chosen, i), MM_TASK_RESERVED, attempt);
+  return TRUE;
+}
+
+static void
+plan(MmOwner *owner, MmHeld *held, MmJob *job) {
+  MmNode *node = owner->node;
+
+  if (!mm_owner_quota_allows(owner, held, job, job->spec.tasks))
+    return;
+  if (!job->spec.one_zone) {
+    reserve(owner, held, job, NULL);
+    return;
+  }
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    if (machine->type != NULL && reserve(owner, held, job, &machine->zone))
+      return;
+  }
+}
+
+void
+mm_owner_plan_gangs(MmOwner *owner) {
+  MmNode *node = owner->node;
+  MmTime now = mm_node_now(node);
+  g_autoptr(GPtrArray) jobs = g_ptr_array_new();
+  gint64 patience_ms = (gint64)(node->settings->report_s * 1000 * RESERVED_PERIODS);
+
+  for (guint i = 0; i < node->book->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->book->order, i);
+    if (job->tasks != NULL && mm_job_is_gang(job) && mm_owner_open(owner, job))
+      g_ptr_array_add(jobs, job);
+  }
+  g_ptr_array_sort(jobs, mm_owner_compare_pressing);
+  for (guint i = 0; i < jobs->len; i++) {
+    MmJob *job = g_ptr_array_index(jobs, i);
+    MmHeld *held = mm_owner_held(owner, job);
+    guint started = 0;
+    gboolean late = FALSE, paused = FALSE;
+
+    for (guint k = 0; k < job->spec.tasks; k++) {
+      const MmTask *task = &job->tasks[k];
+      paused = paused || mm_time_before(now, task->not_before);
+      started += task->machine != NULL && task->state != MM_TASK_RESERVED;
+      late = late
+             || (task->state == MM_TASK_RESERVED
+                 && mm_time_ms_since(now, task->since) > patience_ms);
+    }
+    /* Some members are gone while others live, or a place did not ask in time: all or none. */
+    if (late || (started > 0 && job->idle > 0))
+      release_gang(owner, job);
+    else if (held->ready && !paused && job->idle > 0 && job->live == 0
+             && job->idle + job->done.count == job->spec.tasks)
+      plan(owner, held, job);
+  }
+}
+
+gboolean
+mm_owner_reserved(MmOwner *owner, const MmAsk *ask, MmApproval *approval) {
+  for (guint i = 0; i < ask->machine->placed->len; i++) {
+    const MmPlaced *placed = g_ptr_array_index(ask->machine->placed, i);
+    MmTask *task = &placed->job->tasks[placed->number];
+    MmHeld *held = mm_owner_held(owner, placed->job);
+
+    if (task->state != MM_TASK_RESERVED || held == NULL || placed->job->cancelled
+        || !mm_room_fits(placed->job->spec.need, ask->room))
+      continue;
+    mm_owner_place(owner, placed->job, placed->number, ask->machine, MM_TASK_ISSUED,
+                   task->attempt);
+    task->issued = ask->stamp;
+    *approval = (MmApproval){ placed->job->spec.id, placed->number, task->attempt,
+                              mm_name(held->name), held->term };
+    return TRUE;
+  }
+  return FALSE;
+}
--- /dev/null
+++ b/src/owner/owner.h
@@ -0,0 +1,99 @@
+/* The one judge of a team's tasks: where each may be, what may start, what must stop.
+ *
+ * A part is a team. Whoever holds it rebuilds its view from the machines' reports: a machine counts as
+ * heard once it echoes the part's term, for then every start given out under an older term has either
+ * shown in that report or will be refused. Nothing is approved that an unheard machine might hold. */
+#pragma once
+
+#include "checkin/roster.h"
+#include "jobs/book.h"
+#include "node/node.h"
+#include "peers.pb-c.h"
+#include "rank/rank.h"
+
+typedef struct {
+  char *name;
+  MmTerm term;
+  MmMark mark;
+  MmTime taken;
+  const MmTeamSettings *team;
+  GHashTable *unheard; /* ids of machines that may hold tasks that are not known of */
+  gboolean ready;
+} MmHeld;
+
+struct MmOwner {
+  MmNode *node;
+  GHashTable *held; /* part name -> MmHeld */
+  guint64 sequence; /* of attempts */
+  gboolean writing;
+  guint solo; /* so many of the next writes carry one job only */
+  MmTime next_slow;
+  MmTime next_preempt;
+  MmTime next_gangs;
+};
+
+typedef struct {
+  MmMachine *machine;
+  MmStamp stamp;
+  MmRoom room;
+  gboolean pull;
+  guint n;
+  MmTaskRef tasks[MM_RANK_CANDIDATES_MAX];
+} MmAsk;
+
+typedef struct {
+  MmName job;
+  guint number;
+  MmAttempt attempt;
+  MmName part;
+  MmTerm term;
+} MmApproval;
+
+MmOwner *mm_owner_new(MmNode *node);
+void mm_owner_free(MmOwner *owner);
+void mm_owner_tick(MmOwner *owner);
+
+void mm_owner_replica_changed(MmOwner *owner);
+void mm_owner_job_changed(MmOwner *owner, MmJob *job);
+void mm_owner_job_removed(MmOwner *owner, MmJob *job);
+void mm_owner_cancelled(MmOwner *owner, const char *job);
+void mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report);
+void mm_owner_machine_gone(MmOwner *owner, MmMachine *machine);
+/* Adds MmWaiting for what is unassigned in the parts held here, most pressing first. */
+void mm_owner_backlog(MmOwner *owner, GPtrArray *waiting);
+guint mm_owner_unfinished(const MmOwner *owner);
+
+/* approve.c */
+gboolean mm_owner_ask(MmOwner *owner, const MmAsk *ask, MmApproval *approval);
+void mm_owner_peer_ask(MmOwner *owner, guint peer, const Mm__Ask *message);
+MmHeld *mm_owner_held(const MmOwner *owner, const MmJob *job);
+/* Whether the job's tasks may be given out at all at the moment. */
+gboolean mm_owner_open(const MmOwner *owner, const MmJob *job);
+gboolean mm_owner_goes_first(const MmOwner *owner, const MmJob *job);
+/* The order of pressing: priority, then deadline or age. */
+gint mm_owner_compare_pressing(gconstpointer a, gconstpointer b);
+/* The rules that bind a task to places: type, zone, kind of machine, the job's other tasks. */
+gboolean mm_owner_place_allowed(const MmJob *job, const MmMachine *machine);
+gboolean mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks);
+MmAttempt mm_owner_next_attempt(MmOwner *owner, const MmHeld *held);
+
+/* owner.c */
+void mm_owner_place(MmOwner *owner, MmJob *job, guint number, MmMachine *machine,
+                    MmTaskState state, MmAttempt attempt);
+void mm_owner_unplace(MmOwner *owner, MmJob *job, guint number);
+/* Tells a task's machine to stop it, at once and with every answer until it is gone. */
+void mm_owner_stop(MmOwner *owner, MmMachine *machine, const MmName *job, guint number,
+                   MmAttempt attempt, double grace_s);
+/* The smallest grace that lets the job save. */
+double mm_owner_grace_s(const MmJob *job);
+
+/* gang.c */
+void mm_owner_plan_gangs(MmOwner *owner);
+gboolean mm_owner_reserved(MmOwner *owner, const MmAsk *ask, MmApproval *approval);
+static inline gboolean
+mm_job_is_gang(const MmJob *job) {
+  return job->spec.kind == MM_KIND_GANG && job->spec.tasks > 1;
+}
+
+/* preempt.c */
+void mm_owner_preempt(MmOwner *owner);
--- /dev/null
+++ b/src/parts/claims.c
@@ -0,0 +1,344 @@
+#include "parts/claims.h"
+
+#include "base/wire.h"
+#include "peers/links.h"
+#include "store/replica.h"
+#include "store/store.h"
+
+/* Steady clocks diverge by at most 0.05%; twice that, against two clocks, and a little more. */
+#define DRIFT 0.002
+/* A part that its rightful taker leaves lying this long goes to anyone. */
+#define FREE_PATIENCE_MS 1500
+/* At the start all nodes should take part in the sharing out. */
+#define START_PATIENCE_MS 1000
+#define UNEVEN_PATIENCE_MS 10000
+#define PARTS_EVERY_MS 100
+
+MmClaims *
+mm_claims_new(MmNode *node) {
+  MmClaims *claims = g_new0(MmClaims, 1);
+
+  claims->node = node;
+  claims->names = g_ptr_array_new_with_free_func(g_free);
+  claims->free_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  g_ptr_array_add(claims->names, g_strdup(MM_PART_FLEET));
+  for (guint i = 0; i < node->settings->teams->len; i++)
+    g_ptr_array_add(claims->names,
+                    mm_claims_part_of_team(
+                        &g_array_index(node->settings->teams, MmTeamSettings, i).name));
+  return claims;
+}
+
+void
+mm_claims_free(MmClaims *claims) {
+  g_ptr_array_unref(claims->names);
+  g_hash_table_unref(claims->free_since);
+  g_free(claims);
+}
+
+char *
+mm_claims_part_of_team(const MmName *team) {
+  return g_uri_escape_string(team->s, NULL, FALSE);
+}
+
+static gint64
+ttl_ms(const MmClaims *claims) {
+  return (gint64)(claims->node->operators->claim_ttl_s * 1000);
+}
+
+static MmTime
+valid_from(const MmClaims *claims, MmTime sent) {
+  return mm_time_add_ms(sent, (gint64)((double)ttl_ms(claims) * (1 - DRIFT)) - 20);
+}
+
+gboolean
+mm_claims_valid(const MmClaims *claims) {
+  return claims->claim != 0 && mm_time_before(mm_node_now(claims->node), claims->valid);
+}
+
+gboolean
+mm_claims_may_answer(const MmClaims *claims) {
+  const MmReplica *replica = claims->node->replica;
+  const MmNodeClaim *mine;
+
+  if (!mm_claims_valid(claims) || !replica->loaded || replica->term.v == 0)
+    return FALSE;
+  mine = g_hash_table_lookup(replica->nodes, claims->node->settings->label.s);
+  return mine != NULL && mine->claim == claims->claim;
+}
+
+gboolean
+mm_claims_holds(const MmClaims *claims, const char *name) {
+  const MmPart *part = mm_replica_part(claims->node->replica, name);
+
+  return part != NULL && claims->claim != 0 && part->claim == claims->claim
+         && mm_name_equal(&part->holder, &claims->node->settings->label);
+}
+
+typedef struct {
+  MmClaims *claims;
+  MmTime sent;
+  guint64 claim;
+} Call;
+
+static Call *
+call_new(MmClaims *claims, guint64 claim) {
+  Call *call = g_new(Call, 1);
+
+  *call = (Call){ claims, mm_node_now(claims->node), claim };
+  return call;
+}
+
+static void
+announced(gpointer data, int status, json_t *body) {
+  Call *call = data;
+  MmClaims *claims = call->claims;
+
+  claims->asking = FALSE;
+  if (status == 200) {
+    claims->claim = call->claim;
+    claims->valid = valid_from(claims, call->sent);
+    claims->next = mm_node_now(claims->node);
+    mm_info("claim %" G_GUINT64_FORMAT " taken", call->claim);
+  } else {
+    claims->next = mm_time_add_ms(mm_node_now(claims->node), 150);
+  }
+  g_free(call);
+}
+
+static void
+granted(gpointer data, int status, json_t *body) {
+  Call *call = data;
+  MmClaims *claims = call->claims;
+  guint64 claim = mm_json_count(body, W_LEASE, 0);
+
+  if (status == 200 && claim != 0) {
+    MmTxn txn = mm_txn();
+    call->claim = claim;
+    claims->lives++;
+    mm_txn_put(&txn, MM_KEY_NODE, claims->node->settings->label.s,
+               json_pack("{s:I}", "c", (json_int_t)claim), claim);
+    /* `sent` stays the grant's: the lease has been running since then. */
+    mm_store_commit(claims->node->store, &txn, announced, call);
+    return;
+  }
+  claims->asking = FALSE;
+  claims->next = mm_time_add_ms(mm_node_now(claims->node), 150);
+  g_free(call);
+}
+
+static void
+renewed(gpointer data, int status, json_t *body) {
+  Call *call = data;
+  MmClaims *claims = call->claims;
+  MmTime now = mm_node_now(claims->node);
+  gint64 every = (gint64)(claims->node->operators->claim_renew_s * 1000);
+
+  claims->asking = FALSE;
+  if (status == 200) {
+    claims->valid = mm_time_max(claims->valid, valid_from(claims, call->sent));
+    claims->next = mm_time_add_ms(call->sent, every);
+  } else if (status == 404) {
+    mm_info("claim %" G_GUINT64_FORMAT " has ended", claims->claim);
+    claims->claim = 0;
+    claims->next = now;
+  } else {
+    claims->next = mm_time_add_ms(now, MIN(every / 2, 300));
+  }
+  g_free(call);
+}
+
+/* Two nodes that both were refused within the last second prove an outage, in which leases do not
+ * run out and after which each has its full time again. The proof is as old as the older refusal;
+ * the claim must not have ended before it. */
+static void
+extend_in_outage(MmClaims *claims) {
+  MmTime now = mm_node_now(claims->node);
+  MmTime mine = claims->node->store->last_refused;
+  MmTime theirs = mm_links_last_refused(claims->node->links);
+  MmTime proof = mm_time_min(mine, theirs);
+
+  if (proof.us == 0 || mm_time_ms_since(now, proof) > 1000 || !mm_time_before(proof, claims->valid))
+    return;
+  if (!mm_time_before(claims->node->store->last_served, proof))
+    return;
+  claims->valid = mm_time_max(claims->valid, valid_from(claims, proof));
+}
+
+static void
+tend_claim(MmClaims *claims) {
+  MmTime now = mm_node_now(claims->node);
+  g_autoptr(json_t) body = NULL;
+
+  if (claims->asking || mm_time_before(now, claims->next))
+    return;
+  claims->asking = TRUE;
+  if (claims->claim == 0) {
+    body = json_pack("{s:I}", W_TTL, (json_int_t)ttl_ms(claims));
+    mm_store_request(claims->node->store, "POST", W_LEASES_PATH, body, 1000, granted,
+                     call_new(claims, 0));
+  } else {
+    g_autofree char *path
+        = g_strdup_printf(W_LEASES_PATH "/%" G_GUINT64_FORMAT "/renew", claims->claim);
+    mm_store_request(claims->node->store, "POST", path, NULL, 1000, renewed,
+                     call_new(claims, claims->claim));
+  }
+}
+
+static void
+parts_moved(gpointer data, int status, json_t *body) {
+  MmClaims *claims = data;
+
+  claims->moving = FALSE;
+  if (status != 200)
+    claims->next_parts = mm_time_add_ms(mm_node_now(claims->node), 200);
+  if (status == 409)
+    mm_debug("the part map had changed meanwhile");
+}
+
+/* Whose the part is to take: a life of the holder that has ended, or nobody's. */
+static gboolean
+is_free(const MmClaims *claims, const MmPart *part) {
+  return part == NULL
+         || (mm_name_equal(&part->holder, &claims->node->settings->label)
+             && part->claim != claims->claim);
+}
+
+static gint64
+free_for_ms(MmClaims *claims, const char *name, gboolean free_now) {
+  MmTime now = mm_node_now(claims->node);
+  MmTime *since = g_hash_table_lookup(claims->free_since, name);
+
+  if (!free_now) {
+    g_hash_table_remove(claims->free_since, name);
+    return 0;
+  }
+  if (since == NULL) {
+    since = g_new(MmTime, 1);
+    *since = now;
+    g_hash_table_insert(claims->free_since, g_strdup(name), since);
+  }
+  return mm_time_ms_since(now, *since);
+}
+
+static void
+take(MmClaims *claims, GPtrArray *wanted) {
+  const MmReplica *replica = claims->node->replica;
+  guint most = MIN(wanted->len, claims->node->settings->state_txn_ops - 1);
+  guint64 term = replica->term.v + 1;
+  MmTxn txn = mm_txn();
+
+  mm_txn_guard(&txn, MM_KEY_TERM, "", replica->term_mark);
+  mm_txn_put(&txn, MM_KEY_TERM, "", json_pack("{s:I}", "t", (json_int_t)term), 0);
+  for (guint i = 0; i < most; i++) {
+    const char *name = g_ptr_array_index(wanted, i);
+    const MmPart *part = mm_replica_part(replica, name);
+    mm_txn_guard(&txn, MM_KEY_PART, name, part != NULL ? part->mark : (MmMark){ 0 });
+    mm_txn_put(&txn, MM_KEY_PART, name,
+               json_pack("{s:s, s:I, s:I}", "n", claims->node->settings->label.s, "c",
+                         (json_int_t)claims->claim, "t", (json_int_t)term),
+               claims->claim);
+  }
+  mm_info("taking %u part(s) with term %" G_GUINT64_FORMAT, most, term);
+  claims->moving = TRUE;
+  mm_store_commit(claims->node->store, &txn, parts_moved, claims);
+}
+
+/* Gives up parts for which another node has room, all at once: each move costs a new term. */
+static void
+give_up(MmClaims *claims, guint surplus) {
+  MmTxn txn = mm_txn();
+
+  for (guint i = claims->names->len; i > 0 && surplus > 0; i--) {
+    const char *name = g_ptr_array_index(claims->names, i - 1);
+    if (!mm_claims_holds(claims, name))
+      continue;
+    mm_txn_guard(&txn, MM_KEY_PART, name, mm_replica_part(claims->node->replica, name)->mark);
+    mm_txn_delete(&txn, MM_KEY_PART, name);
+    if (txn.puts >= claims->node->settings->state_txn_ops)
+      break;
+    surplus--;
+  }
+  mm_info("giving up %u part(s)", txn.puts);
+  claims->moving = TRUE;
+  mm_store_commit(claims->node->store, &txn, parts_moved, claims);
+}
+
+/* Shares out free parts the same way on every node: each to the node that holds fewest. */
+static void
+tend_parts(MmClaims *claims) {
+  const MmReplica *replica = claims->node->replica;
+  MmTime now = mm_node_now(claims->node);
+  g_autoptr(GPtrArray) live = NULL;
+  g_autoptr(GPtrArray) wanted = NULL;
+  g_autofree guint *held = NULL;
+  guint me = G_MAXUINT, fewest = G_MAXUINT;
+  gint64 loaded_ms;
+
+  if (claims->moving || mm_time_before(now, claims->next_parts)
+      || mm_store_in_trouble(claims->node->store))
+    return;
+  claims->next_parts = mm_time_add_ms(now, PARTS_EVERY_MS);
+  live = mm_replica_live(replica);
+  held = g_new0(guint, live->len);
+  wanted = g_ptr_array_new();
+  for (guint n = 0; n < live->len; n++)
+    if (strcmp(g_ptr_array_index(live, n), claims->node->settings->label.s) == 0)
+      me = n;
+  if (me == G_MAXUINT)
+    return;
+  loaded_ms = mm_time_ms_since(
+      now, ((MmNodeClaim *)g_hash_table_lookup(replica->nodes, claims->node->settings->label.s))
+               ->since);
+  if (live->len < claims->node->settings->node_count && replica->term.v == 0
+      && loaded_ms < START_PATIENCE_MS)
+    return;
+
+  for (guint i = 0; i < claims->names->len; i++) {
+    const MmPart *part = mm_replica_part(replica, g_ptr_array_index(claims->names, i));
+    for (guint n = 0; n < live->len && part != NULL; n++)
+      if (strcmp(g_ptr_array_index(live, n), part->holder.s) == 0)
+        held[n]++;
+  }
+  for (guint i = 0; i < claims->names->len; i++) {
+    const char *name = g_ptr_array_index(claims->names, i);
+    const MmPart *part = mm_replica_part(replica, name);
+    gint64 lying_ms = free_for_ms(claims, name, is_free(claims, part));
+    guint least = 0;
+
+    if (!is_free(claims, part))
+      continue;
+    if (part != NULL || lying_ms > FREE_PATIENCE_MS) {
+      g_ptr_array_add(wanted, (gpointer)name);
+      continue;
+    }
+    for (guint n = 1; n < live->len; n++)
+      if (held[n] < held[least])
+        least = n;
+    held[least]++;
+    if (least == me)
+      g_ptr_array_add(wanted, (gpointer)name);
+  }
+  if (wanted->len > 0) {
+    take(claims, wanted);
+    return;
+  }
+  for (guint n = 0; n < live->len; n++)
+    fewest = MIN(fewest, held[n]);
+  if (held[me] < fewest + 2)
+    claims->uneven.us = 0;
+  else if (claims->uneven.us == 0)
+    claims->uneven = now;
+  else if (mm_time_ms_since(now, claims->uneven) > UNEVEN_PATIENCE_MS) {
+    claims->uneven.us = 0;
+    give_up(claims, (held[me] - fewest) / 2);
+  }
+}
+
+void
+mm_claims_tick(MmClaims *claims) {
+  extend_in_outage(claims);
+  tend_claim(claims);
+  if (mm_claims_valid(claims) && claims->node->replica->loaded)
+    tend_parts(claims);
+}
--- /dev/null
+++ b/src/parts/claims.h
@@ -0,0 +1,34 @@
+/* This node's claim (a lease in the state service), the parts that hang on it, and until when it
+ * entitles the node to answer workers. */
+#pragma once
+
+#include "node/node.h"
+
+#define MM_PART_FLEET "=fleet"
+
+struct MmClaims {
+  MmNode *node;
+  guint64 claim;     /* 0: none */
+  MmTime valid;      /* the claim cannot have ended before this instant */
+  gboolean asking;   /* a request about the claim itself is under way */
+  gboolean moving;   /* a transaction about parts is under way */
+  MmTime next;       /* when to renew, or to ask again */
+  MmTime next_parts; /* when to look at the part map again */
+  MmTime uneven;     /* since when the map has been uneven */
+  GPtrArray *names;  /* all part names, in a fixed order */
+  GHashTable *free_since; /* part name -> MmTime */
+  guint64 lives;     /* claims taken by this process: makes request names unique */
+};
+
+MmClaims *mm_claims_new(MmNode *node);
+void mm_claims_free(MmClaims *claims);
+void mm_claims_tick(MmClaims *claims);
+
+/* Whether the claim still holds for certain, by the steady clock. */
+gboolean mm_claims_valid(const MmClaims *claims);
+/* Whether this node may answer workers: a valid claim that the replica shows. */
+gboolean mm_claims_may_answer(const MmClaims *claims);
+/* Whether the replica shows this life of this node as holder of the part. */
+gboolean mm_claims_holds(const MmClaims *claims, const char *part);
+/* The part's name for a team: its name in a form that a key may have. */
+char *mm_claims_part_of_team(const MmName *team);
--- /dev/null
+++ b/src/peers/links.c
@@ -0,0 +1,347 @@
+#include "peers/links.h"
+
+#include "checkin/checkin.h"
+#include "owner/owner.h"
+#include "parts/claims.h"
+#include "rank/rank.h"
+#include "store/replica.h"
+#include "store/store.h"
+
+MmLinks *
+mm_links_new(MmNode *node) {
+  MmLinks *links = g_new0(MmLinks, 1);
+
+  links->node = node;
+  links->n_peers = node->settings->peers->len;
+  links->peers = g_new0(MmPeer, links->n_peers);
+  for (guint i = 0; i < links->n_peers; i++)
+    links->peers[i].label = g_array_index(node->settings->peers, MmPeerSettings, i).label;
+  return links;
+}
+
+void
+mm_links_free(MmLinks *links) {
+  g_free(links->peers);
+  g_free(links);
+}
+
+gint
+mm_links_find(const MmLinks *links, const char *label) {
+  for (guint i = 0; i < links->n_peers; i++)
+    if (strcmp(links->peers[i].label.s, label) == 0)
+      return (gint)i;
+  return -1;
+}
+
+void
+mm_links_send(MmLinks *links, guint peer, Mm__Frame *frame) {
+  if (!links->peers[peer].up)
+    return;
+  links->frames_out++;
+  links->node->port.send(links->node->port.self, peer, frame);
+}
+
+static guint32
+outage_ms(const MmLinks *links) {
+  MmTime refused = links->node->store->last_refused;
+  gint64 age = mm_time_ms_since(mm_node_now(links->node), refused);
+
+  return refused.us == 0 || age > 3600000 ? 0 : (guint32)age + 1;
+}
+
+static void
+send_hello(MmLinks *links, guint peer) {
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Hello hello = MM__HELLO__INIT;
+
+  hello.label = (char *)links->node->settings->label.s;
+  hello.claim = links->node->claims->claim;
+  frame.body_case = MM__FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  mm_links_send(links, peer, &frame);
+}
+
+static void
+send_report(MmLinks *links, guint peer, const MmMachine *machine) {
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Report report = MM__REPORT__INIT;
+  guint n = machine->tasks->len;
+  g_autofree Mm__TaskState *tasks = g_new(Mm__TaskState, MAX(n, 1));
+  g_autofree Mm__TaskState **list = g_new(Mm__TaskState *, MAX(n, 1));
+  MmTime now = mm_node_now(links->node);
+
+  report.machine = (char *)machine->id.s;
+  report.addr = (char *)machine->addr;
+  report.type = (char *)machine->type_name.s;
+  report.zone = (char *)machine->zone.s;
+  report.spot = machine->spot;
+  report.session = machine->stamp.session;
+  report.seq = machine->stamp.seq;
+  report.token = machine->token.v;
+  report.warned = machine->warned;
+  report.notice_s = machine->warned ? (double)mm_time_ms_since(machine->taken, now) / 1000.0 : 0;
+  report.age_ms = (guint32)MAX(mm_time_ms_since(now, machine->reported), 0);
+  for (guint i = 0; i < n; i++) {
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    mm__task_state__init(&tasks[i]);
+    tasks[i].job = (char *)seen->job.s;
+    tasks[i].number = seen->number;
+    tasks[i].attempt = seen->attempt.v;
+    tasks[i].state = seen->state;
+    tasks[i].cause = seen->cause;
+    tasks[i].saved = seen->saved;
+    list[i] = &tasks[i];
+  }
+  report.tasks = list;
+  report.n_tasks = n;
+  frame.body_case = MM__FRAME__BODY_REPORT;
+  frame.report = &report;
+  mm_links_send(links, peer, &frame);
+}
+
+void
+mm_links_tell_report(MmLinks *links, const MmMachine *machine) {
+  for (guint i = 0; i < links->n_peers; i++)
+    if (links->peers[i].up)
+      send_report(links, i, machine);
+}
+
+void
+mm_links_tell_cancelled(MmLinks *links, const char *job) {
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Cancelled cancelled = MM__CANCELLED__INIT;
+
+  cancelled.job = (char *)job;
+  frame.body_case = MM__FRAME__BODY_CANCELLED;
+  frame.cancelled = &cancelled;
+  for (guint i = 0; i < links->n_peers; i++)
+    mm_links_send(links, i, &frame);
+}
+
+void
+mm_links_tell_commands(MmLinks *links, guint peer, const MmMachine *machine,
+                       const GArray *commands) {
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Commands message = MM__COMMANDS__INIT;
+  g_autofree Mm__Command *items = g_new(Mm__Command, MAX(commands->len, 1));
+  g_autofree Mm__Command **list = g_new(Mm__Command *, MAX(commands->len, 1));
+
+  for (guint i = 0; i < commands->len; i++) {
+    const MmCommand *command = &g_array_index(commands, MmCommand, i);
+    mm__command__init(&items[i]);
+    items[i].op = command->op;
+    items[i].job = (char *)command->job.s;
+    items[i].number = command->number;
+    items[i].attempt = command->attempt.v;
+    items[i].grace_s = command->grace_s;
+    list[i] = &items[i];
+  }
+  message.machine = (char *)machine->id.s;
+  message.session = machine->stamp.session;
+  message.commands = list;
+  message.n_commands = commands->len;
+  frame.body_case = MM__FRAME__BODY_COMMANDS;
+  frame.commands = &message;
+  mm_links_send(links, peer, &frame);
+}
+
+void
+mm_links_up(MmLinks *links, guint peer) {
+  MmRoster *roster = links->node->roster;
+
+  links->peers[peer].up = TRUE;
+  mm_debug("link to %s stands", links->peers[peer].label.s);
+  send_hello(links, peer);
+  /* Everything this node has heard comes before its first pong on this link: what was lost with an
+   * earlier link is told again, so that `settled` can be trusted. */
+  for (guint i = 0; i < roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(roster->order, i);
+    if (machine->heard && machine->host == MM_HOST_SELF && !machine->lost)
+      send_report(links, peer, machine);
+  }
+  mm_rank_tell(links->node->rank, (gint)peer);
+}
+
+void
+mm_links_down(MmLinks *links, guint peer) {
+  links->peers[peer].up = FALSE;
+  links->peers[peer].answering = FALSE;
+}
+
+MmTime
+mm_links_settled(const MmLinks *links) {
+  const MmReplica *replica = links->node->replica;
+  MmTime settled = replica->fresh;
+
+  for (guint i = 0; i < links->n_peers; i++) {
+    const MmPeer *peer = &links->peers[i];
+    const MmNodeClaim *live = g_hash_table_lookup(replica->nodes, peer->label.s);
+    if (live == NULL)
+      continue;
+    /* A pong of another life says nothing of this one; a silent peer counts as answering. */
+    if (live->claim != peer->claim)
+      return (MmTime){ 0 };
+    settled = mm_time_min(settled, peer->settled);
+  }
+  return settled;
+}
+
+MmTime
+mm_links_last_refused(const MmLinks *links) {
+  MmTime last = { 0 };
+
+  for (guint i = 0; i < links->n_peers; i++)
+    last = mm_time_max(last, links->peers[i].refused);
+  return last;
+}
+
+gint
+mm_links_other(const MmLinks *links) {
+  gint best = -1;
+
+  for (guint i = 0; i < links->n_peers; i++) {
+    const MmPeer *peer = &links->peers[i];
+    if (!peer->up || !peer->answering
+        || mm_time_ms_since(mm_node_now(links->node), peer->ponged) > 1500)
+      continue;
+    if (best < 0 || peer->machines < links->peers[best].machines)
+      best = (gint)i;
+  }
+  return best;
+}
+
+static void
+note_refused(MmLinks *links, guint peer, guint32 ms) {
+  /* Taken as old as it may be: the way here is not counted as younger. */
+  if (ms > 0)
+    links->peers[peer].refused = mm_time_max(
+        links->peers[peer].refused, mm_time_add_ms(mm_node_now(links->node), -(gint64)ms - 20));
+}
+
+static void
+take_report(MmLinks *links, guint peer, const Mm__Report *message) {
+  MmReport report = { .machine = mm_name(message->machine),
+                      .type = mm_name(message->type),
+                      .zone = mm_name(message->zone),
+                      .spot = message->spot,
+                      .stamp = { message->session, message->seq },
+                      .token = { message->token },
+                      .warned = message->warned,
+                      .notice_s = message->notice_s };
+
+  if (mm_name_is_empty(&report.machine))
+    return;
+  g_strlcpy(report.addr, message->addr, sizeof report.addr);
+  report.tasks = g_array_sized_new(FALSE, TRUE, sizeof(MmSeenTask), (guint)message->n_tasks);
+  for (size_t i = 0; i < message->n_tasks; i++) {
+    const Mm__TaskState *task = message->tasks[i];
+    MmSeenTask seen = { .job = mm_name(task->job),
+                        .number = task->number,
+                        .attempt = { task->attempt },
+                        .state = (guint8)MIN(task->state, MM_SEEN_ENDED),
+                        .cause = (guint8)MIN(task->cause, MM_CAUSE_UNKNOWN),
+                        .saved = task->saved };
+    g_array_append_val(report.tasks, seen);
+  }
+  mm_roster_take(links->node->roster, &report,
+                 mm_time_add_ms(mm_node_now(links->node), -(gint64)message->age_ms), (gint)peer);
+  mm_report_clear(&report);
+}
+
+static void
+take_commands(MmLinks *links, const Mm__Commands *message) {
+  MmMachine *machine = mm_roster_find(links->node->roster, message->machine);
+
+  if (machine == NULL || machine->host != MM_HOST_SELF
+      || machine->stamp.session != message->session)
+    return;
+  for (size_t i = 0; i < message->n_commands; i++) {
+    const Mm__Command *item = message->commands[i];
+    MmCommand command = { .op = (MmOp)item->op,
+                          .job = mm_name(item->job),
+                          .number = item->number,
+                          .attempt = { item->attempt },
+                          .grace_s = item->grace_s };
+    /* Starts are good for one answer only and never come this way. */
+    if (command.op == MM_OP_STOP || command.op == MM_OP_FORGET)
+      mm_machine_queue(machine, message->session, &command);
+  }
+}
+
+static void
+answer_ping(MmLinks *links, guint peer, const Mm__Ping *ping) {
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Pong pong = MM__PONG__INIT;
+
+  pong.at_us = ping->at_us;
+  pong.outage_ms = outage_ms(links);
+  pong.claim = links->node->claims->claim;
+  pong.answering = mm_claims_may_answer(links->node->claims);
+  pong.machines = mm_checkin_hosted(links->node->checkin);
+  frame.body_case = MM__FRAME__BODY_PONG;
+  frame.pong = &pong;
+  mm_links_send(links, peer, &frame);
+}
+
+void
+mm_links_frame(MmLinks *links, guint index, const Mm__Frame *frame) {
+  MmPeer *peer = &links->peers[index];
+
+  switch (frame->body_case) {
+  case MM__FRAME__BODY_HELLO:
+    break; /* the edge has used it to tell whose link this is */
+  case MM__FRAME__BODY_PING:
+    note_refused(links, index, frame->ping->outage_ms);
+    answer_ping(links, index, frame->ping);
+    break;
+  case MM__FRAME__BODY_PONG:
+    note_refused(links, index, frame->pong->outage_ms);
+    peer->ponged = mm_node_now(links->node);
+    peer->answering = frame->pong->answering;
+    peer->machines = frame->pong->machines;
+    if (peer->claim != frame->pong->claim)
+      peer->settled.us = 0;
+    peer->claim = frame->pong->claim;
+    peer->settled = mm_time_max(peer->settled, (MmTime){ (gint64)frame->pong->at_us });
+    break;
+  case MM__FRAME__BODY_REPORT:
+    take_report(links, index, frame->report);
+    break;
+  case MM__FRAME__BODY_ASK:
+    mm_owner_peer_ask(links->node->owner, index, frame->ask);
+    break;
+  case MM__FRAME__BODY_ANSWER:
+    mm_checkin_answered(links->node->checkin, index, frame->answer);
+    break;
+  case MM__FRAME__BODY_BACKLOG:
+    mm_rank_heard(links->node->rank, (gint)index, frame->backlog);
+    break;
+  case MM__FRAME__BODY_COMMANDS:
+    take_commands(links, frame->commands);
+    break;
+  case MM__FRAME__BODY_CANCELLED:
+    mm_owner_cancelled(links->node->owner, frame->cancelled->job);
+    break;
+  default:
+    mm_debug("a frame of unknown kind from %s", peer->label.s);
+    break;
+  }
+}
+
+void
+mm_links_tick(MmLinks *links) {
+  MmTime now = mm_node_now(links->node);
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Ping ping = MM__PING__INIT;
+
+  if (mm_time_before(now, links->next_ping))
+    return;
+  links->next_ping
+      = mm_time_add_ms(now, (gint64)(links->node->operators->peer_ping_s * 1000));
+  ping.at_us = (guint64)now.us;
+  ping.outage_ms = outage_ms(links);
+  frame.body_case = MM__FRAME__BODY_PING;
+  frame.ping = &ping;
+  for (guint i = 0; i < links->n_peers; i++)
+    mm_links_send(links, i, &frame);
+}
--- /dev/null
+++ b/src/peers/links.h
@@ -0,0 +1,48 @@
+/* What nodes tell one another, and what follows from it: whether a peer still answers workers, up to
+ * when all its answers are known here, and whether it too is refused by the state service. */
+#pragma once
+
+#include "checkin/roster.h"
+#include "node/node.h"
+#include "peers.pb-c.h"
+
+typedef struct {
+  MmName label;
+  gboolean up;      /* our own link to it stands */
+  guint64 claim;    /* its claim, as its last pong said */
+  MmTime settled;   /* all answers it gave before this instant are known here */
+  MmTime refused;   /* when it was last refused by the state service */
+  MmTime ponged;
+  gboolean answering;
+  guint machines;
+} MmPeer;
+
+struct MmLinks {
+  MmNode *node;
+  MmPeer *peers;
+  guint n_peers;
+  MmTime next_ping;
+  guint64 frames_out;
+};
+
+MmLinks *mm_links_new(MmNode *node);
+void mm_links_free(MmLinks *links);
+void mm_links_tick(MmLinks *links);
+
+/* From the edge. A link is our own way to the peer; what it sends comes on its own link to us. */
+void mm_links_up(MmLinks *links, guint peer);
+void mm_links_down(MmLinks *links, guint peer);
+void mm_links_frame(MmLinks *links, guint peer, const Mm__Frame *frame);
+/* -1 when no peer has this label. */
+gint mm_links_find(const MmLinks *links, const char *label);
+
+MmTime mm_links_settled(const MmLinks *links);
+MmTime mm_links_last_refused(const MmLinks *links);
+/* A peer that may answer workers, best the one with fewest machines; -1: none. */
+gint mm_links_other(const MmLinks *links);
+
+void mm_links_tell_report(MmLinks *links, const MmMachine *machine);
+void mm_links_tell_cancelled(MmLinks *links, const char *job);
+void mm_links_tell_commands(MmLinks *links, guint peer, const MmMachine *machine,
+                            const GArray *commands);
+void mm_links_send(MmLinks *links, guint peer, Mm__Frame *frame);
--- /dev/null
+++ b/src/rank/rank.c
@@ -0,0 +1,317 @@
+#include "rank/rank.h"
+
+#include "owner/owner.h"
+#include "peers/links.h"
+#include "rank/modulo.h"
+
+#define TELL_EVERY_MS 30
+#define TELL_AGAIN_MS 1000
+#define RANKED_MAX 512
+
+static void
+waiting_free(gpointer data) {
+  MmWaiting *waiting = data;
+
+  g_array_unref(waiting->ranges);
+  g_free(waiting);
+}
+
+MmRank *
+mm_rank_new(MmNode *node) {
+  MmRank *rank = g_new0(MmRank, 1);
+
+  rank->node = node;
+  rank->n_views = 1 + node->settings->peers->len;
+  rank->views = g_new0(MmBacklogView, rank->n_views);
+  for (guint i = 0; i < rank->n_views; i++)
+    rank->views[i].waiting = g_ptr_array_new_with_free_func(waiting_free);
+  return rank;
+}
+
+void
+mm_rank_free(MmRank *rank) {
+  for (guint i = 0; i < rank->n_views; i++)
+    g_ptr_array_unref(rank->views[i].waiting);
+  g_free(rank->views);
+  g_free(rank);
+}
+
+void
+mm_rank_changed(MmRank *rank) {
+  rank->dirty = TRUE;
+}
+
+static void
+refresh(MmRank *rank) {
+  MmBacklogView *own = &rank->views[0];
+
+  g_ptr_array_set_size(own->waiting, 0);
+  mm_owner_backlog(rank->node->owner, own->waiting);
+  own->unfinished = mm_owner_unfinished(rank->node->owner);
+}
+
+void
+mm_rank_tell(MmRank *rank, gint peer) {
+  const MmBacklogView *own = &rank->views[0];
+  guint n = own->waiting->len;
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Backlog backlog = MM__BACKLOG__INIT;
+  g_autofree Mm__Waiting *items = g_new(Mm__Waiting, MAX(n, 1));
+  g_autofree Mm__Waiting **list = g_new(Mm__Waiting *, MAX(n, 1));
+
+  for (guint i = 0; i < n; i++) {
+    MmWaiting *waiting = g_ptr_array_index(own->waiting, i);
+    mm__waiting__init(&items[i]);
+    items[i].job = waiting->job.s;
+    items[i].ranges = (guint32 *)waiting->ranges->data;
+    items[i].n_ranges = waiting->ranges->len;
+    items[i].first = waiting->first;
+    list[i] = &items[i];
+  }
+  backlog.waiting = list;
+  backlog.n_waiting = n;
+  backlog.unfinished = own->unfinished;
+  frame.body_case = MM__FRAME__BODY_BACKLOG;
+  frame.backlog = &backlog;
+  mm_links_send(rank->node->links, (guint)peer, &frame);
+}
+
+void
+mm_rank_tick(MmRank *rank) {
+  MmTime now = mm_node_now(rank->node);
+  gint64 age = mm_time_ms_since(now, rank->told);
+
+  /* Waits grow without anything changing, so the backlog is also told again now and then. */
+  if (!(rank->dirty && age >= TELL_EVERY_MS) && age < TELL_AGAIN_MS)
+    return;
+  rank->dirty = FALSE;
+  rank->told = now;
+  refresh(rank);
+  for (guint i = 1; i < rank->n_views; i++)
+    mm_rank_tell(rank, (gint)i - 1);
+}
+
+void
+mm_rank_heard(MmRank *rank, gint peer, const Mm__Backlog *backlog) {
+  MmBacklogView *view = &rank->views[peer + 1];
+
+  g_ptr_array_set_size(view->waiting, 0);
+  view->unfinished = backlog->unfinished;
+  for (size_t i = 0; i < backlog->n_waiting; i++) {
+    const Mm__Waiting *item = backlog->waiting[i];
+    MmWaiting *waiting = g_new0(MmWaiting, 1);
+    waiting->job = mm_name(item->job);
+    waiting->first = item->first;
+    waiting->ranges = g_array_new(FALSE, FALSE, sizeof(guint));
+    g_array_append_vals(waiting->ranges, item->ranges, (guint)(item->n_ranges & ~(size_t)1));
+    g_ptr_array_add(view->waiting, waiting);
+  }
+}
+
+void
+mm_rank_strike(MmRank *rank, guint view, const char *job, guint number) {
+  GPtrArray *list = rank->views[view].waiting;
+
+  for (guint i = 0; i < list->len; i++) {
+    MmWaiting *waiting = g_ptr_array_index(list, i);
+    if (strcmp(waiting->job.s, job) != 0)
+      continue;
+    for (guint k = 0; k + 1 < waiting->ranges->len; k += 2) {
+      guint first = g_array_index(waiting->ranges, guint, k);
+      guint length = g_array_index(waiting->ranges, guint, k + 1);
+      guint rest[2] = { number + 1, first + length - number - 1 };
+      if (number < first || number >= first + length)
+        continue;
+      g_array_index(waiting->ranges, guint, k + 1) = number - first;
+      if (rest[1] > 0)
+        g_array_insert_vals(waiting->ranges, k + 2, rest, 2);
+      if (number == first)
+        g_array_remove_range(waiting->ranges, k, 2);
+      break;
+    }
+    if (waiting->ranges->len == 0)
+      g_ptr_array_remove_index(list, i);
+    return;
+  }
+}
+
+/* Where the job's own words allow it at all. */
+gboolean
+mm_rank_allows(const MmJob *job, const MmMachine *machine) {
+  return mm_spec_allows_type(&job->spec, &machine->type_name)
+         && (mm_name_is_empty(&job->spec.zone) || mm_name_equal(&job->spec.zone, &machine->zone))
+         && (job->spec.spot || !machine->spot);
+}
+
+gboolean
+mm_rank_leaves_accelerators(MmRank *rank, const MmJob *job, const MmMachine *machine) {
+  const GPtrArray *jobs = rank->node->book->order;
+  MmRoom largest = { 0 };
+  MmRoom other = job->spec.need;
+  gboolean known = FALSE;
+
+  if (machine->type == NULL || machine->type->room.accelerators <= 0
+      || job->spec.need.accelerators > 0)
+    return TRUE;
+  for (guint i = 0; i < jobs->len; i++) {
+    const MmJob *needs = g_ptr_array_index(jobs, i);
+    if (needs->spec.need.accelerators <= 0)
+      continue;
+    rank->accelerated = TRUE;
+    rank->accelerated_spot = rank->accelerated_spot || needs->spec.spot;
+    rank->largest.cores = MAX(rank->largest.cores, needs->spec.need.cores);
+    rank->largest.memory_gb = MAX(rank->largest.memory_gb, needs->spec.need.memory_gb);
+  }
+  known = rank->accelerated;
+  if (machine->spot && known && !rank->accelerated_spot)
+    return TRUE;
+  if (!known)
+    return job->spec.kind != MM_KIND_SERVICE;
+  largest = rank->largest;
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
+    if (seen->state != MM_SEEN_ENDED && there != NULL && there->spec.need.accelerators <= 0)
+      other = mm_room_add(other, there->spec.need);
+  }
+  return mm_room_fits(mm_room_add(other, largest),
+                      (MmRoom){ machine->type->room.cores, 1e9, machine->type->room.memory_gb });
+}
+
+typedef struct {
+  gint64 priority;
+  guint view;
+  MmTaskRef task;
+} Ranked;
+
+static gint
+highest_first(gconstpointer a, gconstpointer b) {
+  const Ranked *x = a, *y = b;
+
+  return x->priority > y->priority ? -1 : x->priority < y->priority;
+}
+
+static gboolean
+was_tried(const GArray *tried, const MmName *job, guint number) {
+  for (guint i = 0; i < tried->len; i++) {
+    const MmTaskRef *task = &g_array_index(tried, MmTaskRef, i);
+    if (task->number == number && mm_name_equal(&task->job, job))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static const MmJob *
+fitting(MmRank *rank, const MmWaiting *waiting, const MmMachine *machine, MmRoom room) {
+  const MmJob *job = mm_book_find(rank->node->book, waiting->job.s);
+
+  return job != NULL && !job->cancelled && waiting->ranges->len > 0
+                 && mm_room_fits(job->spec.need, room) && mm_rank_allows(job, machine)
+                 && mm_rank_leaves_accelerators(rank, job, machine)
+             ? job
+             : NULL;
+}
+
+static gboolean
+choose_first(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried, guint dry,
+             MmChoice *choice) {
+  const MmJob *best = NULL;
+
+  for (guint v = 0; v < rank->n_views; v++) {
+    for (guint i = 0; i < rank->views[v].waiting->len && !(dry >> v & 1); i++) {
+      const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
+      const MmJob *job = waiting->first ? fitting(rank, waiting, machine, room) : NULL;
+      guint number;
+      if (job == NULL)
+        continue;
+      number = g_array_index(waiting->ranges, guint, 0);
+      if (was_tried(tried, &waiting->job, number)
+          || (best != NULL && mm_owner_compare_pressing(&job, &best) >= 0))
+        continue;
+      best = job;
+      choice->view = (gint)v;
+      choice->n = 1;
+      choice->tasks[0] = (MmTaskRef){ waiting->job, number };
+    }
+  }
+  return best != NULL;
+}
+
+/* The ordinary path: the machine's own order of the tasks whose image it caches. */
+static gboolean
+choose_cached(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried,
+              MmChoice *choice) {
+  g_autoptr(GArray) ranked = g_array_new(FALSE, FALSE, sizeof(Ranked));
+  guint n = rank->node->roster->order->len, m = rank->n_views, f = 0, z = 0;
+  guint most = MIN((guint)rank->node->operators->candidates, MM_RANK_CANDIDATES_MAX);
+
+  for (guint v = 0; v < rank->n_views; v++)
+    for (guint i = 0; i < rank->views[v].waiting->len; i++) {
+      const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
+      for (guint k = 0; k + 1 < waiting->ranges->len; k += 2)
+        f += g_array_index(waiting->ranges, guint, k + 1);
+    }
+  for (guint v = 0; v < rank->n_views; v++)
+    for (guint i = 0; i < rank->views[v].waiting->len; i++) {
+      const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
+      const MmJob *job = fitting(rank, waiting, machine, room);
+      gboolean cached = job != NULL && mm_machine_caches(machine, &job->spec.image);
+      for (guint k = 0; k + 1 < waiting->ranges->len; k += 2) {
+        guint first = g_array_index(waiting->ranges, guint, k);
+        guint length = g_array_index(waiting->ranges, guint, k + 1);
+        for (guint t = 0; t < length && cached && ranked->len < RANKED_MAX; t++) {
+          Ranked item = { mm_modulo_priority(z + t + 1, f, machine->index + 1, n, m), v,
+                          { waiting->job, first + t } };
+          if (!was_tried(tried, &waiting->job, first + t))
+            g_array_append_val(ranked, item);
+        }
+        z += length;
+      }
+    }
+  if (ranked->len == 0)
+    return FALSE;
+  g_array_sort(ranked, highest_first);
+  choice->view = (gint)g_array_index(ranked, Ranked, 0).view;
+  for (guint i = 0; i < ranked->len && choice->n < most; i++) {
+    const Ranked *item = &g_array_index(ranked, Ranked, i);
+    if ((gint)item->view == choice->view)
+      choice->tasks[choice->n++] = item->task;
+  }
+  return TRUE;
+}
+
+/* A pull: an owner drawn in proportion to what it has unfinished. */
+static gboolean
+choose_pull(MmRank *rank, const MmMachine *machine, MmRoom room, guint dry, MmChoice *choice) {
+  g_autofree guint *weights = g_new0(guint, rank->n_views);
+  guint total = 0, drawn;
+
+  for (guint v = 0; v < rank->n_views; v++) {
+    gboolean any = FALSE;
+    for (guint i = 0; i < rank->views[v].waiting->len && !any && !(dry >> v & 1); i++)
+      any = fitting(rank, g_ptr_array_index(rank->views[v].waiting, i), machine, room) != NULL;
+    weights[v] = any ? MAX(rank->views[v].unfinished, 1) : 0;
+    total += weights[v];
+  }
+  if (total == 0)
+    return FALSE;
+  drawn = (guint)g_rand_int_range(rank->node->rand, 0, (gint32)MIN(total, G_MAXINT32));
+  choice->view = 0;
+  while (drawn >= weights[choice->view])
+    drawn -= weights[choice->view++];
+  choice->pull = TRUE;
+  return TRUE;
+}
+
+MmChoice
+mm_rank_choose(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried,
+               guint dry) {
+  MmChoice choice = { .view = -1 };
+
+  if (rank->dirty && rank->views[0].waiting->len == 0)
+    refresh(rank);
+  if (!choose_first(rank, machine, room, tried, dry, &choice)
+      && !choose_cached(rank, machine, room, tried, &choice))
+    choose_pull(rank, machine, room, dry, &choice);
+  return choice;
+}
--- /dev/null
+++ b/src/rank/rank.h
@@ -0,0 +1,57 @@
+/* Which task a machine should get next, as the node that hears the machine sees it: from what the
+ * owners last said of their unassigned tasks, the machine's room and its cached images. */
+#pragma once
+
+#include "checkin/roster.h"
+#include "node/node.h"
+#include "peers.pb-c.h"
+
+#define MM_RANK_CANDIDATES_MAX 16
+
+typedef struct {
+  MmName job;
+  GArray *ranges; /* guint pairs: first number, length */
+  gboolean first; /* goes first to any fitting machine */
+} MmWaiting;
+
+typedef struct {
+  GPtrArray *waiting; /* MmWaiting */
+  guint unfinished;
+} MmBacklogView;
+
+struct MmRank {
+  MmNode *node;
+  MmBacklogView *views; /* this node's own first, then the peers' */
+  guint n_views;
+  gboolean dirty; /* our own backlog has changed since it was told */
+  MmTime told;
+  /* The largest need of work with accelerators seen so far. */
+  gboolean accelerated;
+  gboolean accelerated_spot;
+  MmRoom largest;
+};
+
+/* What to ask of whom. `view` 0 is this node itself, k + 1 peer k; -1: nothing to ask. */
+typedef struct {
+  gint view;
+  gboolean pull;
+  guint n;
+  MmTaskRef tasks[MM_RANK_CANDIDATES_MAX];
+} MmChoice;
+
+MmRank *mm_rank_new(MmNode *node);
+void mm_rank_free(MmRank *rank);
+void mm_rank_tick(MmRank *rank);
+void mm_rank_changed(MmRank *rank);
+/* Sends our backlog to a peer. */
+void mm_rank_tell(MmRank *rank, gint peer);
+void mm_rank_heard(MmRank *rank, gint peer, const Mm__Backlog *backlog);
+/* `tried`: MmTaskRef already asked for in this answer; `dry`: views that had nothing, by bit. */
+MmChoice mm_rank_choose(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried,
+                        guint dry);
+/* Takes a task out of a view: it has been given out or refused. */
+void mm_rank_strike(MmRank *rank, guint view, const char *job, guint number);
+gboolean mm_rank_allows(const MmJob *job, const MmMachine *machine);
+/* Machines with accelerators are left to the work that needs them: other work takes only what stays
+ * beside the largest such task seen, unless that work may not run there anyway. */
+gboolean mm_rank_leaves_accelerators(MmRank *rank, const MmJob *job, const MmMachine *machine);
--- /dev/null
+++ b/src/store/replica.h
@@ -0,0 +1,42 @@
+/* What the state service holds under MM_KEY_ROOT, in the order in which it changed.
+ *
+ * One watch covers terms, claims, machines and unfinished jobs. So whoever sees a term here has also
+ * seen every earlier change of the part map: adopting a term together with the part map, as the
+ * fencing needs, follows from the order of the watch. */
+#pragma once
+
+#include "node/node.h"
+
+typedef struct {
+  MmName holder;
+  guint64 claim;
+  MmTerm term;
+  MmMark mark;
+} MmPart;
+
+typedef struct {
+  guint64 claim;
+  MmTime since; /* when this node saw it */
+} MmNodeClaim;
+
+struct MmReplica {
+  MmNode *node;
+  gboolean loaded;
+  guint64 epoch;
+  MmTime fresh; /* the replica holds all that was written before this instant */
+  MmTerm term;
+  MmMark term_mark;
+  GHashTable *parts; /* name -> MmPart */
+  GHashTable *nodes; /* label -> MmNodeClaim */
+  MmTime node_gone;  /* when a node's claim was last seen to have gone */
+  guint64 loading_epoch;
+  GHashTable *seen; /* keys met while loading */
+  char *after;
+};
+
+MmReplica *mm_replica_new(MmNode *node);
+void mm_replica_free(MmReplica *replica);
+void mm_replica_start(MmReplica *replica);
+const MmPart *mm_replica_part(const MmReplica *replica, const char *name);
+/* The live nodes' labels in order; free the container only. */
+GPtrArray *mm_replica_live(const MmReplica *replica);
--- /dev/null
+++ b/src/store/store.c
@@ -0,0 +1,142 @@
+#include "store/store.h"
+
+#include "base/wire.h"
+
+#define REQUEST_TIMEOUT_MS 2000
+/* Shares are by node, yet rarely do all nodes write at once; the state service's own 429 is the
+ * last word. Claims and users' words are not held back by this budget. */
+#define WRITE_SHARE 0.4
+
+MmStore *
+mm_store_new(MmNode *node) {
+  MmStore *store = g_new0(MmStore, 1);
+
+  store->node = node;
+  return store;
+}
+
+void
+mm_store_free(MmStore *store) {
+  g_free(store);
+}
+
+typedef struct {
+  MmStore *store;
+  MmTime sent;
+  MmAnswered answered;
+  gpointer data;
+} Call;
+
+static void
+call_answered(gpointer data, int status, json_t *body) {
+  Call *call = data;
+  MmTime now = mm_node_now(call->store->node);
+
+  if (status == 503)
+    call->store->last_refused = now;
+  else if (status != 0 && status != 429)
+    call->store->last_served = mm_time_max(call->store->last_served, call->sent);
+  if (status == 429)
+    mm_info("the state service says 429");
+  call->answered(call->data, status, body);
+  g_free(call);
+}
+
+void
+mm_store_request(MmStore *store, const char *method, const char *path, const json_t *body,
+                 guint timeout_ms, MmAnswered answered, gpointer data) {
+  Call *call = g_new(Call, 1);
+
+  *call = (Call){ store, mm_node_now(store->node), answered, data };
+  store->requests++;
+  store->node->port.request(store->node->port.self, MM_TARGET_STORE, NULL, method, path, body,
+                            timeout_ms, call_answered, call);
+}
+
+MmTxn
+mm_txn(void) {
+  return (MmTxn){ json_array(), json_array(), 0 };
+}
+
+void
+mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmMark mark) {
+  g_autofree char *path = g_strconcat(prefix, key, NULL);
+
+  json_array_append_new(txn->guards, json_pack("{s:s, s:I}", W_KEY, path, W_VERSION,
+                                               (json_int_t)mark.v));
+}
+
+void
+mm_txn_put(MmTxn *txn, const char *prefix, const char *key, json_t *value, guint64 claim) {
+  g_autofree char *path = g_strconcat(prefix, key, NULL);
+  json_t *put = json_pack("{s:s, s:o}", W_PUT, path, W_VALUE, value);
+
+  if (claim != 0)
+    json_object_set_new(put, W_LEASE, json_integer((json_int_t)claim));
+  json_array_append_new(txn->apply, put);
+  txn->puts++;
+}
+
+void
+mm_txn_delete(MmTxn *txn, const char *prefix, const char *key) {
+  g_autofree char *path = g_strconcat(prefix, key, NULL);
+
+  json_array_append_new(txn->apply, json_pack("{s:s}", W_DELETE, path));
+  txn->puts++;
+}
+
+void
+mm_store_get(MmStore *store, const char *prefix, const char *key, MmAnswered answered,
+             gpointer data) {
+  g_autofree char *path = g_strconcat(W_KEYS_PATH "/", prefix, key, NULL);
+
+  mm_store_request(store, "GET", path, NULL, REQUEST_TIMEOUT_MS, answered, data);
+}
+
+void
+mm_store_list(MmStore *store, const char *prefix, const char *after, guint most,
+              MmAnswered answered, gpointer data) {
+  g_autofree char *path
+      = g_strdup_printf(W_KEYS_PATH "?" W_PREFIX "=%s%s%s&" W_LIMIT "=%u", prefix,
+                        after != NULL ? "&" W_AFTER "=" : "", after != NULL ? after : "", most);
+
+  mm_store_request(store, "GET", path, NULL, REQUEST_TIMEOUT_MS, answered, data);
+}
+
+void
+mm_store_watch(MmStore *store, const char *prefix, guint64 since, guint wait_ms,
+               MmAnswered answered, gpointer data) {
+  g_autofree char *path = g_strdup_printf(
+      W_WATCH_PATH "?" W_PREFIX "=%s&" W_AFTER "=%" G_GUINT64_FORMAT "&" W_WAIT "=%u", prefix,
+      since, wait_ms);
+
+  mm_store_request(store, "GET", path, NULL, wait_ms + REQUEST_TIMEOUT_MS, answered, data);
+}
+
+void
+mm_store_commit(MmStore *store, MmTxn *txn, MmAnswered answered, gpointer data) {
+  g_autoptr(json_t) body = json_pack("{s:o, s:o}", W_IF, txn->guards, W_THEN, txn->apply);
+
+  store->writes += txn->puts;
+  mm_store_request(store, "POST", W_TXN_PATH, body, REQUEST_TIMEOUT_MS, answered, data);
+  *txn = (MmTxn){ 0 };
+}
+
+gboolean
+mm_store_may_write(MmStore *store, guint puts) {
+  MmTime now = mm_node_now(store->node);
+  double rate = store->node->settings->state_write_rps * WRITE_SHARE;
+
+  store->write_tokens += rate * (double)(now.us - store->tokens_at.us) / G_USEC_PER_SEC;
+  store->write_tokens = MIN(store->write_tokens, MAX(rate, store->node->settings->state_txn_ops));
+  store->tokens_at = now;
+  if (store->write_tokens < puts)
+    return FALSE;
+  store->write_tokens -= puts;
+  return TRUE;
+}
+
+gboolean
+mm_store_in_trouble(const MmStore *store) {
+  return store->last_refused.us > store->last_served.us;
+}
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,54 @@
+/* The state service: requests, write budget, and what its refusals say. */
+#pragma once
+
+#include "node/node.h"
+
+struct MmStore {
+  MmNode *node;
+  MmTime last_refused; /* last 503 */
+  MmTime last_served;  /* when the last request that was served had been sent */
+  double write_tokens; /* what this node may still write in work that can wait */
+  MmTime tokens_at;
+  guint64 writes;
+  guint64 requests;
+};
+
+/* A transaction under construction. */
+typedef struct {
+  json_t *guards;
+  json_t *apply;
+  guint puts;
+} MmTxn;
+
+#define MM_KEY_ROOT "mm/r/"
+#define MM_KEY_TERM MM_KEY_ROOT "term"
+#define MM_KEY_NODE MM_KEY_ROOT "n/"
+#define MM_KEY_PART MM_KEY_ROOT "p/"
+#define MM_KEY_MACHINE MM_KEY_ROOT "m/"
+#define MM_KEY_JOB MM_KEY_ROOT "j/"
+#define MM_KEY_FINAL "mm/f/" /* not watched: final states of jobs */
+
+MmStore *mm_store_new(MmNode *node);
+void mm_store_free(MmStore *store);
+
+MmTxn mm_txn(void);
+void mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmMark mark);
+/* Takes the value. Claim 0: none. */
+void mm_txn_put(MmTxn *txn, const char *prefix, const char *key, json_t *value, guint64 claim);
+void mm_txn_delete(MmTxn *txn, const char *prefix, const char *key);
+
+void mm_store_get(MmStore *store, const char *prefix, const char *key, MmAnswered answered,
+                  gpointer data);
+void mm_store_list(MmStore *store, const char *prefix, const char *after, guint most,
+                   MmAnswered answered, gpointer data);
+void mm_store_watch(MmStore *store, const char *prefix, guint64 since, guint wait_ms,
+                    MmAnswered answered, gpointer data);
+/* Sends and consumes the transaction. */
+void mm_store_commit(MmStore *store, MmTxn *txn, MmAnswered answered, gpointer data);
+void mm_store_request(MmStore *store, const char *method, const char *path, const json_t *body,
+                      guint timeout_ms, MmAnswered answered, gpointer data);
+
+/* Whether work that can wait may write `puts` keys now; takes them from the budget if so. */
+gboolean mm_store_may_write(MmStore *store, guint puts);
+/* Whether the state service refuses us at the moment. */
+gboolean mm_store_in_trouble(const MmStore *store);
