--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -1,5 +1,6 @@
-/* Starts travel only in answers to reports, never in direct commands: an answer is never carried out
- * late, while a direct command may be. An approval is good for the one answer it was asked for. */
+/* Starts travel only in answers to reports, never in direct commands: an answer is never carried
+ * out late, while a direct command may be. An approval is good for the one answer it was asked for.
+ */
 #include "checkin/checkin.h"
 
 #include "base/wire.h"
@@ -164,8 +165,8 @@
   if (machine != NULL) {
     if (machine->queued_session == session->stamp.session)
       for (guint i = 0; i < machine->queued->len; i++)
-        json_array_append_new(
-            commands, mm_command_to_json(&g_array_index(machine->queued, MmCommand, i)));
+        json_array_append_new(commands,
+                              mm_command_to_json(&g_array_index(machine->queued, MmCommand, i)));
     g_array_set_size(machine->queued, 0);
     clear_over(checkin, machine, commands);
   }
@@ -174,10 +175,9 @@
     if (start_is_good(checkin, start))
       json_array_append_new(commands, mm_command_to_json(&start->start));
   }
-  mm_exchange_answer(session->exchange, 200,
-                     json_pack("{s:I, s:o}", W_TOKEN, (json_int_t)node->replica->term.v,
-                               W_COMMANDS, commands),
-                     0);
+  mm_exchange_answer(
+      session->exchange, 200,
+      json_pack("{s:I, s:o}", W_TOKEN, (json_int_t)node->replica->term.v, W_COMMANDS, commands), 0);
   session_free(session);
 }
 
@@ -201,7 +201,7 @@
 static void
 take_refusal(Session *session) {
   session->fails++;
-  if (session->asked.pull)
+  if (session->asked.n == 0)
     session->dry |= 1u << session->asked.view;
   g_array_append_vals(session->tried, session->asked.tasks, session->asked.n);
 }
@@ -291,8 +291,10 @@
   g_hash_table_remove(checkin->asks, &id);
   checkin->node->rank->views[peer + 1].unfinished = answer->unfinished;
   if (answer->approval != NULL) {
-    MmApproval approval = { mm_name(answer->approval->job), answer->approval->number,
-                            { answer->approval->attempt }, mm_name(answer->approval->team),
+    MmApproval approval = { mm_name(answer->approval->job),
+                            answer->approval->number,
+                            { answer->approval->attempt },
+                            mm_name(answer->approval->team),
                             { answer->approval->term } };
     take_approval(session, &approval);
   } else {
@@ -306,9 +308,9 @@
 static void
 redirect(MmCheckin *checkin, MmExchange *exchange, gint peer) {
   if (peer >= 0)
-    mm_exchange_answer(
-        exchange, 421,
-        json_pack("{s:s}", W_REPORT_TO, checkin->node->links->peers[peer].label.s), 0);
+    mm_exchange_answer(exchange, 421,
+                       json_pack("{s:s}", W_REPORT_TO, checkin->node->links->peers[peer].label.s),
+                       0);
   else
     mm_exchange_answer(exchange, 503, mm_json_error("not entitled to answer"), 0);
 }
@@ -391,8 +393,7 @@
   session->starts = g_array_new(FALSE, TRUE, sizeof(Start));
   session->tried = g_array_new(FALSE, TRUE, sizeof(MmTaskRef));
   session->room = mm_machine_free(node->roster, machine);
-  session->deadline
-      = mm_time_add_ms(mm_node_now(node), (gint64)node->operators->ask_timeout_ms);
+  session->deadline = mm_time_add_ms(mm_node_now(node), (gint64)node->operators->ask_timeout_ms);
   checkin->open++;
   mm_report_clear(&report);
   go_on(session);
@@ -448,8 +449,7 @@
     if (mm_time_ms_since(now, deferred->since) < DEFER_MS)
       break;
     g_queue_pop_head(checkin->deferred);
-    mm_exchange_answer(deferred->exchange, 503, mm_json_error("the term is not known here yet"),
-                       0);
+    mm_exchange_answer(deferred->exchange, 503, mm_json_error("the term is not known here yet"), 0);
     json_decref(deferred->body);
     g_free(deferred);
   }
--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -13,6 +13,8 @@
 #define TASKS_MAX 4096
 #define DRIFT 0.002
 #define LOST_MARGIN_MS 250
+#define FAULTS_TO_SHUN 2
+#define SHUN_MS 60000
 
 static const char *const states[] = { "fetching", "gathering", "running", "flushing", "ended" };
 static const char *const causes[]
@@ -134,7 +136,8 @@
   memset(report, 0, sizeof *report);
   report->tasks = g_array_new(FALSE, TRUE, sizeof(MmSeenTask));
   if (!json_is_object(body) || mm_json_string(body, W_MACHINE) == NULL
-      || !json_is_integer(mm_json_get(body, W_SESSION)) || !json_is_integer(mm_json_get(body, W_SEQ))
+      || !json_is_integer(mm_json_get(body, W_SESSION))
+      || !json_is_integer(mm_json_get(body, W_SEQ))
       || (tasks != NULL && (!json_is_array(tasks) || json_array_size(tasks) > TASKS_MAX))
       || strlen(mm_json_string(body, W_MACHINE)) > MM_NAME_MAX) {
     *reason = "not a worker's report";
@@ -206,6 +209,40 @@
   return FALSE;
 }
 
+/* ---- faulty machines ---- */
+
+static gboolean
+was_ended(const MmMachine *machine, const MmSeenTask *task) {
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *old = &g_array_index(machine->tasks, MmSeenTask, i);
+    if (old->state == MM_SEEN_ENDED && old->number == task->number
+        && old->attempt.v == task->attempt.v && mm_name_equal(&old->job, &task->job))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Errors of different jobs without a success between point at the machine. Every node sees every
+ * report, so all come to the same view: a place reserved by one is not refused by another. */
+static void
+count_faults(MmRoster *roster, MmMachine *machine, const MmReport *report) {
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const MmSeenTask *task = &g_array_index(report->tasks, MmSeenTask, i);
+    if (task->state != MM_SEEN_ENDED || was_ended(machine, task))
+      continue;
+    if (task->cause == MM_CAUSE_DONE)
+      machine->faults = 0;
+    if (task->cause != MM_CAUSE_ERROR
+        || (machine->faults > 0 && mm_name_equal(&machine->fault_job, &task->job)))
+      continue;
+    machine->fault_job = task->job;
+    if (++machine->faults < FAULTS_TO_SHUN)
+      continue;
+    mm_info("machine %s fails tasks of several jobs: shunned", machine->id.s);
+    machine->shunned = mm_time_add_ms(mm_node_now(roster->node), SHUN_MS);
+  }
+}
+
 /* ---- taking reports in ---- */
 
 MmMachine *
@@ -218,6 +255,10 @@
     machine->answered = mm_time_max(machine->answered, heard_at);
   if (machine->heard && !mm_stamp_newer(report->stamp, machine->stamp))
     return NULL;
+  /* A session whose lease has certainly run out is over: such a report was held back on its way,
+   * and what it shows is gone. */
+  if (machine->heard && machine->lost && report->stamp.session == machine->stamp.session)
+    return NULL;
   if (machine->lost)
     mm_info("machine %s reports again, session %" G_GUINT64_FORMAT, machine->id.s,
             report->stamp.session);
@@ -243,6 +284,7 @@
   if (report->warned && !machine->warned)
     machine->taken = mm_time_add_ms(heard_at, (gint64)(report->notice_s * 1000));
   machine->warned = report->warned;
+  count_faults(roster, machine, report);
   g_array_set_size(machine->tasks, 0);
   g_array_append_vals(machine->tasks, report->tasks->data, report->tasks->len);
   for (guint i = 0; i < machine->tasks->len; i++) {
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -7,7 +7,13 @@
 #include "node/node.h"
 
 /* A task's state and its cause of ending, as reported. */
-typedef enum { MM_SEEN_FETCHING, MM_SEEN_WAITING, MM_SEEN_RUNNING, MM_SEEN_SAVING, MM_SEEN_ENDED } MmSeenState;
+typedef enum {
+  MM_SEEN_FETCHING,
+  MM_SEEN_WAITING,
+  MM_SEEN_RUNNING,
+  MM_SEEN_SAVING,
+  MM_SEEN_ENDED
+} MmSeenState;
 typedef enum {
   MM_CAUSE_NONE,
   MM_CAUSE_DONE,
@@ -68,12 +74,12 @@
   MmStamp stamp;
   MmTerm token;
   gboolean warned;
-  MmTime taken; /* when the cloud may take it */
-  GArray *tasks; /* MmSeenTask of the newest report */
-  gint host;     /* the node that heard it last: a peer's index or MM_HOST_SELF */
-  MmTime answered; /* it may have been answered up to here, as far as this node knows */
-  MmTime seen;     /* newest report of any kind */
-  MmTime reported; /* newest report made to a node */
+  MmTime taken;        /* when the cloud may take it */
+  GArray *tasks;       /* MmSeenTask of the newest report */
+  gint host;           /* the node that heard it last: a peer's index or MM_HOST_SELF */
+  MmTime answered;     /* it may have been answered up to here, as far as this node knows */
+  MmTime seen;         /* newest report of any kind */
+  MmTime reported;     /* newest report made to a node */
   gboolean registered; /* in the state service, as the replica shows */
   gboolean registering;
   gboolean lost;
@@ -89,7 +95,7 @@
   MmTime echo_asked; /* when it was last asked to echo the term */
   guint faults;      /* errors of different jobs without a success between */
   MmName fault_job;
-  MmTime shunned; /* no work until then */
+  MmTime shunned;    /* no work until then */
   MmTime full_until; /* it refused a start for lack of room */
 
   /* the check-in's */
--- a/src/config/operators.c
+++ b/src/config/operators.c
@@ -18,7 +18,7 @@
           "how long an answer to a worker waits for owners' approvals"),
   SETTING(starts_per_answer, "tasks", 8, 1, 1000, "most starts in one answer to a worker"),
   SETTING(candidates, "tasks", 2, 1, 16, "candidates sent to an owner in one request"),
-  SETTING(idle_return_s, "s", 600, 1, 1e7, "a machine without tasks this long is returned"),
+  SETTING(idle_return_s, "s", 40, 1, 1e7, "a machine without tasks this long is returned"),
   SETTING(silent_release_s, "s", 0, 0, 86400,
           "a machine silent this long is returned to the cloud; 0 waits for its lease to end"),
   SETTING(boot_patience, "times", 4, 1, 100,
--- a/src/config/operators.h
+++ b/src/config/operators.h
@@ -4,18 +4,18 @@
 #include <glib.h>
 
 typedef struct {
-  double claim_ttl_s;        /* how long a node's claim lasts without renewal */
-  double claim_renew_s;      /* how often it is renewed */
-  double peer_ping_s;        /* how often peers are asked whether they still answer */
-  double wait_bound_s;       /* a task that waited longer goes first to any fitting machine */
-  double ask_timeout_ms;     /* how long a worker's answer waits for an owner's approval */
-  double starts_per_answer;  /* most starts in one answer to a worker */
-  double candidates;         /* candidates sent in one request */
-  double idle_return_s;      /* a machine without tasks this long is returned */
-  double silent_release_s;   /* a listed machine this long silent is returned (0: by its lease) */
-  double boot_patience;      /* times the nominal boot time until a machine counts as stuck */
-  double preempt_after_s;    /* how long urgent work waits for room before it may preempt */
-  double rent;               /* 1: rent machines when work waits, 0: never */
+  double claim_ttl_s;       /* how long a node's claim lasts without renewal */
+  double claim_renew_s;     /* how often it is renewed */
+  double peer_ping_s;       /* how often peers are asked whether they still answer */
+  double wait_bound_s;      /* a task that waited longer goes first to any fitting machine */
+  double ask_timeout_ms;    /* how long a worker's answer waits for an owner's approval */
+  double starts_per_answer; /* most starts in one answer to a worker */
+  double candidates;        /* candidates sent in one request */
+  double idle_return_s;     /* a machine without tasks this long is returned */
+  double silent_release_s;  /* a listed machine this long silent is returned (0: by its lease) */
+  double boot_patience;     /* times the nominal boot time until a machine counts as stuck */
+  double preempt_after_s;   /* how long urgent work waits for room before it may preempt */
+  double rent;              /* 1: rent machines when work waits, 0: never */
 } MmOperators;
 
 typedef struct {
@@ -32,6 +32,6 @@
 
 MmOperators mm_operators_defaults(void);
 /* FALSE with a one-line reason naming file, line and setting. */
-gboolean mm_operators_parse(MmOperators *operators, const char *path, const char *xml, gssize length,
-                            char **reason);
+gboolean mm_operators_parse(MmOperators *operators, const char *path, const char *xml,
+                            gssize length, char **reason);
 gboolean mm_operators_read(MmOperators *operators, const char *path, char **reason);
--- a/src/edge/http-client.c
+++ b/src/edge/http-client.c
@@ -46,8 +46,7 @@
 finished(GObject *source, GAsyncResult *result, gpointer data) {
   Call *call = data;
   g_autoptr(GError) error = NULL;
-  g_autoptr(GBytes) bytes
-      = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
+  g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
   g_autoptr(json_t) body = NULL;
   int status = 0;
 
@@ -90,9 +89,9 @@
 mm_http_client_request(MmHttpClient *client, MmTarget target, const char *address,
                        const char *method, const char *path, const json_t *body, guint timeout_ms,
                        MmAnswered answered, gpointer data) {
-  g_autofree char *uri
-      = target == MM_TARGET_WORKER ? g_strconcat("http://", address, path, NULL)
-                                   : g_strconcat(client->bases[target], path, NULL);
+  g_autofree char *uri = target == MM_TARGET_WORKER
+                             ? g_strconcat("http://", address, path, NULL)
+                             : g_strconcat(client->bases[target], path, NULL);
   SoupMessage *message = soup_message_new(method, uri);
   Call *call;
 
@@ -114,6 +113,6 @@
   call->answered = answered;
   call->data = data;
   call->timer = g_timeout_add(timeout_ms, timed_out, call);
-  soup_session_send_and_read_async(client->session, message, G_PRIORITY_DEFAULT,
-                                   call->cancellable, finished, call);
+  soup_session_send_and_read_async(client->session, message, G_PRIORITY_DEFAULT, call->cancellable,
+                                   finished, call);
 }
--- a/src/edge/peer-socket.c
+++ b/src/edge/peer-socket.c
@@ -50,8 +50,7 @@
   if (colon == NULL)
     return NULL;
   host = g_strndup(text, (gsize)(colon - text));
-  return g_inet_socket_address_new_from_string(host,
-                                               (guint)g_ascii_strtoull(colon + 1, NULL, 10));
+  return g_inet_socket_address_new_from_string(host, (guint)g_ascii_strtoull(colon + 1, NULL, 10));
 }
 
 MmPeerSockets *
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -172,9 +172,8 @@
   MmTime now = mm_node_now(node);
   MmMachine *machine = mm_roster_find(node->roster, listed->id.s);
   const MmType *type = mm_types_find(node->types, &listed->type);
-  double patience_s = type != NULL ? MAX(type->boot_s * node->operators->boot_patience,
-                                         BOOT_FLOOR_S)
-                                   : 600;
+  double patience_s
+      = type != NULL ? MAX(type->boot_s * node->operators->boot_patience, BOOT_FLOOR_S) : 600;
   gint64 known_ms = mm_time_ms_since(now, listed->first);
 
   if (listed->failed)
@@ -234,7 +233,9 @@
     if (listed->releasing || release->ids->len >= RELEASE_MAX || !useless(fleet, listed))
       continue;
     mm_info("returning machine %s (%s, %.0f s old)", listed->id.s,
-            listed->failed ? "failed" : machine == NULL ? "never came up" : "not needed or silent",
+            listed->failed    ? "failed"
+            : machine == NULL ? "never came up"
+                              : "not needed or silent",
             listed->age_s);
     listed->releasing = TRUE;
     if (machine != NULL)
@@ -297,9 +298,9 @@
   g_autofree char *name
       = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, node->settings->label.s,
                         node->claims->claim, ++fleet->requests);
-  g_autoptr(json_t) body = json_pack("{s:s, s:s, s:s, s:b, s:I}", W_REQUEST, name, W_TYPE,
-                                     type->name.s, W_ZONE, zone->s, W_SPOT, spot, W_COUNT,
-                                     (json_int_t)MIN(count, RENT_MAX));
+  g_autoptr(json_t) body
+      = json_pack("{s:s, s:s, s:s, s:b, s:I}", W_REQUEST, name, W_TYPE, type->name.s, W_ZONE,
+                  zone->s, W_SPOT, spot, W_COUNT, (json_int_t)MIN(count, RENT_MAX));
   Rent *call = g_new(Rent, 1);
 
   *call = (Rent){ fleet, type->name, *zone, spot, MIN(count, RENT_MAX) };
@@ -392,8 +393,8 @@
   return options;
 }
 
-/* Waiting tasks of all owners against what is free and what is coming; the first kind of machine that
- * is short is rented, cheapest slot first. One request at a time. */
+/* Waiting tasks of all owners against what is free and what is coming; the first kind of machine
+ * that is short is rented, cheapest slot first. One request at a time. */
 static void
 plan(MmFleet *fleet) {
   MmNode *node = fleet->node;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -11,9 +11,9 @@
   gboolean spot;
   gboolean running;
   gboolean failed;
-  double age_s;     /* as of the list */
-  MmTime listed;    /* when last listed */
-  MmTime first;     /* when first listed here */
+  double age_s;  /* as of the list */
+  MmTime listed; /* when last listed */
+  MmTime first;  /* when first listed here */
   gboolean releasing;
 } MmListed;
 
--- a/src/fleet/types.c
+++ b/src/fleet/types.c
@@ -105,8 +105,7 @@
     mm_info("no machine types from the cloud: status %d", status);
     return;
   }
-  json_array_foreach(list, i, item)
-    read_type(types, item);
+  json_array_foreach(list, i, item) read_type(types, item);
   types->next = mm_time_add_ms(now, REFRESH_MS);
 }
 
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -126,8 +126,8 @@
 
 void
 mm_book_keep_final(MmBook *book, const char *id, const char *state, guint done) {
-  g_autoptr(json_t) answer = json_pack("{s:s, s:s, s:I, s:i}", W_JOB_ID, id, W_STATE, state,
-                                       W_DONE, (json_int_t)done, W_RUNNING, 0);
+  g_autoptr(json_t) answer = json_pack("{s:s, s:s, s:I, s:i}", W_JOB_ID, id, W_STATE, state, W_DONE,
+                                       (json_int_t)done, W_RUNNING, 0);
   char *text = json_dumps(answer, JSON_COMPACT);
 
   bounded_add(book->finals, book->final_order, FINALS_KEPT, id, g_strdup(text));
@@ -143,8 +143,8 @@
 
 json_t *
 mm_job_record(const MmSpec *spec, gint64 submitted_ms, gboolean cancelled, const char *done_text) {
-  json_t *record = json_pack("{s:o, s:I}", "s", mm_spec_to_json(spec), "at",
-                             (json_int_t)submitted_ms);
+  json_t *record
+      = json_pack("{s:o, s:I}", "s", mm_spec_to_json(spec), "at", (json_int_t)submitted_ms);
 
   if (done_text != NULL && done_text[0] != '\0')
     json_object_set_new(record, "d", json_string(done_text));
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -44,8 +44,8 @@
   /* The owner's view; NULL where the part is not held here. */
   MmTask *tasks;
   MmDoneSet done;
-  guint idle;      /* tasks in MM_TASK_IDLE */
-  guint live;      /* tasks that are or may be on a machine */
+  guint idle;       /* tasks in MM_TASK_IDLE */
+  guint live;       /* tasks that are or may be on a machine */
   guint first_idle; /* no idle task has a lower number */
   gboolean writing;
   MmTime wrote;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -75,8 +75,8 @@
   mm_fleet_tick(node->fleet);
 }
 
-/* A node that alone is refused by the state service sends its users elsewhere. In an outage for all,
- * being unhealthy would help nobody. */
+/* A node that alone is refused by the state service sends its users elsewhere. In an outage for
+ * all, being unhealthy would help nobody. */
 static gboolean
 healthy(const MmNode *node) {
   MmTime now = mm_node_now(node);
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -107,7 +107,8 @@
          && (limit.accelerators <= 0 || used.accelerators <= limit.accelerators + MM_ROOM_SLACK);
 }
 
-/* Work in a hurry does not fetch its image where another machine could start it at its next report. */
+/* Work in a hurry does not fetch its image where another machine could start it at its next report.
+ */
 static gboolean
 better_elsewhere(MmOwner *owner, const MmJob *job, const MmTask *task, const MmMachine *here) {
   MmNode *node = owner->node;
@@ -152,16 +153,14 @@
 
   mm_owner_place(owner, job, number, ask->machine, MM_TASK_ISSUED, attempt);
   job->tasks[number].issued = ask->stamp;
-  *approval
-      = (MmApproval){ job->spec.id, number, attempt, mm_name(held->name), held->term };
+  *approval = (MmApproval){ job->spec.id, number, attempt, mm_name(held->name), held->term };
 }
 
 static gboolean
 try_task(MmOwner *owner, MmJob *job, guint number, const MmAsk *ask, MmApproval *approval) {
   MmHeld *held;
 
-  if (job == NULL || !mm_owner_open(owner, job) || number >= job->spec.tasks
-      || mm_job_is_gang(job))
+  if (job == NULL || !mm_owner_open(owner, job) || number >= job->spec.tasks || mm_job_is_gang(job))
     return FALSE;
   held = mm_owner_held(owner, job);
   if (!task_may_start(owner, held, job, number, ask))
@@ -295,8 +294,8 @@
                 .pull = message->pull };
 
   for (size_t i = 0; i < message->n_candidates && ask.n < MM_RANK_CANDIDATES_MAX; i++)
-    ask.tasks[ask.n++] = (MmTaskRef){ mm_name(message->candidates[i]->job),
-                                      message->candidates[i]->number };
+    ask.tasks[ask.n++]
+        = (MmTaskRef){ mm_name(message->candidates[i]->job), message->candidates[i]->number };
   answer.id = message->id;
   if (machine != NULL && mm_owner_ask(owner, &ask, &approval)) {
     granted.job = approval.job.s;
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -1,11 +1,12 @@
-/* Gangs of several tasks: the owner picks all places at once or none, then gives the starts out as the
- * machines report. A gang that is not complete in time is stopped and planned anew. */
+/* Gangs of several tasks: the owner picks all places at once or none, then gives the starts out as
+ * the machines report. A gang that is not complete in time is stopped and planned anew. */
 #include "owner/owner.h"
 
 #include "parts/claims.h"
 
 /* Several report periods: within them every machine asks for work. */
 #define RESERVED_PERIODS 3
+#define UNASKED_MS 10000
 
 typedef struct {
   MmMachine *machine;
@@ -16,13 +17,14 @@
 release_gang(MmOwner *owner, MmJob *job) {
   for (guint i = 0; i < job->spec.tasks; i++) {
     MmTask *task = &job->tasks[i];
-    if (task->state == MM_TASK_RESERVED)
+    if (task->state == MM_TASK_RESERVED) {
+      /* It did not ask in time, whatever the reason: not the same place again at once. */
+      task->machine->full_until = mm_time_add_ms(mm_node_now(owner->node), UNASKED_MS);
       mm_owner_unplace(owner, job, i);
-    else if (task->machine != NULL && !task->stopping) {
+    } else if (task->machine != NULL && !task->stopping) {
       task->stopping = TRUE;
       task->told = mm_node_now(owner->node);
-      mm_owner_stop(owner, task->machine, &job->spec.id, i, task->attempt,
-                    mm_owner_grace_s(job));
+      mm_owner_stop(owner, task->machine, &job->spec.id, i, task->attempt, mm_owner_grace_s(job));
     }
   }
 }
@@ -38,6 +40,7 @@
     Place place = { g_ptr_array_index(roster->order, i), { 0 } };
     if (!mm_machine_usable(roster, place.machine) || !mm_rank_allows(job, place.machine)
         || mm_time_ms_since(now, place.machine->reported) > recent_ms
+        || mm_time_before(now, place.machine->full_until)
         || (zone != NULL && !mm_name_equal(&place.machine->zone, zone)))
       continue;
     place.room = mm_machine_free(roster, place.machine);
@@ -145,8 +148,7 @@
     if (task->state != MM_TASK_RESERVED || held == NULL || placed->job->cancelled
         || !mm_room_fits(placed->job->spec.need, ask->room))
       continue;
-    mm_owner_place(owner, placed->job, placed->number, ask->machine, MM_TASK_ISSUED,
-                   task->attempt);
+    mm_owner_place(owner, placed->job, placed->number, ask->machine, MM_TASK_ISSUED, task->attempt);
     task->issued = ask->stamp;
     *approval = (MmApproval){ placed->job->spec.id, placed->number, task->attempt,
                               mm_name(held->name), held->term };
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -14,8 +14,6 @@
 #define BACKLOG_JOBS 64
 #define BACKLOG_TASKS 512
 #define BACKLOG_RANGES 16
-#define FAULTS_TO_SHUN 2
-#define SHUN_MS 60000
 
 static void
 held_free(gpointer data) {
@@ -168,8 +166,7 @@
   mm_rank_changed(owner->node->rank);
 }
 
-static void
-take_tasks(MmOwner *owner, MmMachine *machine, const char *only_part);
+static void take_tasks(MmOwner *owner, MmMachine *machine, const char *only_part);
 
 static void
 adopt_part(MmOwner *owner, const char *name, const MmTeamSettings *team, const MmPart *part) {
@@ -330,10 +327,8 @@
     job->seen_s += (double)mm_time_ms_since(now, task->since) / 1000.0;
     job->seen_n++;
   }
-  if (task->machine != NULL) {
-    task->machine->faults = 0;
+  if (task->machine != NULL)
     mm_owner_unplace(owner, job, number);
-  }
   set_state(owner, job, number, MM_TASK_DONE);
   mm_done_set_add(&job->done, number);
   job->failed_tasks = 0;
@@ -353,21 +348,13 @@
     task->errors = MIN(task->errors + 1, 10);
     task->avoid = machine->id;
     task->not_before = mm_time_add_ms(now, MIN(500 << task->errors, 30000));
-    if (!mm_name_equal(&machine->fault_job, &job->spec.id)) {
-      machine->fault_job = job->spec.id;
-      if (++machine->faults >= FAULTS_TO_SHUN) {
-        mm_info("machine %s fails tasks of several jobs: shunned", machine->id.s);
-        machine->shunned = mm_time_add_ms(now, SHUN_MS);
-      }
-    }
     /* A job that fails everywhere may not hog the fleet. */
     if (++job->failed_tasks >= 4)
       job->paused_until = mm_time_add_ms(now, MIN(2000 << MIN(job->failed_tasks - 4, 5), 60000));
     break;
   case MM_CAUSE_NO_ROOM:
     /* Our idea of its room was wrong; the next report but one shows better. */
-    machine->full_until
-        = mm_time_add_ms(now, (gint64)(owner->node->settings->report_s * 1000));
+    machine->full_until = mm_time_add_ms(now, (gint64)(owner->node->settings->report_s * 1000));
     break;
   case MM_CAUSE_UNKNOWN:
     /* The user has not uploaded it yet, or never does. */
@@ -435,8 +422,8 @@
   return NULL;
 }
 
-/* Tasks placed on the machine that this report does not show have left it; a start is denied only by
- * a report that was sent after the one whose answer carried it. */
+/* Tasks placed on the machine that this report does not show have left it; a start is denied only
+ * by a report that was sent after the one whose answer carried it. */
 static void
 miss_tasks(MmOwner *owner, MmMachine *machine, const MmReport *report) {
   for (guint i = machine->placed->len; i > 0; i--) {
@@ -484,8 +471,8 @@
     command.op = MM_OP_STOP;
     command.grace_s = mm_owner_grace_s(job);
     if (job->cancelled || task->state == MM_TASK_DONE
-        || (task->stopping && task->machine == machine
-            && mm_time_ms_since(now, task->told) > 500 && seen->state != MM_SEEN_SAVING)) {
+        || (task->stopping && task->machine == machine && mm_time_ms_since(now, task->told) > 500
+            && seen->state != MM_SEEN_SAVING)) {
       g_array_append_val(commands, command);
     } else if (machine->warned && !task->stopping && task->machine == machine) {
       /* The machine is about to be taken: save, or at least start again elsewhere sooner. */
@@ -689,10 +676,9 @@
   waiting->job = job->spec.id;
   waiting->first = mm_owner_goes_first(owner, job);
   waiting->ranges = g_array_new(FALSE, FALSE, sizeof(guint));
-  while (job->first_idle < job->spec.tasks
-         && job->tasks[job->first_idle].state != MM_TASK_IDLE)
+  while (job->first_idle < job->spec.tasks && job->tasks[job->first_idle].state != MM_TASK_IDLE)
     job->first_idle++;
-  for (guint i = job->first_idle; i < job->spec.tasks && *budget > 0; i++) {
+  for (guint i = job->first_idle; i<job->spec.tasks && * budget> 0; i++) {
     const MmTask *task = &job->tasks[i];
     guint *last;
     if (task->state != MM_TASK_IDLE || mm_time_before(now, task->not_before))
@@ -718,12 +704,28 @@
   g_ptr_array_add(list, waiting);
 }
 
+static gboolean
+has_reserved(const MmMachine *machine) {
+  for (guint i = 0; i < machine->placed->len; i++) {
+    const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
+    if (placed->job->tasks[placed->number].state == MM_TASK_RESERVED)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 void
-mm_owner_backlog(MmOwner *owner, GPtrArray *waiting) {
+mm_owner_backlog(MmOwner *owner, GPtrArray *waiting, GArray *reserved) {
   MmBook *book = owner->node->book;
+  const GPtrArray *machines = owner->node->roster->order;
   g_autoptr(GPtrArray) jobs = g_ptr_array_new();
   guint budget = BACKLOG_TASKS;
 
+  for (guint i = 0; i < machines->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(machines, i);
+    if (has_reserved(machine))
+      g_array_append_val(reserved, machine->id);
+  }
   for (guint i = 0; i < book->order->len; i++) {
     MmJob *job = g_ptr_array_index(book->order, i);
     if (job->tasks != NULL && job->idle > 0 && !mm_job_is_gang(job) && mm_owner_open(owner, job))
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -1,8 +1,9 @@
 /* The one judge of a team's tasks: where each may be, what may start, what must stop.
  *
- * A part is a team. Whoever holds it rebuilds its view from the machines' reports: a machine counts as
- * heard once it echoes the part's term, for then every start given out under an older term has either
- * shown in that report or will be refused. Nothing is approved that an unheard machine might hold. */
+ * A part is a team. Whoever holds it rebuilds its view from the machines' reports: a machine counts
+ * as heard once it echoes the part's term, for then every start given out under an older term has
+ * either shown in that report or will be refused. Nothing is approved that an unheard machine might
+ * hold. */
 #pragma once
 
 #include "checkin/roster.h"
@@ -59,8 +60,9 @@
 void mm_owner_cancelled(MmOwner *owner, const char *job);
 void mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report);
 void mm_owner_machine_gone(MmOwner *owner, MmMachine *machine);
-/* Adds MmWaiting for what is unassigned in the parts held here, most pressing first. */
-void mm_owner_backlog(MmOwner *owner, GPtrArray *waiting);
+/* Adds MmWaiting for what is unassigned in the parts held here, most pressing first, and the names
+ * of machines with reserved places. */
+void mm_owner_backlog(MmOwner *owner, GPtrArray *waiting, GArray *reserved);
 guint mm_owner_unfinished(const MmOwner *owner);
 
 /* approve.c */
@@ -78,8 +80,8 @@
 MmAttempt mm_owner_next_attempt(MmOwner *owner, const MmHeld *held);
 
 /* owner.c */
-void mm_owner_place(MmOwner *owner, MmJob *job, guint number, MmMachine *machine,
-                    MmTaskState state, MmAttempt attempt);
+void mm_owner_place(MmOwner *owner, MmJob *job, guint number, MmMachine *machine, MmTaskState state,
+                    MmAttempt attempt);
 void mm_owner_unplace(MmOwner *owner, MmJob *job, guint number);
 /* Tells a task's machine to stop it, at once and with every answer until it is gone. */
 void mm_owner_stop(MmOwner *owner, MmMachine *machine, const MmName *job, guint number,
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -1,4 +1,5 @@
-/* Making room for urgent work where no fitting machine is free: work of lower priority is stopped. */
+/* Making room for urgent work where no fitting machine is free: work of lower priority is stopped.
+ */
 #include "owner/owner.h"
 
 #include "parts/claims.h"
@@ -87,8 +88,8 @@
     return FALSE;
   for (guint i = 0; i < best_victims->len; i++) {
     const Victim *victim = &g_array_index(best_victims, Victim, i);
-    mm_info("stopping %s/%u on %s for %s", victim->job->spec.id.s, victim->seen->number,
-            best->id.s, job->spec.id.s);
+    mm_info("stopping %s/%u on %s for %s", victim->job->spec.id.s, victim->seen->number, best->id.s,
+            job->spec.id.s);
     mm_owner_stop(owner, best, &victim->job->spec.id, victim->seen->number, victim->seen->attempt,
                   mm_owner_grace_s(victim->job));
   }
@@ -126,7 +127,6 @@
       clearing++;
     }
     if (clearing > 0)
-      job->claimed_room
-          = mm_time_add_ms(now, (gint64)(node->settings->report_s * 1000));
+      job->claimed_room = mm_time_add_ms(now, (gint64)(node->settings->report_s * 1000));
   }
 }
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -23,9 +23,9 @@
   claims->free_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   g_ptr_array_add(claims->names, g_strdup(MM_PART_FLEET));
   for (guint i = 0; i < node->settings->teams->len; i++)
-    g_ptr_array_add(claims->names,
-                    mm_claims_part_of_team(
-                        &g_array_index(node->settings->teams, MmTeamSettings, i).name));
+    g_ptr_array_add(
+        claims->names,
+        mm_claims_part_of_team(&g_array_index(node->settings->teams, MmTeamSettings, i).name));
   return claims;
 }
 
@@ -288,8 +288,8 @@
   if (me == G_MAXUINT)
     return;
   loaded_ms = mm_time_ms_since(
-      now, ((MmNodeClaim *)g_hash_table_lookup(replica->nodes, claims->node->settings->label.s))
-               ->since);
+      now,
+      ((MmNodeClaim *)g_hash_table_lookup(replica->nodes, claims->node->settings->label.s))->since);
   if (live->len < claims->node->settings->node_count && replica->term.v == 0
       && loaded_ms < START_PATIENCE_MS)
     return;
--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -8,16 +8,16 @@
 
 struct MmClaims {
   MmNode *node;
-  guint64 claim;     /* 0: none */
-  MmTime valid;      /* the claim cannot have ended before this instant */
-  gboolean asking;   /* a request about the claim itself is under way */
-  gboolean moving;   /* a transaction about parts is under way */
-  MmTime next;       /* when to renew, or to ask again */
-  MmTime next_parts; /* when to look at the part map again */
-  MmTime uneven;     /* since when the map has been uneven */
-  GPtrArray *names;  /* all part names, in a fixed order */
+  guint64 claim;          /* 0: none */
+  MmTime valid;           /* the claim cannot have ended before this instant */
+  gboolean asking;        /* a request about the claim itself is under way */
+  gboolean moving;        /* a transaction about parts is under way */
+  MmTime next;            /* when to renew, or to ask again */
+  MmTime next_parts;      /* when to look at the part map again */
+  MmTime uneven;          /* since when the map has been uneven */
+  GPtrArray *names;       /* all part names, in a fixed order */
   GHashTable *free_since; /* part name -> MmTime */
-  guint64 lives;     /* claims taken by this process: makes request names unique */
+  guint64 lives;          /* claims taken by this process: makes request names unique */
 };
 
 MmClaims *mm_claims_new(MmNode *node);
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -336,8 +336,7 @@
 
   if (mm_time_before(now, links->next_ping))
     return;
-  links->next_ping
-      = mm_time_add_ms(now, (gint64)(links->node->operators->peer_ping_s * 1000));
+  links->next_ping = mm_time_add_ms(now, (gint64)(links->node->operators->peer_ping_s * 1000));
   ping.at_us = (guint64)now.us;
   ping.outage_ms = outage_ms(links);
   frame.body_case = MM__FRAME__BODY_PING;
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -1,5 +1,5 @@
-/* What nodes tell one another, and what follows from it: whether a peer still answers workers, up to
- * when all its answers are known here, and whether it too is refused by the state service. */
+/* What nodes tell one another, and what follows from it: whether a peer still answers workers, up
+ * to when all its answers are known here, and whether it too is refused by the state service. */
 #pragma once
 
 #include "checkin/roster.h"
@@ -8,10 +8,10 @@
 
 typedef struct {
   MmName label;
-  gboolean up;      /* our own link to it stands */
-  guint64 claim;    /* its claim, as its last pong said */
-  MmTime settled;   /* all answers it gave before this instant are known here */
-  MmTime refused;   /* when it was last refused by the state service */
+  gboolean up;    /* our own link to it stands */
+  guint64 claim;  /* its claim, as its last pong said */
+  MmTime settled; /* all answers it gave before this instant are known here */
+  MmTime refused; /* when it was last refused by the state service */
   MmTime ponged;
   gboolean answering;
   guint machines;
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -23,15 +23,19 @@
   rank->node = node;
   rank->n_views = 1 + node->settings->peers->len;
   rank->views = g_new0(MmBacklogView, rank->n_views);
-  for (guint i = 0; i < rank->n_views; i++)
+  for (guint i = 0; i < rank->n_views; i++) {
     rank->views[i].waiting = g_ptr_array_new_with_free_func(waiting_free);
+    rank->views[i].reserved = g_array_new(FALSE, TRUE, sizeof(MmName));
+  }
   return rank;
 }
 
 void
 mm_rank_free(MmRank *rank) {
-  for (guint i = 0; i < rank->n_views; i++)
+  for (guint i = 0; i < rank->n_views; i++) {
     g_ptr_array_unref(rank->views[i].waiting);
+    g_array_unref(rank->views[i].reserved);
+  }
   g_free(rank->views);
   g_free(rank);
 }
@@ -46,7 +50,8 @@
   MmBacklogView *own = &rank->views[0];
 
   g_ptr_array_set_size(own->waiting, 0);
-  mm_owner_backlog(rank->node->owner, own->waiting);
+  g_array_set_size(own->reserved, 0);
+  mm_owner_backlog(rank->node->owner, own->waiting, own->reserved);
   own->unfinished = mm_owner_unfinished(rank->node->owner);
 }
 
@@ -58,6 +63,7 @@
   Mm__Backlog backlog = MM__BACKLOG__INIT;
   g_autofree Mm__Waiting *items = g_new(Mm__Waiting, MAX(n, 1));
   g_autofree Mm__Waiting **list = g_new(Mm__Waiting *, MAX(n, 1));
+  g_autofree char **reserved = g_new(char *, MAX(own->reserved->len, 1));
 
   for (guint i = 0; i < n; i++) {
     MmWaiting *waiting = g_ptr_array_index(own->waiting, i);
@@ -68,6 +74,10 @@
     items[i].first = waiting->first;
     list[i] = &items[i];
   }
+  for (guint i = 0; i < own->reserved->len; i++)
+    reserved[i] = g_array_index(own->reserved, MmName, i).s;
+  backlog.reserved = reserved;
+  backlog.n_reserved = own->reserved->len;
   backlog.waiting = list;
   backlog.n_waiting = n;
   backlog.unfinished = own->unfinished;
@@ -96,7 +106,12 @@
   MmBacklogView *view = &rank->views[peer + 1];
 
   g_ptr_array_set_size(view->waiting, 0);
+  g_array_set_size(view->reserved, 0);
   view->unfinished = backlog->unfinished;
+  for (size_t i = 0; i < backlog->n_reserved; i++) {
+    MmName machine = mm_name(backlog->reserved[i]);
+    g_array_append_val(view->reserved, machine);
+  }
   for (size_t i = 0; i < backlog->n_waiting; i++) {
     const Mm__Waiting *item = backlog->waiting[i];
     MmWaiting *waiting = g_new0(MmWaiting, 1);
@@ -260,7 +275,8 @@
         guint first = g_array_index(waiting->ranges, guint, k);
         guint length = g_array_index(waiting->ranges, guint, k + 1);
         for (guint t = 0; t < length && cached && ranked->len < RANKED_MAX; t++) {
-          Ranked item = { mm_modulo_priority(z + t + 1, f, machine->index + 1, n, m), v,
+          Ranked item = { mm_modulo_priority(z + t + 1, f, machine->index + 1, n, m),
+                          v,
                           { waiting->job, first + t } };
           if (!was_tried(tried, &waiting->job, first + t))
             g_array_append_val(ranked, item);
@@ -303,6 +319,19 @@
   return TRUE;
 }
 
+/* A gang's place is given out whatever else there is: without this, a machine with nothing else to
+ * ask for would never fetch the start that is reserved for it. */
+static gboolean
+choose_reserved(MmRank *rank, const MmMachine *machine, guint dry, MmChoice *choice) {
+  for (guint v = 0; v < rank->n_views; v++)
+    for (guint i = 0; i < rank->views[v].reserved->len && !(dry >> v & 1); i++)
+      if (mm_name_equal(&g_array_index(rank->views[v].reserved, MmName, i), &machine->id)) {
+        choice->view = (gint)v;
+        return TRUE;
+      }
+  return FALSE;
+}
+
 MmChoice
 mm_rank_choose(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried,
                guint dry) {
@@ -310,7 +339,8 @@
 
   if (rank->dirty && rank->views[0].waiting->len == 0)
     refresh(rank);
-  if (!choose_first(rank, machine, room, tried, dry, &choice)
+  if (!choose_reserved(rank, machine, dry, &choice)
+      && !choose_first(rank, machine, room, tried, dry, &choice)
       && !choose_cached(rank, machine, room, tried, &choice))
     choose_pull(rank, machine, room, dry, &choice);
   return choice;
--- a/src/rank/rank.h
+++ b/src/rank/rank.h
@@ -16,6 +16,7 @@
 
 typedef struct {
   GPtrArray *waiting; /* MmWaiting */
+  GArray *reserved;   /* MmName: machines with places reserved for gangs */
   guint unfinished;
 } MmBacklogView;
 
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -1,8 +1,8 @@
 /* What the state service holds under MM_KEY_ROOT, in the order in which it changed.
  *
- * One watch covers terms, claims, machines and unfinished jobs. So whoever sees a term here has also
- * seen every earlier change of the part map: adopting a term together with the part map, as the
- * fencing needs, follows from the order of the watch. */
+ * One watch covers terms, claims, machines and unfinished jobs. So whoever sees a term here has
+ * also seen every earlier change of the part map: adopting a term together with the part map, as
+ * the fencing needs, follows from the order of the watch. */
 #pragma once
 
 #include "node/node.h"
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -62,8 +62,8 @@
 mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmMark mark) {
   g_autofree char *path = g_strconcat(prefix, key, NULL);
 
-  json_array_append_new(txn->guards, json_pack("{s:s, s:I}", W_KEY, path, W_VERSION,
-                                               (json_int_t)mark.v));
+  json_array_append_new(txn->guards,
+                        json_pack("{s:s, s:I}", W_KEY, path, W_VERSION, (json_int_t)mark.v));
 }
 
 void
@@ -106,9 +106,9 @@
 void
 mm_store_watch(MmStore *store, const char *prefix, guint64 since, guint wait_ms,
                MmAnswered answered, gpointer data) {
-  g_autofree char *path = g_strdup_printf(
-      W_WATCH_PATH "?" W_PREFIX "=%s&" W_AFTER "=%" G_GUINT64_FORMAT "&" W_WAIT "=%u", prefix,
-      since, wait_ms);
+  g_autofree char *path = g_strdup_printf(W_WATCH_PATH "?" W_PREFIX "=%s&" W_AFTER
+                                                       "=%" G_GUINT64_FORMAT "&" W_WAIT "=%u",
+                                          prefix, since, wait_ms);
 
   mm_store_request(store, "GET", path, NULL, wait_ms + REQUEST_TIMEOUT_MS, answered, data);
 }
--- /dev/null
+++ b/tests/test-settings.c
@@ -0,0 +1,90 @@
+#include <glib/gstdio.h>
+
+#include "config/settings.h"
+#include "sample-settings.h"
+
+static char *directory;
+
+static MmSettings *
+read_text(const char *text, char **reason) {
+  g_autofree char *path = g_build_filename(directory, "settings.toml", NULL);
+
+  g_assert_true(g_file_set_contents(path, text, -1, NULL));
+  return mm_settings_read(path, reason);
+}
+
+static void
+test_good(void) {
+  g_autofree char *reason = NULL;
+  g_autoptr(MmSettings) settings = read_text(sample_settings, &reason);
+  MmName red = mm_name("red");
+
+  g_assert_nonnull(settings);
+  g_assert_cmpuint(settings->peers->len, ==, 1);
+  g_assert_cmpuint(settings->state_value_bytes, ==, 4096);
+  g_assert_cmpfloat(mm_settings_team(settings, &red)->limit.cores, ==, 8);
+  g_assert_cmpfloat(settings->lease_s, ==, 10);
+}
+
+/* One line that names the file, the field and what is wrong with it. */
+static void
+test_faults(void) {
+  const struct {
+    const char *from, *to, *field;
+  } faults[] = {
+    { "label = \"n-0\"", "", "label" },
+    { "front = \"127.0.0.1:8080\"", "front = \"here\"", "front" },
+    { "front = \"127.0.0.1:8080\"", "front = 8080", "front" },
+    { "lease_s = 10.0", "lease_s = 0.5", "settings.workers.lease_s" },
+    { "lease_s = 10.0", "lease_s = -1", "settings.workers.lease_s" },
+    { "lease_s = 10.0", "lease_s = \"ten\"", "settings.workers.lease_s" },
+    { "lease_s = 10.0", "lease_s = inf", "settings.workers.lease_s" },
+    { "cpus = 4.0", "cpus = 40.0", "settings.teams.cpus" },
+    { "count = 2", "count = 0", "settings.count" },
+    { "[settings.state]\n", "[settings.other]\n", "settings.state" },
+    { "label = \"n-1\"", "label = \"n-0\"", "others.label" },
+    { "max_sockets = 500", "max_sockets = 2", "settings.resources.max_sockets" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS(faults); i++) {
+    const char *at = strstr(sample_settings, faults[i].from);
+    g_autofree char *text = NULL;
+    g_autofree char *reason = NULL;
+    g_assert_nonnull(at);
+    text = g_strdup_printf("%.*s%s%s", (int)(at - sample_settings), sample_settings, faults[i].to,
+                           at + strlen(faults[i].from));
+    g_assert_null(read_text(text, &reason));
+    g_assert_nonnull(strstr(reason, "settings.toml"));
+    g_assert_nonnull(strstr(reason, faults[i].field));
+    g_assert_null(strchr(reason, '\n'));
+  }
+}
+
+static void
+test_unreadable(void) {
+  g_autofree char *reason = NULL, *other = NULL;
+
+  g_assert_null(mm_settings_read("/nonexistent/settings.toml", &reason));
+  g_assert_nonnull(strstr(reason, "/nonexistent/settings.toml"));
+  g_assert_null(read_text("label = \n", &other));
+  g_assert_nonnull(strstr(other, "line 1"));
+}
+
+int
+main(int argc, char **argv) {
+  int result;
+
+  g_test_init(&argc, &argv, NULL);
+  directory = g_dir_make_tmp("mm-test-XXXXXX", NULL);
+  g_test_add_func("/settings/good", test_good);
+  g_test_add_func("/settings/faults", test_faults);
+  g_test_add_func("/settings/unreadable", test_unreadable);
+  result = g_test_run();
+  {
+    g_autofree char *path = g_build_filename(directory, "settings.toml", NULL);
+    g_unlink(path);
+    g_rmdir(directory);
+    g_free(directory);
+  }
+  return result;
+}
--- /dev/null
+++ b/tests/test-spec.c
@@ -0,0 +1,138 @@
+#include <math.h>
+
+#include "base/wire.h"
+#include "checkin/roster.h"
+#include "jobs/spec.h"
+
+static const char good[]
+    = "{\"nameId\":\"run-000412\",\"guild\":\"train\",\"flock\":\"vision\",\"gait\":\"group\","
+      "\"rank\":\"urgent\",\"kits\":16,\"cores\":8.0,\"accelerators\":1.0,\"memGb\":64.0,"
+      "\"pelt\":\"img-07\",\"sizeGb\":6.2,\"breeds\":[\"g8\"],\"den\":null,\"together\":true,"
+      "\"spread\":false,\"strays\":true,\"runGuessS\":240.0,\"cacheEveryS\":30.0,"
+      "\"cacheTakeS\":4.0,\"dueS\":900.0,\"later\":[1]}";
+
+static json_t *
+sample(void) {
+  json_t *body = json_loads(good, 0, NULL);
+
+  g_assert_nonnull(body);
+  return body;
+}
+
+static void
+test_good(void) {
+  g_autoptr(json_t) body = sample();
+  g_autoptr(json_t) stored = NULL;
+  const char *reason = NULL;
+  MmSpec spec, again;
+
+  g_assert_true(mm_spec_parse(&spec, body, &reason));
+  g_assert_cmpuint(spec.tasks, ==, 16);
+  g_assert_cmpint(spec.kind, ==, MM_KIND_GANG);
+  g_assert_cmpint(spec.priority, ==, MM_URGENT);
+  g_assert_true(spec.one_zone && spec.spot && !spec.spread);
+  g_assert_true(mm_name_is_empty(&spec.zone));
+  stored = mm_spec_to_json(&spec);
+  g_assert_true(mm_spec_parse(&again, stored, &reason));
+  g_assert_cmpfloat(again.deadline_s, ==, 900);
+  g_assert_cmpuint(again.n_types, ==, 1);
+  mm_spec_clear(&spec);
+  mm_spec_clear(&again);
+}
+
+/* Every field that may not be null must be there and of its kind; each fault is told by name. */
+static void
+test_bad(void) {
+  const struct {
+    const char *field;
+    json_t *value;
+  } faults[] = {
+    { W_JOB_ID, json_string("job-1") },
+    { W_JOB_ID, json_string("run-") },
+    { W_JOB_ID, json_integer(4) },
+    { W_CLASS, NULL },
+    { W_TEAM, json_null() },
+    { W_KIND, json_string("gang") },
+    { W_PRIORITY, json_string("top") },
+    { W_TASKS, json_integer(0) },
+    { W_TASKS, json_integer(100001) },
+    { W_TASKS, json_real(2.0) },
+    { W_CORES, json_real(-1) },
+    { W_CORES, json_string("2") },
+    { W_MEMORY, NULL },
+    { W_ACCELERATORS, NULL },
+    { W_IMAGE, json_string("") },
+    { W_IMAGE_GB, json_true() },
+    { W_TYPES, json_string("g8") },
+    { W_TYPES, json_pack("[i]", 1) },
+    { W_ZONE, json_integer(1) },
+    { W_ONE_ZONE, json_string("yes") },
+    { W_SPREAD, NULL },
+    { W_SPOT, json_integer(1) },
+    { W_ESTIMATE, NULL },
+    { W_CHECKPOINT, json_real(-2) },
+    { W_SAVE, json_real(1e13) },
+    { W_DEADLINE, json_string("soon") },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS(faults); i++) {
+    g_autoptr(json_t) body = sample();
+    const char *reason = NULL;
+    MmSpec spec;
+    if (faults[i].value == NULL)
+      json_object_del(body, faults[i].field);
+    else
+      json_object_set_new(body, faults[i].field, faults[i].value);
+    g_assert_false(mm_spec_parse(&spec, body, &reason));
+    g_assert_nonnull(strstr(reason, faults[i].field));
+  }
+}
+
+static void
+test_not_an_object(void) {
+  const char *const texts[] = { "3", "[]", "\"run-1\"", "null" };
+  const char *reason = NULL;
+  MmSpec spec;
+
+  g_assert_false(mm_spec_parse(&spec, NULL, &reason));
+  for (guint i = 0; i < G_N_ELEMENTS(texts); i++) {
+    g_autoptr(json_t) body = json_loads(texts[i], JSON_DECODE_ANY, NULL);
+    g_assert_false(mm_spec_parse(&spec, body, &reason));
+  }
+}
+
+static void
+test_report(void) {
+  g_autoptr(json_t) body = json_loads(
+      "{\"burrow\":\"m-000231\",\"addr\":\"10.1.0.232:9000\",\"breed\":\"g8\",\"den\":\"a\","
+      "\"strays\":true,\"tenure\":1,\"tick\":88,\"warrant\":41,\"warningS\":12.5,\"kits\":["
+      "{\"kit\":\"run-000412/3\",\"try\":2,\"mood\":\"running\"},"
+      "{\"kit\":\"run-000398/0\",\"try\":1,\"mood\":\"ended\",\"cause\":\"no_room\"}]}",
+      0, NULL);
+  const char *reason = NULL;
+  MmReport report;
+  const MmSeenTask *tasks;
+
+  g_assert_true(mm_report_parse(&report, body, &reason));
+  g_assert_true(report.warned && report.spot);
+  g_assert_cmpuint(report.token.v, ==, 41);
+  tasks = (const MmSeenTask *)report.tasks->data;
+  g_assert_cmpstr(tasks[0].job.s, ==, "run-000412");
+  g_assert_cmpuint(tasks[0].number, ==, 3);
+  g_assert_cmpint(tasks[1].state, ==, MM_SEEN_ENDED);
+  g_assert_cmpint(tasks[1].cause, ==, MM_CAUSE_NO_ROOM);
+  mm_report_clear(&report);
+  json_object_set_new(json_array_get(json_object_get(body, "kits"), 0), "kit", json_string("x"));
+  g_assert_false(mm_report_parse(&report, body, &reason));
+  mm_report_clear(&report);
+}
+
+int
+main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  g_test_add_func("/spec/good", test_good);
+  g_test_add_func("/spec/bad", test_bad);
+  g_test_add_func("/spec/not-an-object", test_not_an_object);
+  g_test_add_func("/spec/report", test_report);
+  return g_test_run();
+}
--- /dev/null
+++ b/tests/test-world.c
@@ -0,0 +1,155 @@
+/* Seeded random days: everything may fail, the rules hold after every step, and work gets done. */
+#include "base/wire.h"
+#include "world/world.h"
+
+static void
+no_rule_broken(World *world) {
+  for (guint i = 0; i < world->broken->len; i++)
+    g_test_message("%s", (char *)g_ptr_array_index(world->broken, i));
+  g_assert_cmpuint(world->broken->len, ==, 0);
+}
+
+static json_t *
+random_job(World *world) {
+  static const char *const kinds[] = { W_KIND_ARRAY, W_KIND_ARRAY, W_KIND_SERVICE, W_KIND_GANG };
+  static const char *const priorities[] = { "low", "normal", "urgent", "critical" };
+  guint kind = (guint)g_rand_int_range(world->rand, 0, 4);
+  g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
+  g_autofree char *image = g_strdup_printf("img-%d", g_rand_int_range(world->rand, 0, 5));
+  gint most = kind < 2 ? 9 : 5;
+  json_t *job = json_pack(
+      "{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:b}", W_TEAM, team, W_KIND, kinds[kind], W_IMAGE, image,
+      W_PRIORITY, priorities[g_rand_int_range(world->rand, 0, 4)], W_TASKS,
+      g_rand_int_range(world->rand, 1, most), W_SPOT, g_rand_boolean(world->rand), W_SPREAD,
+      kind == 2, W_ONE_ZONE, kind == 3 && g_rand_boolean(world->rand));
+
+  if (world_uniform(world, 0, 1) < 0.2)
+    json_object_set_new(job, W_ZONE, json_string("b"));
+  return job;
+}
+
+static WorldMachine *
+any_machine(World *world) {
+  for (guint tries = 0; tries < 50; tries++) {
+    WorldMachine *machine = g_ptr_array_index(
+        world->machines, (guint)g_rand_int_range(world->rand, 0, (gint32)world->machines->len));
+    if (machine->up)
+      return machine;
+  }
+  return NULL;
+}
+
+static void
+some_trouble(World *world) {
+  WorldMachine *machine = any_machine(world);
+  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+  double back_s = world_uniform(world, 0, 1) < 0.3 ? 0.2 : 3;
+  gint64 second = G_USEC_PER_SEC;
+  guint which = (guint)g_rand_int_range(world->rand, 0, 10);
+
+  mm_debug("world: trouble %u, machine %s, node %u", which, machine != NULL ? machine->id : "none",
+           node);
+  switch (which) {
+  case 0:
+    world_kill_node(world, node, back_s);
+    break;
+  case 1:
+    for (guint i = 0; i < WORLD_NODES; i++)
+      world_kill_node(world, i, back_s);
+    break;
+  case 2:
+    world_store_outage(world, world_uniform(world, 1, 15));
+    break;
+  case 3:
+    world->nodes[node].refused_until_us
+        = world->now_us + (gint64)(world_uniform(world, 1, 12) * G_USEC_PER_SEC);
+    break;
+  case 4:
+    if (machine != NULL)
+      world_kill_machine(world, machine);
+    break;
+  case 5:
+    if (machine != NULL)
+      machine->hung_until_us
+          = world->now_us + (gint64)(world_uniform(world, 1, 20) * G_USEC_PER_SEC);
+    break;
+  case 6:
+  case 7:
+    if (machine != NULL)
+      machine->cut_until_us
+          = world->now_us + (gint64)(world_uniform(world, 1, 30) * G_USEC_PER_SEC);
+    break;
+  case 8:
+    world->cloud_down_until_us = world->now_us + 10 * second;
+    break;
+  default:
+    if (machine != NULL && machine->spot && machine->warned_us == 0) {
+      machine->warned_us = world->now_us;
+      machine->taken_us = world->now_us + 5 * second;
+      machine->changed = TRUE;
+    }
+    break;
+  }
+}
+
+static void
+a_day(gconstpointer data) {
+  World *world = world_new(GPOINTER_TO_UINT(data));
+  guint started_half;
+  guint finished = 0;
+
+  for (guint i = 0; i < 9; i++)
+    world_add_machine(world, i % 4 == 3 ? "big" : "small",
+                      i % 3 == 0   ? "a"
+                      : i % 3 == 1 ? "b"
+                                   : "c",
+                      FALSE, 0.1);
+  world_start(world);
+  world_run(world, 3);
+  for (guint second = 0; second < 150; second++) {
+    if (second % 4 == 0)
+      world_submit(world, random_job(world), world_uniform(world, 1, 12));
+    if (second % 13 == 7)
+      world_cancel(g_ptr_array_index(
+          world->jobs, (guint)g_rand_int_range(world->rand, 0, (gint32)world->jobs->len)));
+    if (second > 10 && world_uniform(world, 0, 1) < 0.2)
+      some_trouble(world);
+    mm_debug("second %u", second);
+    world_run(world, 1);
+    no_rule_broken(world);
+  }
+  started_half = world->starts;
+  /* Troubles over: what is left gets done. */
+  for (guint i = 0; i < world->jobs->len; i++) {
+    WorldJob *job = g_ptr_array_index(world->jobs, i);
+    if (job->spec.kind == MM_KIND_SERVICE && !job->asked_cancel)
+      world_cancel(job);
+  }
+  world_run(world, 240);
+  no_rule_broken(world);
+  g_assert_cmpuint(started_half, >, 20);
+  for (guint i = 0; i < world->jobs->len; i++) {
+    const WorldJob *job = g_ptr_array_index(world->jobs, i);
+    finished += job->told >= TOLD_CANCELLED;
+    if (job->told < TOLD_CANCELLED)
+      g_test_message("%s (%s, %u tasks, %u done) is not over", job->id,
+                     job->spec.kind == MM_KIND_GANG ? "gang" : "array", job->spec.tasks,
+                     job->n_done);
+  }
+  g_test_message("%u jobs, %u starts, %" G_GUINT64_FORMAT " writes", world->jobs->len,
+                 world->starts, world->writes);
+  g_assert_cmpuint(finished, ==, world->jobs->len);
+  world_free(world);
+}
+
+int
+main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  if (g_getenv("LOG_LEVEL") != NULL)
+    mm_log_setup();
+  for (guint seed = 1; seed <= 12; seed++) {
+    g_autofree char *name = g_strdup_printf("/world/day-%u", seed);
+    g_test_add_data_func(name, GUINT_TO_POINTER(seed), a_day);
+  }
+  return g_test_run();
+}
--- /dev/null
+++ b/tests/world/cloud.c
@@ -0,0 +1,151 @@
+/* A stand-in for the cloud. */
+#include "world/world.h"
+
+#include "base/wire.h"
+
+#define CAPACITY 6
+
+static const struct {
+  const char *name;
+  double cores, accelerators, memory_gb, boot_s;
+} types[] = { { "small", 4, 0, 16, 6 }, { "big", 16, 2, 64, 8 } };
+
+static const char *const zones[] = { "a", "b", "c" };
+
+WorldMachine *
+world_add_machine(World *world, const char *type, const char *zone, gboolean spot, double boot_s) {
+  WorldMachine *machine = g_new0(WorldMachine, 1);
+
+  machine->world = world;
+  g_snprintf(machine->id, sizeof machine->id, "m-%06u", ++world->next_machine);
+  g_snprintf(machine->addr, sizeof machine->addr, "10.1.0.%u:9000", world->next_machine);
+  g_strlcpy(machine->type, type, sizeof machine->type);
+  g_strlcpy(machine->zone, zone, sizeof machine->zone);
+  machine->spot = spot;
+  machine->tasks = g_ptr_array_new();
+  machine->rented_us = world->now_us;
+  machine->faulty = world_uniform(world, 0, 1) < 0.05 ? 0.6 : 0.005;
+  machine->boots_us = world->now_us + (gint64)(boot_s * G_USEC_PER_SEC);
+  g_ptr_array_add(world->machines, machine);
+  /* A few never come up. */
+  if (world_uniform(world, 0, 1) > 0.03)
+    world_at(world, machine->boots_us, world_machine_up, machine);
+  return machine;
+}
+
+void
+world_kill_machine(World *world, WorldMachine *machine) {
+  world_machine_wipe(machine);
+  machine->up = FALSE;
+  machine->failed = TRUE;
+}
+
+static json_t *
+type_list(void) {
+  json_t *list = json_array();
+
+  for (guint i = 0; i < G_N_ELEMENTS(types); i++)
+    json_array_append_new(
+        list,
+        json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:[s,s,s]}", W_TYPE_NAME,
+                  types[i].name, W_CORES, types[i].cores, W_ACCELERATORS, types[i].accelerators,
+                  W_MEMORY, types[i].memory_gb, W_CACHE_GB, 10.0, W_FETCH_RATE, 1.0, W_PRICE,
+                  types[i].cores * 0.05, W_SPOT_PRICE, types[i].cores * 0.02, W_BOOT,
+                  types[i].boot_s, W_ZONES, zones[0], zones[1], zones[2]));
+  return json_pack("{s:o}", W_TYPES, list);
+}
+
+static int
+rent(World *world, const json_t *body, json_t **answer) {
+  const char *hire = mm_json_string(body, W_REQUEST), *type = mm_json_string(body, W_TYPE);
+  const char *zone = mm_json_string(body, W_ZONE);
+  gboolean spot = mm_json_flag(body, W_SPOT);
+  guint count = (guint)mm_json_count(body, W_COUNT, 0), there = 0;
+  json_t *names;
+  double boot_s = 0;
+
+  g_assert_true(hire != NULL && type != NULL && zone != NULL && count >= 1 && count <= 50);
+  if (g_hash_table_contains(world->hires, hire)) {
+    *answer = json_incref(g_hash_table_lookup(world->hires, hire));
+    return 200;
+  }
+  for (guint i = 0; i < G_N_ELEMENTS(types); i++)
+    if (strcmp(types[i].name, type) == 0)
+      boot_s = types[i].boot_s;
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    there += !machine->gone && strcmp(machine->type, type) == 0 && strcmp(machine->zone, zone) == 0
+             && machine->spot == spot;
+  }
+  if (there >= CAPACITY) {
+    *answer = mm_json_error("no capacity");
+    return 503;
+  }
+  names = json_array();
+  for (; count > 0 && there < CAPACITY; count--, there++)
+    json_array_append_new(names,
+                          json_string(world_add_machine(world, type, zone, spot,
+                                                        boot_s * world_uniform(world, 0.6, 1.5))
+                                          ->id));
+  *answer = json_pack("{s:o}", W_MACHINES, names);
+  g_hash_table_insert(world->hires, g_strdup(hire), json_incref(*answer));
+  return 200;
+}
+
+static int
+release(World *world, const json_t *body, json_t **answer) {
+  size_t i;
+  json_t *name;
+
+  json_array_foreach(json_object_get(body, W_MACHINES), i, name) {
+    for (guint k = 0; k < world->machines->len; k++) {
+      WorldMachine *machine = g_ptr_array_index(world->machines, k);
+      if (strcmp(machine->id, json_string_value(name)) == 0) {
+        world_kill_machine(world, machine);
+        machine->gone = TRUE;
+      }
+    }
+  }
+  *answer = json_object();
+  return 200;
+}
+
+static json_t *
+machine_list(World *world) {
+  json_t *list = json_array();
+
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    double age_s = (double)(world->now_us - machine->rented_us) / G_USEC_PER_SEC;
+    /* The list lags. */
+    if (machine->gone || age_s < 2)
+      continue;
+    json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:f}", W_JOB_ID,
+                                          machine->id, W_ADDR, machine->addr, W_TYPE, machine->type,
+                                          W_ZONE, machine->zone, W_SPOT, machine->spot, W_STATE,
+                                          machine->failed ? W_FAILED
+                                          : machine->up   ? W_RUNNING
+                                                          : W_BOOTING,
+                                          W_AGE, age_s));
+  }
+  return json_pack("{s:o, s:b}", W_MACHINES, list, W_MORE, FALSE);
+}
+
+int
+world_cloud_handle(World *world, const char *method, const char *path, const json_t *body,
+                   json_t **answer) {
+  if (world->now_us < world->cloud_down_until_us) {
+    *answer = mm_json_error("trouble");
+    return 503;
+  }
+  if (strcmp(path, W_MACHINE_TYPES_PATH) == 0) {
+    *answer = type_list();
+    return 200;
+  }
+  if (strcmp(path, W_RELEASE_PATH) == 0)
+    return release(world, body, answer);
+  if (strcmp(method, "POST") == 0)
+    return rent(world, body, answer);
+  *answer = machine_list(world);
+  return 200;
+}
--- /dev/null
+++ b/tests/world/rules.c
@@ -0,0 +1,59 @@
+/* The rules of the protocol's page, over what truly runs in the world. */
+#include "world/world.h"
+
+static gboolean
+same_task(const WorldTask *a, const WorldTask *b) {
+  return a->job == b->job && a->number == b->number;
+}
+
+void
+world_check_start(World *world, const WorldMachine *machine, const WorldTask *task) {
+  const MmSpec *spec = &task->job->spec;
+  MmName type = mm_name(machine->type);
+  guint here = 1;
+
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *other = g_ptr_array_index(world->machines, i);
+    for (guint k = 0; k < other->tasks->len; k++) {
+      const WorldTask *there = g_ptr_array_index(other->tasks, k);
+      if (there == task || !world_task_is_on(there))
+        continue;
+      if (same_task(there, task))
+        world_break(world, "ran_twice: %s/%u starts on %s while on %s", task->job->id, task->number,
+                    machine->id, other->id);
+      if (there->job != task->job)
+        continue;
+      here += strcmp(other->zone, machine->zone) == 0;
+      if (spec->one_zone && strcmp(other->zone, machine->zone) != 0)
+        world_break(world, "wrong_place: %s in two zones", task->job->id);
+    }
+  }
+  if (spec->spread && here > mm_spec_zone_limit(spec))
+    world_break(world, "wrong_place: %u tasks of %s in zone %s", here, task->job->id,
+                machine->zone);
+  if (!mm_spec_allows_type(spec, &type) || (machine->spot && !spec->spot)
+      || (spec->zone.s[0] != '\0' && strcmp(spec->zone.s, machine->zone) != 0))
+    world_break(world, "wrong_place: %s/%u on %s", task->job->id, task->number, machine->id);
+}
+
+void
+world_check_all(World *world) {
+  double cores[4] = { 0 };
+
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    for (guint k = 0; k < machine->tasks->len; k++) {
+      const WorldTask *task = g_ptr_array_index(machine->tasks, k);
+      const WorldJob *job = task->job;
+      if (!world_task_is_on(task))
+        continue;
+      cores[job->spec.team.s[5] - '0'] += job->spec.need.cores;
+      if (job->told == TOLD_CANCELLED
+          && (double)(world->now_us - job->told_us) > world->cancel_s * G_USEC_PER_SEC)
+        world_break(world, "ran_cancelled: %s/%u on %s", job->id, task->number, machine->id);
+    }
+  }
+  for (guint i = 0; i < 4; i++)
+    if (cores[i] > 24 + 1e-6)
+      world_break(world, "quota: team-%u uses %g cores", i, cores[i]);
+}
--- /dev/null
+++ b/tests/world/store.c
@@ -0,0 +1,338 @@
+/* A stand-in for the state service: keys with revisions, transactions, leases, watches. */
+#include "world/world.h"
+
+#include <stdlib.h>
+
+#include "base/wire.h"
+
+typedef struct {
+  guint node;
+  char *prefix;
+  guint64 since;
+  gint64 until_us;
+  MmAnswered answered;
+  gpointer data;
+  gboolean over;
+} Watch;
+
+typedef struct {
+  guint64 mark;
+  char *path;
+  json_t *event;
+} Change;
+
+static void
+key_free(gpointer data) {
+  json_decref(((WorldKey *)data)->value);
+  g_free(data);
+}
+
+static void
+change_free(gpointer data) {
+  json_decref(((Change *)data)->event);
+  g_free(((Change *)data)->path);
+  g_free(data);
+}
+
+static void
+watch_free(gpointer data) {
+  g_free(((Watch *)data)->prefix);
+  g_free(data);
+}
+
+static gint
+compare(gconstpointer a, gconstpointer b, gpointer data) {
+  return strcmp(a, b);
+}
+
+static void sweep(gpointer data);
+
+void
+world_store_init(World *world) {
+  world->keys = g_tree_new_full(compare, NULL, g_free, key_free);
+  world->changes = g_ptr_array_new_with_free_func(change_free);
+  world->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+  world->watches = g_ptr_array_new_with_free_func(watch_free);
+  world_at(world, world->now_us, sweep, world);
+}
+
+void
+world_store_free(World *world) {
+  for (guint i = 0; i < world->watches->len; i++) {
+    Watch *watch = g_ptr_array_index(world->watches, i);
+    watch->answered(watch->data, 0, NULL);
+  }
+  g_tree_unref(world->keys);
+  g_ptr_array_unref(world->changes);
+  g_hash_table_unref(world->leases);
+  g_ptr_array_unref(world->watches);
+}
+
+static void
+record(World *world, const char *path, json_t *event) {
+  Change *change = g_new(Change, 1);
+
+  json_object_set_new(event, W_VERSION, json_integer((json_int_t)world->epoch));
+  *change = (Change){ world->epoch, g_strdup(path), event };
+  g_ptr_array_add(world->changes, change);
+}
+
+static void
+delete_key(World *world, const char *path) {
+  if (g_tree_remove(world->keys, path))
+    record(world, path, json_pack("{s:s}", W_DELETE, path));
+}
+
+static void
+put_key(World *world, const char *path, json_t *value, guint64 lease) {
+  WorldKey *key = g_new(WorldKey, 1);
+
+  *key = (WorldKey){ json_incref(value), world->epoch, lease };
+  g_tree_replace(world->keys, g_strdup(path), key);
+  record(world, path, json_pack("{s:s, s:O}", W_PUT, path, W_VALUE, value));
+}
+
+static void
+answer_watches(World *world) {
+  for (guint i = 0; i < world->watches->len; i++) {
+    Watch *watch = g_ptr_array_index(world->watches, i);
+    g_autoptr(json_t) answer = NULL;
+    json_t *events;
+
+    if (watch->over || world->now_us < world->outage_until_us
+        || world->now_us < world->nodes[watch->node].refused_until_us)
+      continue;
+    events = json_array();
+    for (guint k = world->changes->len; k > 0; k--) {
+      const Change *change = g_ptr_array_index(world->changes, k - 1);
+      if (change->mark <= watch->since)
+        break;
+      if (g_str_has_prefix(change->path, watch->prefix))
+        json_array_insert(events, 0, change->event);
+    }
+    if (json_array_size(events) == 0 && world->now_us < watch->until_us) {
+      json_decref(events);
+      continue;
+    }
+    answer = json_pack("{s:I, s:o}", W_REVISION, (json_int_t)world->epoch, W_EVENTS, events);
+    watch->over = TRUE;
+    watch->answered(watch->data, 200, answer);
+  }
+  for (guint i = world->watches->len; i > 0; i--)
+    if (((Watch *)g_ptr_array_index(world->watches, i - 1))->over)
+      g_ptr_array_remove_index_fast(world->watches, i - 1);
+}
+
+static const char *
+query(const char *path, const char *name) {
+  g_autofree char *find = g_strconcat(name, "=", NULL);
+  const char *at = strchr(path, '?');
+
+  while (at != NULL) {
+    at++;
+    if (g_str_has_prefix(at, find))
+      return at + strlen(find);
+    at = strchr(at, '&');
+  }
+  return NULL;
+}
+
+static char *
+query_text(const char *path, const char *name) {
+  const char *value = query(path, name);
+
+  return value != NULL ? g_strndup(value, strcspn(value, "&")) : NULL;
+}
+
+void
+world_store_add_watch(World *world, guint node, const char *path, MmAnswered answered,
+                      gpointer data) {
+  Watch *watch = g_new0(Watch, 1);
+
+  watch->node = node;
+  watch->prefix = query_text(path, W_PREFIX);
+  watch->since = g_ascii_strtoull(query(path, W_AFTER), NULL, 10);
+  watch->until_us = world->now_us + (gint64)g_ascii_strtoull(query(path, W_WAIT), NULL, 10) * 1000;
+  watch->answered = answered;
+  watch->data = data;
+  g_ptr_array_add(world->watches, watch);
+  answer_watches(world);
+}
+
+typedef struct {
+  GPtrArray *paths;
+  guint64 lease;
+} Attached;
+
+static gboolean
+collect(gpointer path, gpointer value, gpointer data) {
+  Attached *attached = data;
+
+  if (((WorldKey *)value)->lease == attached->lease)
+    g_ptr_array_add(attached->paths, g_strdup(path));
+  return FALSE;
+}
+
+static void
+end_lease(World *world, guint64 id) {
+  Attached attached = { g_ptr_array_new_with_free_func(g_free), id };
+
+  g_tree_foreach(world->keys, collect, &attached);
+  if (attached.paths->len > 0)
+    world->epoch++;
+  for (guint i = 0; i < attached.paths->len; i++)
+    delete_key(world, g_ptr_array_index(attached.paths, i));
+  g_ptr_array_unref(attached.paths);
+  g_hash_table_remove(world->leases, &id);
+}
+
+static void
+sweep(gpointer data) {
+  World *world = data;
+  GHashTableIter iter;
+  gpointer value;
+  g_autoptr(GArray) ended = g_array_new(FALSE, FALSE, sizeof(guint64));
+
+  if (world->now_us >= world->outage_until_us) {
+    g_hash_table_iter_init(&iter, world->leases);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+      if (world->now_us >= ((WorldLease *)value)->ends_us)
+        g_array_append_val(ended, ((WorldLease *)value)->id);
+    for (guint i = 0; i < ended->len; i++)
+      end_lease(world, g_array_index(ended, guint64, i));
+    answer_watches(world);
+  }
+  world_at(world, world->now_us + 20000, sweep, world);
+}
+
+static void
+outage_over(gpointer data) {
+  World *world = data;
+  GHashTableIter iter;
+  gpointer value;
+
+  /* Every lease has its full time again. */
+  g_hash_table_iter_init(&iter, world->leases);
+  while (g_hash_table_iter_next(&iter, NULL, &value))
+    ((WorldLease *)value)->ends_us = world->now_us + ((WorldLease *)value)->ttl_us;
+}
+
+void
+world_store_outage(World *world, double seconds) {
+  world->outage_from_us = world->now_us;
+  world->outage_until_us = world->now_us + (gint64)(seconds * G_USEC_PER_SEC);
+  world_at(world, world->outage_until_us, outage_over, world);
+}
+
+static int
+transact(World *world, const json_t *body, json_t **answer) {
+  const json_t *guards = json_object_get(body, W_IF), *apply = json_object_get(body, W_THEN);
+  json_t *failed = json_array();
+  size_t i;
+  json_t *item;
+
+  g_assert_cmpuint(json_array_size(apply), <=, 12);
+  g_assert_cmpuint(json_array_size(guards), <=, 48);
+  json_array_foreach(guards, i, item) {
+    const char *path = mm_json_string(item, W_KEY);
+    WorldKey *key = g_tree_lookup(world->keys, path);
+    if ((key != NULL ? key->mark : 0) != mm_json_count(item, W_VERSION, 0))
+      json_array_append_new(failed, json_string(path));
+  }
+  if (json_array_size(failed) > 0) {
+    *answer = json_pack("{s:o, s:I}", W_CONFLICT, failed, W_REVISION, (json_int_t)world->epoch);
+    return 409;
+  }
+  json_decref(failed);
+  json_array_foreach(apply, i, item) {
+    guint64 lease = mm_json_count(item, W_LEASE, 0);
+    if (lease != 0 && g_hash_table_lookup(world->leases, &lease) == NULL) {
+      *answer = mm_json_error("no such lease");
+      return 400;
+    }
+    if (mm_json_string(item, W_PUT) != NULL)
+      g_assert_cmpuint(json_dumpb(json_object_get(item, W_VALUE), NULL, 0, JSON_COMPACT), <=, 4096);
+  }
+  if (json_array_size(apply) > 0)
+    world->epoch++;
+  json_array_foreach(apply, i, item) {
+    world->writes++;
+    if (mm_json_string(item, W_PUT) != NULL)
+      put_key(world, mm_json_string(item, W_PUT), json_object_get(item, W_VALUE),
+              mm_json_count(item, W_LEASE, 0));
+    else
+      delete_key(world, mm_json_string(item, W_DELETE));
+  }
+  *answer = json_pack("{s:I}", W_REVISION, (json_int_t)world->epoch);
+  answer_watches(world);
+  return 200;
+}
+
+typedef struct {
+  const char *prefix;
+  const char *after;
+  guint64 most;
+  json_t *items;
+  gboolean more;
+} Listing;
+
+static gboolean
+list_key(gpointer path, gpointer value, gpointer data) {
+  Listing *listing = data;
+  const WorldKey *key = value;
+
+  if (!g_str_has_prefix(path, listing->prefix)
+      || (listing->after != NULL && strcmp(path, listing->after) <= 0))
+    return FALSE;
+  if (json_array_size(listing->items) >= listing->most) {
+    listing->more = TRUE;
+    return TRUE;
+  }
+  json_array_append_new(listing->items, json_pack("{s:s, s:O, s:I}", W_KEY, path, W_VALUE,
+                                                  key->value, W_VERSION, (json_int_t)key->mark));
+  return FALSE;
+}
+
+int
+world_store_handle(World *world, const char *method, const char *path, const json_t *body,
+                   json_t **answer) {
+  if (strcmp(path, W_TXN_PATH) == 0)
+    return transact(world, body, answer);
+  if (g_str_has_prefix(path, W_KEYS_PATH "?")) {
+    g_autofree char *prefix = query_text(path, W_PREFIX);
+    g_autofree char *after = query_text(path, W_AFTER);
+    /* Small pages, so that reading goes on over several. */
+    Listing listing = { prefix, after, 7, json_array(), FALSE };
+    g_tree_foreach(world->keys, list_key, &listing);
+    *answer = json_pack("{s:o, s:b, s:I}", W_ITEMS, listing.items, W_MORE, listing.more, W_REVISION,
+                        (json_int_t)world->epoch);
+    return 200;
+  }
+  if (g_str_has_prefix(path, W_KEYS_PATH "/")) {
+    const WorldKey *key = g_tree_lookup(world->keys, path + strlen(W_KEYS_PATH "/"));
+    if (key == NULL) {
+      *answer = json_pack("{s:I}", W_REVISION, (json_int_t)world->epoch);
+      return 404;
+    }
+    *answer = json_pack("{s:O, s:I}", W_VALUE, key->value, W_VERSION, (json_int_t)key->mark);
+    return 200;
+  }
+  if (strcmp(path, W_LEASES_PATH) == 0) {
+    WorldLease *lease = g_new(WorldLease, 1);
+    *lease = (WorldLease){ ++world->next_lease, (gint64)mm_json_count(body, W_TTL, 0) * 1000, 0 };
+    lease->ends_us = world->now_us + lease->ttl_us;
+    g_hash_table_insert(world->leases, &lease->id, lease);
+    *answer = json_pack("{s:I}", W_LEASE, (json_int_t)lease->id);
+    return 200;
+  }
+  if (g_str_has_prefix(path, W_LEASES_PATH "/")) {
+    guint64 id = g_ascii_strtoull(path + strlen(W_LEASES_PATH "/"), NULL, 10);
+    WorldLease *lease = g_hash_table_lookup(world->leases, &id);
+    if (lease == NULL)
+      return 404;
+    lease->ends_us = world->now_us + lease->ttl_us;
+    *answer = json_object();
+    return 200;
+  }
+  return 400;
+}
--- /dev/null
+++ b/tests/world/users.c
@@ -0,0 +1,175 @@
+/* Users: they submit until they are answered, poll until the job is over, and remember what they
+ * were told. */
+#include "world/world.h"
+
+#include "base/wire.h"
+
+static void submit(gpointer data);
+static void poll(gpointer data);
+static void cancel(gpointer data);
+
+WorldJob *
+world_find_job(World *world, const char *id) {
+  for (guint i = 0; i < world->jobs->len; i++) {
+    WorldJob *job = g_ptr_array_index(world->jobs, i);
+    if (strcmp(job->id, id) == 0)
+      return job;
+  }
+  return NULL;
+}
+
+static guint
+any_node(World *world) {
+  return (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+}
+
+static void
+told(WorldJob *job, const json_t *body) {
+  World *world = job->world;
+  const char *state = mm_json_string(body, W_STATE);
+
+  if (g_strcmp0(state, W_DONE) == 0) {
+    if (job->n_done < job->spec.tasks)
+      world_break(world, "not_done: %s is called done with %u of %u tasks", job->id, job->n_done,
+                  job->spec.tasks);
+    if (job->told == TOLD_CANCELLED)
+      world_break(world, "went_back: %s from cancelled to done", job->id);
+    job->told = TOLD_DONE;
+  } else if (g_strcmp0(state, W_CANCELLED) == 0) {
+    if (!job->asked_cancel || job->told == TOLD_DONE)
+      world_break(world, "went_back: %s is called cancelled", job->id);
+    if (job->told != TOLD_CANCELLED)
+      job->told_us = world->now_us;
+    job->told = TOLD_CANCELLED;
+  } else {
+    if (job->told == TOLD_DONE || job->told == TOLD_CANCELLED)
+      world_break(world, "went_back: %s is %s after it was over", job->id, state);
+    job->told = MAX(job->told, ACCEPTED);
+  }
+}
+
+static void
+submitted(gpointer data, int status, json_t *body) {
+  WorldJob *job = data;
+  World *world = job->world;
+
+  if (status == 200 || status == 201) {
+    told(job, body);
+    job->ever_accepted = TRUE;
+    world_at(world, world->now_us + G_USEC_PER_SEC, poll, job);
+    return;
+  }
+  if (job->ever_accepted && (status == 400 || status == 422 || status == 404))
+    world_break(world, "forgotten: %s gets %d", job->id, status);
+  g_assert_true(status == 0 || status == 503 || status == 429);
+  world_at(world, world->now_us + G_USEC_PER_SEC, submit, job);
+}
+
+static void
+submit(gpointer data) {
+  WorldJob *job = data;
+
+  if (job->world->closing)
+    return;
+  world_ask_node(job->world, any_node(job->world), NULL, "POST", W_JOBS_PATH,
+                 json_deep_copy(job->body), 5 * (gint64)G_USEC_PER_SEC, submitted, job);
+}
+
+static void
+ignore_submitted(gpointer data, int status, json_t *body) {
+  WorldJob *job = data;
+
+  if (status == 200 || status == 201)
+    told(job, body);
+  else if (status == 400 || status == 422 || status == 404)
+    world_break(job->world, "forgotten: a repeated submission of %s gets %d", job->id, status);
+}
+
+static void
+polled(gpointer data, int status, json_t *body) {
+  WorldJob *job = data;
+  World *world = job->world;
+
+  if (status == 200)
+    told(job, body);
+  else if (status == 404)
+    world_break(world, "forgotten: %s gets 404", job->id);
+  /* Those that are over are asked for again, more rarely, and now and then submitted again. */
+  if (world_uniform(world, 0, 1) < 0.05)
+    world_ask_node(world, any_node(world), NULL, "POST", W_JOBS_PATH, json_deep_copy(job->body),
+                   5 * (gint64)G_USEC_PER_SEC, ignore_submitted, job);
+  world_at(world, world->now_us + (job->told >= TOLD_CANCELLED ? 9 : 3) * (gint64)G_USEC_PER_SEC,
+           poll, job);
+}
+
+static void
+poll(gpointer data) {
+  WorldJob *job = data;
+  g_autofree char *path = g_strdup_printf(W_JOBS_PATH "/%s", job->id);
+
+  if (!job->world->closing)
+    world_ask_node(job->world, any_node(job->world), NULL, "GET", path, NULL,
+                   2 * (gint64)G_USEC_PER_SEC, polled, job);
+}
+
+static void
+cancel_answered(gpointer data, int status, json_t *body) {
+  WorldJob *job = data;
+
+  if (status == 200)
+    told(job, body);
+  else
+    world_at(job->world, job->world->now_us + G_USEC_PER_SEC, cancel, job);
+}
+
+static void
+cancel(gpointer data) {
+  WorldJob *job = data;
+  g_autofree char *path = g_strdup_printf(W_JOBS_PATH "/%s/" W_CANCEL_WORD, job->id);
+
+  if (job->world->closing)
+    return;
+  if (!job->ever_accepted) {
+    world_at(job->world, job->world->now_us + G_USEC_PER_SEC, cancel, job);
+    return;
+  }
+  job->asked_cancel = TRUE;
+  world_ask_node(job->world, any_node(job->world), NULL, "POST", path, NULL,
+                 5 * (gint64)G_USEC_PER_SEC, cancel_answered, job);
+}
+
+void
+world_cancel(WorldJob *job) {
+  cancel(job);
+}
+
+static void
+nobody_submitted(gpointer data, int status, json_t *body) {
+  if (status == 200)
+    world_break(data, "invented: a job nobody submitted is answered 200");
+}
+
+WorldJob *
+world_submit(World *world, json_t *overrides, double run_s) {
+  WorldJob *job = g_new0(WorldJob, 1);
+  const char *reason = NULL;
+
+  job->world = world;
+  job->run_s = run_s;
+  g_snprintf(job->id, sizeof job->id, "run-%06u", (++world->next_job * 7919) % 1000000);
+  job->body = json_pack(
+      "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:b, s:b, s:b, s:f, s:f, s:f}",
+      W_JOB_ID, job->id, W_CLASS, "work", W_TEAM, "team-0", W_KIND, W_KIND_ARRAY, W_PRIORITY,
+      "normal", W_TASKS, 4, W_CORES, 2.0, W_ACCELERATORS, 0.0, W_MEMORY, 4.0, W_IMAGE, "img-1",
+      W_IMAGE_GB, 1.0, W_ONE_ZONE, 0, W_SPREAD, 0, W_SPOT, 1, W_ESTIMATE, run_s, W_CHECKPOINT, 0.0,
+      W_SAVE, 0.0);
+  json_object_update(job->body, overrides);
+  json_decref(overrides);
+  g_assert_true(mm_spec_parse(&job->spec, job->body, &reason));
+  job->done = g_new0(gboolean, job->spec.tasks);
+  g_ptr_array_add(world->jobs, job);
+  submit(job);
+  world_ask_node(world, any_node(world), NULL, "GET", W_JOBS_PATH "/run-77777777", NULL,
+                 2 * (gint64)G_USEC_PER_SEC, nobody_submitted, world);
+  return job;
+}
--- /dev/null
+++ b/tests/world/worker.c
@@ -0,0 +1,335 @@
+/* A stand-in for the workers, one a machine, by the protocol's page. */
+#include "world/world.h"
+
+#include <stdlib.h>
+
+#include "base/wire.h"
+
+#define TIMEOUT_US (4 * (gint64)G_USEC_PER_SEC)
+
+static const char *const states[] = { "fetching", "gathering", "running", "flushing", "ended" };
+static const char *const causes[]
+    = { "", "done", "halted", "peers", "alone", "error", "no_room", "busy", "no_such" };
+
+static void beat(gpointer data);
+
+WorldMachine *
+world_find_machine(World *world, const char *addr) {
+  for (guint i = 0; i < world->machines->len; i++) {
+    WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    if (machine->up && strcmp(machine->addr, addr) == 0)
+      return machine;
+  }
+  return NULL;
+}
+
+void
+world_machine_wipe(WorldMachine *machine) {
+  for (guint i = 0; i < machine->tasks->len; i++)
+    g_free(g_ptr_array_index(machine->tasks, i));
+  g_ptr_array_set_size(machine->tasks, 0);
+}
+
+void
+world_machine_up(gpointer data) {
+  WorldMachine *machine = data;
+  World *world = machine->world;
+
+  if (machine->gone || machine->failed)
+    return;
+  machine->up = TRUE;
+  machine->session = 1;
+  machine->lease_from_us = world->now_us;
+  machine->node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+  beat(machine);
+}
+
+json_t *
+world_machine_report(WorldMachine *machine) {
+  World *world = machine->world;
+  json_t *tasks = json_array();
+  json_t *report;
+
+  machine->seq++;
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WorldTask *task = g_ptr_array_index(machine->tasks, i);
+    g_autofree char *name = g_strdup_printf("%s/%u", task->job->id, task->number);
+    json_t *item = json_pack("{s:s, s:I, s:s}", W_TASK, name, W_ATTEMPT, (json_int_t)task->attempt,
+                             W_STATE, states[task->state]);
+    if (task->state == MM_SEEN_ENDED)
+      json_object_set_new(item, W_CAUSE, json_string(causes[task->cause]));
+    json_array_append_new(tasks, item);
+  }
+  report = json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:o}", W_MACHINE, machine->id,
+                     W_ADDR, machine->addr, W_TYPE, machine->type, W_ZONE, machine->zone, W_SPOT,
+                     machine->spot, W_SESSION, (json_int_t)machine->session, W_SEQ,
+                     (json_int_t)machine->seq, W_TOKEN, (json_int_t)machine->token, "kits", tasks);
+  if (machine->warned_us != 0)
+    json_object_set_new(report, W_NOTICE,
+                        json_real((double)(machine->taken_us - world->now_us) / G_USEC_PER_SEC));
+  return report;
+}
+
+static WorldTask *
+find(WorldMachine *machine, const WorldJob *job, guint number, guint64 attempt, gboolean any) {
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    WorldTask *task = g_ptr_array_index(machine->tasks, i);
+    if (task->job == job && task->number == number && (any || task->attempt == attempt))
+      return task;
+  }
+  return NULL;
+}
+
+static void
+end_task(WorldMachine *machine, WorldTask *task, guint8 cause) {
+  World *world = machine->world;
+
+  mm_debug("world: %s/%u ends on %s: %s", task->job->id, task->number, machine->id, causes[cause]);
+  task->state = MM_SEEN_ENDED;
+  task->cause = cause;
+  machine->changed = TRUE;
+  if (cause == MM_CAUSE_DONE && !task->job->done[task->number]) {
+    task->job->done[task->number] = TRUE;
+    task->job->n_done++;
+  }
+  /* Gangs complete together and notice a loss together. */
+  if (task->job->spec.kind != MM_KIND_GANG)
+    return;
+  for (guint i = 0; i < world->machines->len; i++) {
+    WorldMachine *other = g_ptr_array_index(world->machines, i);
+    for (guint k = 0; k < other->tasks->len; k++) {
+      WorldTask *peer = g_ptr_array_index(other->tasks, k);
+      if (peer->job == task->job && peer->attempt == task->attempt
+          && peer->state == MM_SEEN_RUNNING)
+        end_task(other, peer, cause == MM_CAUSE_DONE ? MM_CAUSE_DONE : MM_CAUSE_PEERS);
+    }
+  }
+}
+
+static void
+command_start(WorldMachine *machine, WorldJob *job, guint number, guint64 attempt) {
+  World *world = machine->world;
+  WorldTask *task;
+  double cores = strcmp(machine->type, "small") == 0 ? 4 : 16;
+  double memory = cores * 4;
+
+  if (job != NULL && find(machine, job, number, attempt, FALSE) != NULL)
+    return;
+  if (job == NULL)
+    return;
+  task = g_new0(WorldTask, 1);
+  task->job = job;
+  task->number = number;
+  task->attempt = attempt;
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WorldTask *other = g_ptr_array_index(machine->tasks, i);
+    if (other->state == MM_SEEN_ENDED)
+      continue;
+    cores -= other->job->spec.need.cores;
+    memory -= other->job->spec.need.memory_gb;
+    if (other->job == job && other->number == number)
+      task->cause = MM_CAUSE_BUSY;
+  }
+  if (task->cause == 0
+      && (cores < job->spec.need.cores - 1e-9 || memory < job->spec.need.memory_gb - 1e-9))
+    task->cause = MM_CAUSE_NO_ROOM;
+  g_ptr_array_add(machine->tasks, task);
+  machine->changed = TRUE;
+  if (task->cause != 0) {
+    task->state = MM_SEEN_ENDED;
+    return;
+  }
+  task->state = MM_SEEN_FETCHING;
+  task->at_us = world->now_us + (gint64)(world_uniform(world, 0.05, 1.5) * G_USEC_PER_SEC);
+}
+
+static void
+carry_out(WorldMachine *machine, const json_t *commands) {
+  size_t i;
+  json_t *item;
+
+  json_array_foreach(commands, i, item) {
+    const char *op = mm_json_string(item, W_OP), *text = mm_json_string(item, W_TASK);
+    const char *slash = strrchr(text, '/');
+    g_autofree char *id = g_strndup(text, (gsize)(slash - text));
+    guint number = (guint)atoi(slash + 1);
+    guint64 attempt = mm_json_count(item, W_ATTEMPT, 0);
+    WorldJob *job = world_find_job(machine->world, id);
+    WorldTask *task = job != NULL ? find(machine, job, number, attempt, FALSE) : NULL;
+
+    if (strcmp(op, W_START) == 0) {
+      command_start(machine, job, number, attempt);
+    } else if (task != NULL && strcmp(op, W_STOP) == 0) {
+      if (task->state != MM_SEEN_ENDED)
+        end_task(machine, task, MM_CAUSE_STOPPED);
+    } else if (task != NULL && strcmp(op, W_FORGET) == 0 && task->state == MM_SEEN_ENDED) {
+      g_ptr_array_remove(machine->tasks, task);
+      g_free(task);
+      machine->changed = TRUE;
+    }
+  }
+}
+
+int
+world_machine_direct(WorldMachine *machine, const json_t *body, json_t **answer) {
+  guint64 token = mm_json_count(body, W_TOKEN, 0);
+  size_t i;
+  json_t *item;
+
+  /* Starts never travel this way: one could be carried out minutes late. */
+  json_array_foreach(json_object_get(body, W_COMMANDS), i,
+                     item) if (g_strcmp0(mm_json_string(item, W_OP), W_START) == 0)
+      world_break(machine->world, "a start was sent as a direct command to %s", machine->id);
+  if (token < machine->token || mm_json_count(body, W_SESSION, 0) != machine->session) {
+    *answer = world_machine_report(machine);
+    return 409;
+  }
+  machine->changed = machine->changed || token > machine->token;
+  machine->token = token;
+  carry_out(machine, json_object_get(body, W_COMMANDS));
+  *answer = world_machine_report(machine);
+  return 200;
+}
+
+/* ---- reporting ---- */
+
+typedef struct {
+  WorldMachine *machine;
+  guint64 flight;
+  guint64 session;
+  gint64 sent_us;
+} Flight;
+
+static void
+report_answered(gpointer data, int status, json_t *body) {
+  Flight *flight = data;
+  WorldMachine *machine = flight->machine;
+  World *world = machine->world;
+  guint64 token = mm_json_count(body, W_TOKEN, 0);
+  const char *other = mm_json_string(body, W_REPORT_TO);
+
+  if (machine->up && machine->flight == flight->flight) {
+    machine->in_flight = FALSE;
+    if (status == 200) {
+      if (machine->session == flight->session && token != 0 && token >= machine->token) {
+        machine->token = token;
+        machine->lease_from_us = flight->sent_us;
+        carry_out(machine, json_object_get(body, W_COMMANDS));
+      }
+    } else if (status == 421 && other != NULL) {
+      machine->node = (guint)atoi(other + 2);
+      machine->next_report_us = world->now_us + 100000;
+    } else {
+      machine->node = (machine->node + 1) % WORLD_NODES;
+      machine->next_report_us = world->now_us + G_USEC_PER_SEC;
+    }
+  }
+  g_free(flight);
+}
+
+static void
+send_report(WorldMachine *machine) {
+  World *world = machine->world;
+  Flight *flight = g_new(Flight, 1);
+
+  *flight = (Flight){ machine, ++machine->flight, machine->session, world->now_us };
+  machine->in_flight = TRUE;
+  machine->changed = FALSE;
+  machine->last_report_us = world->now_us;
+  machine->next_report_us
+      = world->now_us
+        + (gint64)(world->report_s * world_uniform(world, 0.75, 1.25) * G_USEC_PER_SEC);
+  world_ask_node(world, machine->node, machine, "POST", W_REPORT_PATH,
+                 world_machine_report(machine), TIMEOUT_US, report_answered, flight);
+}
+
+/* ---- running ---- */
+
+static gboolean
+gang_complete(World *world, const WorldTask *task) {
+  guint there = 0;
+
+  for (guint i = 0; i < world->machines->len; i++) {
+    WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    for (guint k = 0; k < machine->tasks->len; k++) {
+      const WorldTask *peer = g_ptr_array_index(machine->tasks, k);
+      there += peer->job == task->job && peer->attempt == task->attempt
+               && (peer->state == MM_SEEN_WAITING || peer->state == MM_SEEN_RUNNING);
+    }
+  }
+  return there == task->job->spec.tasks;
+}
+
+static void
+advance(WorldMachine *machine, WorldTask *task) {
+  World *world = machine->world;
+
+  if (world->now_us < task->at_us || task->state == MM_SEEN_ENDED)
+    return;
+  if (task->state == MM_SEEN_FETCHING) {
+    machine->changed = TRUE;
+    world->starts++;
+    mm_debug("world: %s/%u is on %s, attempt %" G_GUINT64_FORMAT, task->job->id, task->number,
+             machine->id, task->attempt);
+    world_check_start(world, machine, task);
+    if (task->job->spec.kind == MM_KIND_GANG && task->job->spec.tasks > 1) {
+      task->state = MM_SEEN_WAITING;
+      task->left_s = 20;
+      task->at_us = world->now_us;
+      return;
+    }
+    task->state = MM_SEEN_RUNNING;
+    task->left_s = task->job->run_s * world_uniform(world, 0.8, 1.2);
+    task->at_us = world->now_us + (gint64)(task->left_s * G_USEC_PER_SEC);
+    return;
+  }
+  if (task->state == MM_SEEN_WAITING) {
+    task->left_s -= 0.05;
+    if (gang_complete(world, task)) {
+      machine->changed = TRUE;
+      task->state = MM_SEEN_RUNNING;
+      task->at_us = world->now_us + (gint64)(task->job->run_s * G_USEC_PER_SEC);
+    } else if (task->left_s < 0) {
+      end_task(machine, task, MM_CAUSE_ALONE);
+    }
+    return;
+  }
+  if (task->job->spec.kind == MM_KIND_SERVICE)
+    return;
+  if (!task->job->done[task->number] && world_uniform(world, 0, 1) < machine->faulty)
+    end_task(machine, task, MM_CAUSE_ERROR);
+  else
+    end_task(machine, task, MM_CAUSE_DONE);
+}
+
+static void
+beat(gpointer data) {
+  WorldMachine *machine = data;
+  World *world = machine->world;
+
+  if (!machine->up)
+    return;
+  world_at(world, world->now_us + 50000, beat, machine);
+  if (machine->warned_us != 0 && world->now_us >= machine->taken_us) {
+    world_kill_machine(world, machine);
+    machine->gone = TRUE;
+    return;
+  }
+  if ((double)(world->now_us - machine->lease_from_us) > world->lease_s * G_USEC_PER_SEC) {
+    mm_debug("world: the lease of %s has run out", machine->id);
+    world_machine_wipe(machine);
+    machine->session++;
+    machine->lease_from_us = world->now_us;
+    machine->changed = TRUE;
+  }
+  /* The lease ends also while the machine hangs: it may resume within its lease only. */
+  if (world->now_us < machine->hung_until_us)
+    return;
+  for (guint i = 0; i < machine->tasks->len; i++)
+    advance(machine, g_ptr_array_index(machine->tasks, i));
+  if (machine->in_flight)
+    return;
+  if (world->now_us >= machine->next_report_us
+      || (machine->changed && world->now_us - machine->last_report_us >= 500000))
+    send_report(machine);
+}
--- /dev/null
+++ b/tests/world/world.c
@@ -0,0 +1,671 @@
+#include "world/world.h"
+
+#include "base/wire.h"
+#include "peers.pb-c.h"
+#include "peers/links.h"
+#include "owner/owner.h"
+
+typedef struct {
+  gint64 us;
+  guint64 order;
+  WorldCall call;
+  gpointer data;
+} Event;
+
+static gint
+earlier_first(gconstpointer a, gconstpointer b, gpointer data) {
+  const Event *x = a, *y = b;
+
+  if (x->us != y->us)
+    return x->us < y->us ? -1 : 1;
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+void
+world_at(World *world, gint64 us, WorldCall call, gpointer data) {
+  Event *event = g_new(Event, 1);
+
+  *event = (Event){ MAX(us, world->now_us), ++world->n_events, call, data };
+  g_sequence_insert_sorted(world->events, event, earlier_first, NULL);
+}
+
+double
+world_uniform(World *world, double from, double to) {
+  return g_rand_double_range(world->rand, from, to);
+}
+
+gint64
+world_delay(World *world) {
+  return (gint64)(world_uniform(world, 0.0005, 0.006) * G_USEC_PER_SEC);
+}
+
+void
+world_break(World *world, const char *format, ...) {
+  va_list args;
+
+  va_start(args, format);
+  g_ptr_array_add(world->broken, g_strdup_vprintf(format, args));
+  va_end(args);
+}
+
+static gboolean
+step(World *world, gint64 until_us) {
+  GSequenceIter *first = g_sequence_get_begin_iter(world->events);
+  Event event;
+
+  if (g_sequence_iter_is_end(first))
+    return FALSE;
+  event = *(Event *)g_sequence_get(first);
+  if (event.us > until_us)
+    return FALSE;
+  g_sequence_remove(first);
+  world->now_us = event.us;
+  event.call(event.data);
+  return TRUE;
+}
+
+void
+world_run(World *world, double seconds) {
+  gint64 until = world->now_us + (gint64)(seconds * G_USEC_PER_SEC);
+
+  while (step(world, until))
+    continue;
+  world->now_us = until;
+}
+
+/* ---- the nodes' edges ---- */
+
+typedef struct {
+  World *world;
+  guint node;
+  guint life;
+  MmAnswered answered;
+  gpointer data;
+  int status;
+  json_t *body;
+  gboolean over;
+  /* the request */
+  MmTarget target;
+  char *address;
+  char *method;
+  char *path;
+  json_t *request;
+} Call;
+
+static void
+call_clear(gpointer data) {
+  Call *call = data;
+
+  json_decref(call->body);
+  json_decref(call->request);
+  g_free(call->address);
+  g_free(call->method);
+  g_free(call->path);
+}
+
+/* Every event that is to come holds on to the call. */
+static void
+call_at(Call *call, gint64 us, WorldCall what) {
+  world_at(call->world, us, what, g_rc_box_acquire(call));
+}
+
+static void
+call_release(Call *call) {
+  g_rc_box_release_full(call, call_clear);
+}
+
+/* The one answer; what comes later is dropped. */
+static void
+call_answer(gpointer data) {
+  Call *call = data;
+
+  if (!call->over) {
+    call->over = TRUE;
+    call->answered(call->data, call->status, call->body);
+  }
+  call_release(call);
+}
+
+static void
+call_timeout(gpointer data) {
+  Call *call = data;
+
+  if (!call->over) {
+    call->over = TRUE;
+    call->answered(call->data, 0, NULL);
+  }
+  call_release(call);
+}
+
+static void call_arrives(gpointer data);
+
+static gboolean
+alive(const Call *call) {
+  return call->world->nodes[call->node].node != NULL
+         && call->world->nodes[call->node].life == call->life;
+}
+
+static void
+watch_answered(gpointer data, int status, json_t *body) {
+  Call *call = data;
+
+  if (!call->over) {
+    call->status = alive(call) ? status : 0;
+    call->body = json_incref(body);
+    call_at(call, call->world->now_us + world_delay(call->world), call_answer);
+  }
+  call_release(call);
+}
+
+/* Carries the request out at its target; FALSE when no answer follows from here. */
+static gboolean
+carry_out(Call *call) {
+  World *world = call->world;
+  WorldNode *self = &world->nodes[call->node];
+  gboolean refused
+      = world->now_us < world->outage_until_us || world->now_us < self->refused_until_us;
+  gboolean watch = call->target == MM_TARGET_STORE && g_str_has_prefix(call->path, W_WATCH_PATH);
+  WorldMachine *machine;
+  gint64 held_until;
+
+  switch (call->target) {
+  case MM_TARGET_STORE:
+    if (watch && !refused)
+      world_store_add_watch(world, call->node, call->path, watch_answered, g_rc_box_acquire(call));
+    else if (refused)
+      call->status = 503;
+    else
+      call->status
+          = world_store_handle(world, call->method, call->path, call->request, &call->body);
+    return !watch;
+  case MM_TARGET_CLOUD:
+    call->status = world_cloud_handle(world, call->method, call->path, call->request, &call->body);
+    return TRUE;
+  case MM_TARGET_WORKER:
+  default:
+    machine = world_find_machine(world, call->address);
+    if (machine == NULL)
+      return FALSE;
+    held_until = MAX(machine->cut_until_us, machine->hung_until_us);
+    if (world->now_us < held_until) {
+      /* Held back, and executed when it arrives at last, whether or not anybody still waits. */
+      call_at(call, held_until + world_delay(world), call_arrives);
+      return FALSE;
+    }
+    call->status = world_machine_direct(machine, call->request, &call->body);
+    return TRUE;
+  }
+}
+
+static void
+call_arrives(gpointer data) {
+  Call *call = data;
+
+  if (carry_out(call)) {
+    if (!alive(call))
+      call->status = 0;
+    call_at(call, call->world->now_us + world_delay(call->world), call_answer);
+  }
+  call_release(call);
+}
+
+static MmTime
+port_now(gpointer data) {
+  WorldNode *self = data;
+
+  return (MmTime){ (gint64)((double)self->world->now_us * self->clock_rate) };
+}
+
+static gint64
+port_wall_ms(gpointer data) {
+  WorldNode *self = data;
+
+  return 1700000000000 + self->world->now_us / 1000 + (gint64)self->index * 37 - 40;
+}
+
+static void
+port_request(gpointer data, MmTarget target, const char *address, const char *method,
+             const char *path, const json_t *body, guint timeout_ms, MmAnswered answered,
+             gpointer user) {
+  WorldNode *self = data;
+  World *world = self->world;
+  Call *call = g_rc_box_new0(Call);
+
+  call->world = world;
+  call->node = self->index;
+  call->life = self->life;
+  call->answered = answered;
+  call->data = user;
+  call->target = target;
+  call->address = g_strdup(address);
+  call->method = g_strdup(method);
+  call->path = g_strdup(path);
+  call->request = json_deep_copy(body);
+  /* Now and then a request is lost, or so late that its sender has given up. */
+  if (self->node != NULL || target == MM_TARGET_STORE) {
+    gint64 delay = world_delay(world);
+    if (world_uniform(world, 0, 1) < 0.002)
+      delay += (gint64)timeout_ms * 1000 / 2 + 500000;
+    if (world_uniform(world, 0, 1) >= 0.001
+        && world->now_us + delay < world->now_us + (gint64)timeout_ms * 1000)
+      call_at(call, world->now_us + delay, call_arrives);
+  }
+  call_at(call, world->now_us + (gint64)timeout_ms * 1000 + 1000, call_timeout);
+  call_release(call);
+}
+
+typedef struct {
+  World *world;
+  guint from;
+  guint to;
+  guint from_life;
+  guint to_life;
+  guint8 *bytes;
+  gsize length;
+} Parcel;
+
+/* Index of node `of` among the peers of node `at`. */
+static guint
+peer_index(guint at, guint of) {
+  return of < at ? of : of - 1;
+}
+
+static void
+parcel_arrives(gpointer data) {
+  Parcel *parcel = data;
+  WorldNode *from = &parcel->world->nodes[parcel->from];
+  WorldNode *to = &parcel->world->nodes[parcel->to];
+
+  if (to->node != NULL && to->life == parcel->to_life && from->life == parcel->from_life) {
+    Mm__Frame *frame = mm__frame__unpack(NULL, parcel->length, parcel->bytes);
+    mm_links_frame(to->node->links, peer_index(parcel->to, parcel->from), frame);
+    mm__frame__free_unpacked(frame, NULL);
+  }
+  g_free(parcel->bytes);
+  g_free(parcel);
+}
+
+static void
+port_send(gpointer data, guint peer, const Mm__Frame *frame) {
+  WorldNode *self = data;
+  World *world = self->world;
+  guint to = peer < self->index ? peer : peer + 1;
+  Parcel *parcel;
+
+  if (self->node == NULL || world->nodes[to].node == NULL)
+    return;
+  parcel = g_new(Parcel, 1);
+  *parcel = (Parcel){ world,
+                      self->index,
+                      to,
+                      self->life,
+                      world->nodes[to].life,
+                      NULL,
+                      mm__frame__get_packed_size(frame) };
+  parcel->bytes = g_malloc(MAX(parcel->length, 1));
+  mm__frame__pack(frame, parcel->bytes);
+  /* In order: the same way always takes the same time. */
+  world_at(world, world->now_us + 1500, parcel_arrives, parcel);
+}
+
+typedef struct {
+  WorldNode *self;
+  guint life;
+  WorldCall call;
+  gpointer data;
+} Later;
+
+static void
+later_due(gpointer data) {
+  Later *later = data;
+
+  if (later->self->node != NULL && later->self->life == later->life)
+    later->call(later->data);
+  g_free(later);
+}
+
+static void
+port_later(gpointer data, guint ms, void (*call)(gpointer data), gpointer user) {
+  WorldNode *self = data;
+  Later *later;
+
+  if (self->node == NULL)
+    return;
+  later = g_new(Later, 1);
+  *later = (Later){ self, self->life, call, user };
+  world_at(self->world, self->world->now_us + (gint64)ms * 1000, later_due, later);
+}
+
+/* ---- requests to nodes ---- */
+
+typedef struct {
+  MmExchange exchange;
+  World *world;
+  guint node;
+  guint life;
+  WorldMachine *from;
+  char *method;
+  char *path;
+  json_t *request;
+  int status;
+  json_t *body;
+  gboolean over;
+  gboolean pending; /* the node has it and has not answered */
+  MmAnswered answered;
+  gpointer data;
+} Visit;
+
+static void
+visit_clear(gpointer data) {
+  Visit *visit = data;
+
+  json_decref(visit->body);
+  json_decref(visit->request);
+  g_free(visit->method);
+  g_free(visit->path);
+}
+
+/* Every event that is to come, and the node while it owes an answer, holds on to the visit. */
+static void
+visit_at(Visit *visit, gint64 us, WorldCall what) {
+  world_at(visit->world, us, what, g_rc_box_acquire(visit));
+}
+
+static void
+visit_release(Visit *visit) {
+  g_rc_box_release_full(visit, visit_clear);
+}
+
+static void
+visit_over(Visit *visit, int status, json_t *body) {
+  if (!visit->over)
+    visit->answered(visit->data, status, body);
+  visit->over = TRUE;
+  visit_release(visit);
+}
+
+static void
+visit_back(gpointer data) {
+  Visit *visit = data;
+
+  visit_over(visit, visit->status, visit->body);
+}
+
+static void
+visit_answer(MmExchange *exchange, int status, json_t *body, guint retry_after_s) {
+  Visit *visit = (Visit *)exchange;
+  World *world = visit->world;
+  gint64 at = world->now_us + world_delay(world);
+
+  g_assert_true(visit->pending);
+  visit->pending = FALSE;
+  visit->status = status;
+  visit->body = body;
+  /* An answer to a machine that is cut off is held back; the worker drops what comes after 4 s. */
+  if (visit->from != NULL && world->now_us < visit->from->cut_until_us)
+    at = visit->from->cut_until_us + world_delay(world);
+  if (world->nodes[visit->node].life != visit->life)
+    visit->status = 0;
+  visit_at(visit, at, visit_back);
+  visit_release(visit);
+}
+
+static void
+visit_arrives(gpointer data) {
+  Visit *visit = data;
+  WorldNode *node = &visit->world->nodes[visit->node];
+
+  if (node->node == NULL) {
+    visit_release(visit);
+    return;
+  }
+  visit->life = node->life;
+  visit->pending = TRUE;
+  mm_node_handle(node->node, visit->method, visit->path, visit->request, &visit->exchange);
+}
+
+static void
+visit_timeout(gpointer data) {
+  visit_over(data, 0, NULL);
+}
+
+void
+world_ask_node(World *world, guint index, WorldMachine *from, const char *method, const char *path,
+               json_t *body, gint64 timeout_us, MmAnswered answered, gpointer data) {
+  Visit *visit = g_rc_box_new0(Visit);
+  gint64 at = world->now_us + world_delay(world);
+
+  visit->exchange.answer = visit_answer;
+  visit->world = world;
+  visit->node = index;
+  visit->from = from;
+  visit->method = g_strdup(method);
+  visit->path = g_strdup(path);
+  visit->request = body;
+  visit->answered = answered;
+  visit->data = data;
+  if (from != NULL && world->now_us < from->cut_until_us)
+    at = from->cut_until_us + world_delay(world);
+  visit_at(visit, at, visit_arrives);
+  visit_at(visit, world->now_us + timeout_us, visit_timeout);
+  visit_release(visit);
+}
+
+/* ---- the nodes' lives ---- */
+
+/* An owner that is broken on purpose: it takes every machine for heard at once. */
+static void
+forget_unheard(MmOwner *owner) {
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init(&iter, owner->held);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    g_hash_table_remove_all(((MmHeld *)value)->unheard);
+    ((MmHeld *)value)->ready = TRUE;
+  }
+}
+
+static void
+tick(gpointer data) {
+  Later *later = data;
+
+  if (later->self->node == NULL || later->self->life != later->life) {
+    g_free(later);
+    return;
+  }
+  if (later->self->world->ignore_echo)
+    forget_unheard(later->self->node->owner);
+  mm_node_tick(later->self->node);
+  world_at(later->self->world, later->self->world->now_us + MM_NODE_TICK_MS * 1000, tick, later);
+}
+
+static void
+link_up(gpointer data) {
+  Parcel *parcel = data;
+  WorldNode *from = &parcel->world->nodes[parcel->from], *to = &parcel->world->nodes[parcel->to];
+
+  if (from->node != NULL && to->node != NULL && from->life == parcel->from_life
+      && to->life == parcel->to_life)
+    mm_links_up(from->node->links, peer_index(parcel->from, parcel->to));
+  g_free(parcel);
+}
+
+static void
+link_nodes(World *world, guint from, guint to) {
+  Parcel *parcel = g_new0(Parcel, 1);
+
+  *parcel = (Parcel){ world, from, to, world->nodes[from].life, world->nodes[to].life, NULL, 0 };
+  world_at(world, world->now_us + 100000, link_up, parcel);
+}
+
+static void
+boot_node(gpointer data) {
+  WorldNode *self = data;
+  World *world = self->world;
+  MmPort port = { self, port_now, port_wall_ms, port_request, port_send, port_later };
+  Later *ticking = g_new(Later, 1);
+
+  self->clock_rate = world_uniform(world, 1.0, 1.0005);
+  self->node
+      = mm_node_new(self->settings, &self->operators, &port, (guint32)g_rand_int(world->rand));
+  mm_node_start(self->node);
+  *ticking = (Later){ self, self->life, NULL, NULL };
+  world_at(world, world->now_us + MM_NODE_TICK_MS * 1000, tick, ticking);
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    if (i == self->index || world->nodes[i].node == NULL)
+      continue;
+    link_nodes(world, self->index, i);
+    link_nodes(world, i, self->index);
+  }
+}
+
+void
+world_kill_node(World *world, guint index, double down_s) {
+  WorldNode *self = &world->nodes[index];
+
+  if (self->node == NULL)
+    return;
+  /* What it had asked still comes back to it, so it is kept until the end; it can do nothing more.
+   */
+  g_ptr_array_add(world->zombies, self->node);
+  self->node = NULL;
+  self->life++;
+  for (guint i = 0; i < WORLD_NODES; i++)
+    if (i != index && world->nodes[i].node != NULL)
+      mm_links_down(world->nodes[i].node->links, peer_index(i, index));
+  world_at(world, world->now_us + (gint64)(down_s * G_USEC_PER_SEC), boot_node, self);
+}
+
+/* ---- the world's own life ---- */
+
+static MmSettings *
+node_settings(World *world, guint index) {
+  static const char *const zones[] = { "a", "b", "c" };
+  MmSettings *s;
+  g_autofree char *reason = NULL;
+  g_autofree char *label = g_strdup_printf("n-%u", index);
+  g_autoptr(json_t) root = json_pack(
+      "{s:s, s:s, s:s, s:s, s:{s:s, s:s}, s:{s:i, s:{s:f, s:f, s:f, s:f, s:f},"
+      " s:{s:f, s:f, s:f, s:i}, s:{s:f, s:f}}}",
+      "label", label, "zone", zones[index], "front", "127.0.0.1:1", "cluster_listen", "127.0.0.1:2",
+      "external", "cloud", "127.0.0.1:3", "state", "127.0.0.1:4", "settings", "count", WORLD_NODES,
+      "workers", "report_s", world->report_s, "lease_s",
+      world->believed_lease_s > 0 ? world->believed_lease_s : world->lease_s, "gang_wait_s", 20.0,
+      "gang_peer_s", 4.0, "cancel_s", world->cancel_s, "state", "rps", 200.0, "write_rps", 20.0,
+      "value_kb", 4.0, "txn_ops", 12, "cloud", "rps", 6.0, "list_lag_s", 2.0);
+  json_t *others = json_array(), *teams = json_array();
+
+  g_assert_nonnull(root);
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    g_autofree char *other = g_strdup_printf("n-%u", i);
+    if (i != index)
+      json_array_append_new(others, json_pack("{s:s, s:s, s:s}", "label", other, "zone", zones[i],
+                                              "endpoint", "127.0.0.1:5"));
+  }
+  for (guint i = 0; i < 4; i++) {
+    g_autofree char *name = g_strdup_printf("team-%u", i);
+    json_array_append_new(teams, json_pack("{s:s, s:f, s:f, s:f, s:f}", "name", name, "cpus", 4.0,
+                                           "gpus", 0.0, "cpus_max", 24.0, "gpus_max", 0.0));
+  }
+  json_object_set_new(root, "others", others);
+  json_object_set_new(json_object_get(root, "settings"), "teams", teams);
+  s = mm_settings_from_json("world", root, &reason);
+  if (s == NULL)
+    g_error("%s", reason);
+  return s;
+}
+
+static void
+check_now_and_then(gpointer data) {
+  World *world = data;
+
+  world_check_all(world);
+  world_at(world, world->now_us + 100000, check_now_and_then, world);
+}
+
+World *
+world_new(guint32 seed) {
+  World *world = g_new0(World, 1);
+
+  world->rand = g_rand_new_with_seed(seed);
+  world->events = g_sequence_new(g_free);
+  world->zombies = g_ptr_array_new();
+  world->now_us = G_USEC_PER_SEC;
+  world->lease_s = 8;
+  world->report_s = 1;
+  world->cancel_s = 25;
+  world->broken = g_ptr_array_new_with_free_func(g_free);
+  world->machines = g_ptr_array_new();
+  world->jobs = g_ptr_array_new();
+  world->hires
+      = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
+  world_store_init(world);
+  return world;
+}
+
+void
+world_start(World *world) {
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    WorldNode *self = &world->nodes[i];
+    self->world = world;
+    self->index = i;
+    self->settings = node_settings(world, i);
+    self->operators = mm_operators_defaults();
+    world_at(world, world->now_us + (gint64)i * 30000, boot_node, self);
+  }
+  check_now_and_then(world);
+}
+
+static gboolean
+drained(World *world, gint64 until) {
+  return !step(world, until);
+}
+
+void
+world_free(World *world) {
+  gint64 until;
+
+  world->closing = TRUE;
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    if (world->nodes[i].node != NULL)
+      g_ptr_array_add(world->zombies, world->nodes[i].node);
+    world->nodes[i].node = NULL;
+    world->nodes[i].life++;
+  }
+  for (guint i = 0; i < world->machines->len; i++)
+    world_kill_machine(world, g_ptr_array_index(world->machines, i));
+  /* Every answer that dead nodes still wait for comes, as none, within the longest time-out. */
+  until = world->now_us + 120 * (gint64)G_USEC_PER_SEC;
+  while (!drained(world, until))
+    continue;
+  for (guint i = 0; i < world->zombies->len; i++)
+    mm_node_free(g_ptr_array_index(world->zombies, i));
+  until = world->now_us + 10 * (gint64)G_USEC_PER_SEC;
+  while (!drained(world, until))
+    continue;
+  for (guint i = 0; i < WORLD_NODES; i++)
+    mm_settings_free(world->nodes[i].settings);
+  for (guint i = 0; i < world->machines->len; i++) {
+    WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    world_machine_wipe(machine);
+    g_ptr_array_unref(machine->tasks);
+    g_free(machine);
+  }
+  for (guint i = 0; i < world->jobs->len; i++) {
+    WorldJob *job = g_ptr_array_index(world->jobs, i);
+    json_decref(job->body);
+    mm_spec_clear(&job->spec);
+    g_free(job->done);
+    g_free(job);
+  }
+  world_store_free(world);
+  g_hash_table_unref(world->hires);
+  g_ptr_array_unref(world->machines);
+  g_ptr_array_unref(world->jobs);
+  g_ptr_array_unref(world->zombies);
+  g_ptr_array_unref(world->broken);
+  g_sequence_free(world->events);
+  g_rand_free(world->rand);
+  g_free(world);
+}
--- /dev/null
+++ b/tests/world/world.h
@@ -0,0 +1,186 @@
+/* A simulated world: state service, cloud, workers, users and the network between them and the
+ * nodes under test, on one queue of events. Everything is drawn from one seed. After every event
+ * that changes what runs, the rules are checked. */
+#pragma once
+
+#include "checkin/roster.h"
+#include "node/node.h"
+
+#define WORLD_NODES 3
+
+typedef struct World World;
+
+typedef struct {
+  World *world;
+  guint index;
+  MmSettings *settings;
+  MmOperators operators;
+  MmNode *node; /* NULL while it is down */
+  guint life;
+  gint64 down_until_us;
+  gint64 refused_until_us; /* the state service refuses this node alone */
+  double clock_rate;
+} WorldNode;
+
+typedef enum { NOT_YET, ACCEPTED, TOLD_CANCELLED, TOLD_DONE } WorldTold;
+
+typedef struct {
+  World *world;
+  char id[32];
+  json_t *body;
+  MmSpec spec;
+  WorldTold told;
+  gboolean ever_accepted;
+  gint64 told_us; /* when it was told cancelled */
+  gboolean asked_cancel;
+  gboolean *done; /* by task, in truth */
+  guint n_done;
+  double run_s;
+  gint64 failing_since_us;
+} WorldJob;
+
+typedef struct {
+  WorldJob *job;
+  guint number;
+  guint64 attempt;
+  guint8 state; /* MmSeenState */
+  guint8 cause;
+  gint64 at_us; /* when the next change of state is due */
+  double left_s;
+  guint64 life; /* tells an event for this task from one for an earlier one */
+} WorldTask;
+
+typedef struct {
+  World *world;
+  char id[32];
+  char addr[64];
+  char type[16];
+  char zone[16];
+  gboolean spot;
+  gboolean up; /* the machine runs */
+  gboolean gone;
+  gboolean failed;
+  gint64 hung_until_us;
+  gint64 cut_until_us; /* its network is interrupted; what is sent is held */
+  guint64 session, seq, token;
+  gint64 lease_from_us;
+  guint node; /* the node it reports to */
+  gboolean in_flight;
+  guint64 flight;
+  gint64 next_report_us;
+  gint64 last_report_us;
+  gboolean changed;
+  gint64 rented_us;
+  gint64 boots_us;
+  GPtrArray *tasks; /* WorldTask */
+  double faulty;    /* share of tasks that fail on it */
+  gint64 warned_us; /* 0: none */
+  gint64 taken_us;
+} WorldMachine;
+
+typedef struct {
+  json_t *value;
+  guint64 mark;
+  guint64 lease;
+} WorldKey;
+
+typedef struct {
+  guint64 id;
+  gint64 ttl_us;
+  gint64 ends_us;
+} WorldLease;
+
+struct World {
+  GRand *rand;
+  gint64 now_us;
+  GSequence *events;
+  guint64 n_events;
+  WorldNode nodes[WORLD_NODES];
+  GPtrArray *zombies; /* MmNode whose answers have not all come in */
+  GPtrArray *settings_kept;
+
+  /* state service */
+  GTree *keys; /* path -> WorldKey */
+  guint64 epoch;
+  GPtrArray *changes; /* json_t events with their mark */
+  GHashTable *leases;
+  guint64 next_lease;
+  GPtrArray *watches;
+  gint64 outage_until_us;
+  gint64 outage_from_us;
+  guint64 writes;
+
+  /* cloud */
+  GPtrArray *machines; /* WorldMachine */
+  guint next_machine;
+  GHashTable *hires;
+  gint64 cloud_down_until_us;
+
+  /* users */
+  GPtrArray *jobs;
+  guint next_job;
+
+  /* switches for the tests that break something on purpose */
+  gboolean ignore_echo;    /* owners take every machine for heard */
+  double believed_lease_s; /* what the nodes' settings say; 0: the truth */
+
+  double lease_s, report_s, cancel_s;
+  guint starts;
+  gboolean closing;  /* users have gone home */
+  GPtrArray *broken; /* broken rules, as text */
+};
+
+typedef void (*WorldCall)(gpointer data);
+
+World *world_new(guint32 seed);
+void world_start(World *world);
+void world_free(World *world);
+void world_run(World *world, double seconds);
+void world_at(World *world, gint64 us, WorldCall call, gpointer data);
+gint64 world_delay(World *world);
+double world_uniform(World *world, double from, double to);
+
+void world_kill_node(World *world, guint index, double down_s);
+void world_break(World *world, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+/* A request to a node as workers and users make it; `answered` gets status 0 when none came. */
+void world_ask_node(World *world, guint index, WorldMachine *from, const char *method,
+                    const char *path, json_t *body, gint64 timeout_us, MmAnswered answered,
+                    gpointer data);
+
+/* store.c */
+void world_store_init(World *world);
+void world_store_free(World *world);
+int world_store_handle(World *world, const char *method, const char *path, const json_t *body,
+                       json_t **answer);
+void world_store_outage(World *world, double seconds);
+void world_store_add_watch(World *world, guint node, const char *path, MmAnswered answered,
+                           gpointer data);
+
+/* cloud.c */
+int world_cloud_handle(World *world, const char *method, const char *path, const json_t *body,
+                       json_t **answer);
+WorldMachine *world_add_machine(World *world, const char *type, const char *zone, gboolean spot,
+                                double boot_s);
+void world_kill_machine(World *world, WorldMachine *machine);
+
+/* worker.c */
+void world_machine_up(gpointer data);
+json_t *world_machine_report(WorldMachine *machine);
+int world_machine_direct(WorldMachine *machine, const json_t *body, json_t **answer);
+WorldMachine *world_find_machine(World *world, const char *addr);
+void world_machine_wipe(WorldMachine *machine);
+
+/* users.c */
+WorldJob *world_submit(World *world, json_t *overrides, double run_s);
+void world_cancel(WorldJob *job);
+WorldJob *world_find_job(World *world, const char *id);
+
+/* rules.c */
+void world_check_start(World *world, const WorldMachine *machine, const WorldTask *task);
+void world_check_all(World *world);
+static inline gboolean
+world_task_is_on(const WorldTask *task) {
+  return task->state == MM_SEEN_WAITING || task->state == MM_SEEN_RUNNING
+         || task->state == MM_SEEN_SAVING;
+}
