Give accelerator machines to other work only by rule; weigh stops against fetches

Ruled out: gang planning (single-task gangs take the ordinary path) and preemption (services outrank demand-train).

--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -91,7 +91,8 @@
   /* the owner's */
   GPtrArray *placed; /* MmPlaced: tasks of parts held here that are or may be on it */
   GArray *kept;      /* MmTaskRef: the kept-list of this machine */
-  MmTime clearing;   /* until when room that is being cleared on it is spoken for */
+  MmTime clearing;   /* until when `promised` holds */
+  MmRoom promised;   /* room, free or being cleared, that is spoken for by work in a hurry */
   MmTime echo_asked; /* when it was last asked to echo the term */
   guint faults;      /* errors of different jobs without a success between */
   MmName fault_job;
--- a/src/config/operators.c
+++ b/src/config/operators.c
@@ -23,7 +23,7 @@
           "a machine silent this long is returned to the cloud; 0 waits for its lease to end"),
   SETTING(boot_patience, "times", 4, 1, 100,
           "a machine booting this many times the nominal boot time is returned"),
-  SETTING(preempt_after_s, "s", 0.3, 0, 86400,
+  SETTING(preempt_after_s, "s", 0.1, 0, 86400,
           "how long urgent work waits for free room before it may preempt"),
   SETTING(rent, "0 or 1", 1, 0, 1, "whether machines are rented when work waits"),
   { NULL },
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -9,6 +9,7 @@
 
 #define KEPT_MAX 64
 #define AVOID_MS 60000
+#define GIVE_UP_AFTER_MS 800
 
 MmAttempt
 mm_owner_next_attempt(MmOwner *owner, const MmHeld *held) {
@@ -107,42 +108,58 @@
          && (limit.accelerators <= 0 || used.accelerators <= limit.accelerators + MM_ROOM_SLACK);
 }
 
-/* Work in a hurry does not fetch its image where another machine could start it at its next report.
+/* Work in a hurry does not fetch its image where another machine could run it sooner, be it by
+ * stopping something there; it does not wait for that for longer than the fetch itself would take.
  */
 static gboolean
 better_elsewhere(MmOwner *owner, const MmJob *job, const MmTask *task, const MmMachine *here) {
   MmNode *node = owner->node;
-  MmTime now = mm_node_now(node);
-  gint64 period_ms = (gint64)(node->settings->report_s * 1000);
+  double fetch_s = mm_owner_fetch_s(job, here);
+  double waited_s = (double)mm_time_ms_since(mm_node_now(node), task->since) / 1000.0;
 
-  if (mm_machine_caches(here, &job->spec.image)
-      || mm_time_ms_since(now, task->since) > period_ms * 3 / 2)
+  if (fetch_s < 0.5 || waited_s > MIN(fetch_s, node->settings->report_s * 1.5))
     return FALSE;
   for (guint i = 0; i < node->roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
-    if (machine != here && mm_machine_usable(node->roster, machine)
-        && mm_machine_caches(machine, &job->spec.image)
-        && mm_time_ms_since(now, machine->reported) < period_ms * 3 / 2
-        && mm_room_fits(job->spec.need, mm_machine_free(node->roster, machine))
-        && mm_owner_place_allowed(job, machine)
-        && mm_rank_leaves_accelerators(node->rank, job, machine))
+    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    double delay_s = machine == here ? -1 : mm_owner_delay_on(owner, job, machine, NULL);
+    if (delay_s >= 0 && delay_s < fetch_s)
       return TRUE;
   }
   return FALSE;
 }
 
+/* A machine with accelerators is given up only to a task that has waited a little and that nothing
+ * else could run, be it by stopping something. */
+static gboolean
+leaves_enough(MmOwner *owner, const MmJob *job, const MmTask *task, const MmMachine *here,
+              MmRoom room) {
+  MmNode *node = owner->node;
+  MmLeaves leaves = mm_rank_leaves(node->rank, job, here, room);
+
+  if (leaves < MM_WOULD_TAKE)
+    return TRUE;
+  if (leaves == MM_MAY_NOT || mm_time_ms_since(mm_node_now(node), task->since) < GIVE_UP_AFTER_MS
+      || !mm_rank_may_give_up(node->rank))
+    return FALSE;
+  for (guint i = 0; i < node->roster->order->len; i++)
+    if (mm_owner_delay_on(owner, job, g_ptr_array_index(node->roster->order, i), NULL) >= 0)
+      return FALSE;
+  return TRUE;
+}
+
 static gboolean
 task_may_start(MmOwner *owner, MmHeld *held, MmJob *job, guint number, const MmAsk *ask) {
   const MmTask *task = &job->tasks[number];
   MmTime now = mm_node_now(owner->node);
+  MmRoom free = mm_machine_free(owner->node->roster, ask->machine);
+  MmRoom room = { MIN(free.cores, ask->room.cores), MIN(free.accelerators, ask->room.accelerators),
+                  MIN(free.memory_gb, ask->room.memory_gb) };
 
   return task->state == MM_TASK_IDLE && !mm_time_before(now, task->not_before)
          && !(mm_name_equal(&task->avoid, &ask->machine->id)
               && mm_time_ms_since(now, task->since) < AVOID_MS)
-         && mm_room_fits(job->spec.need, ask->room)
-         && mm_room_fits(job->spec.need, mm_machine_free(owner->node->roster, ask->machine))
-         && mm_owner_place_allowed(job, ask->machine)
-         && mm_rank_leaves_accelerators(owner->node->rank, job, ask->machine)
+         && mm_room_fits(job->spec.need, room) && mm_owner_place_allowed(job, ask->machine)
+         && leaves_enough(owner, job, task, ask->machine, room)
          && mm_owner_quota_allows(owner, held, job, 1);
 }
 
@@ -154,6 +171,10 @@
   mm_owner_place(owner, job, number, ask->machine, MM_TASK_ISSUED, attempt);
   job->tasks[number].issued = ask->stamp;
   *approval = (MmApproval){ job->spec.id, number, attempt, mm_name(held->name), held->term };
+  mm_debug("%s/%u may start on %s (%s%s) after %.1f s", job->spec.id.s, number, ask->machine->id.s,
+           ask->machine->type_name.s,
+           mm_machine_caches(ask->machine, &job->spec.image) ? ", cached" : "",
+           mm_job_waited_s(owner->node, job));
 }
 
 static gboolean
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -90,6 +90,11 @@
     *placed = (MmPlaced){ job, number };
     g_ptr_array_add(machine->placed, placed);
     task->machine = machine;
+    if (state == MM_TASK_ISSUED) {
+      machine->promised = mm_room_sub(machine->promised, job->spec.need);
+      if (machine->promised.cores < 0)
+        machine->promised = (MmRoom){ 0 };
+    }
   }
   if (task->attempt.v != attempt.v)
     task->stopping = FALSE;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -99,3 +99,7 @@
 
 /* preempt.c */
 void mm_owner_preempt(MmOwner *owner);
+/* Seconds until the machine could run a task of the job that is given to it now, its image
+ * included; below 0 when that can't be. `victims` (may be NULL) gets what would have to stop. */
+double mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine, GArray **victims);
+double mm_owner_fetch_s(const MmJob *job, const MmMachine *machine);
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -5,11 +5,14 @@
 #include "parts/claims.h"
 
 #define TASKS_A_ROUND 16
+/* How long it takes until a stopped task's room can be given out, as seen: the command, the
+ * worker's report half a second after its last at the earliest, the answer. */
+#define STOP_S 0.5
+#define STOP_EACH_S 0.05
 
 typedef struct {
   const MmSeenTask *seen;
   const MmJob *job;
-  gint64 ran_ms;
 } Victim;
 
 static gint
@@ -23,21 +26,18 @@
 
 /* The tasks to stop on the machine so that the job's task fits; NULL when that is not to be had. */
 static GArray *
-victims_on(MmOwner *owner, const MmJob *job, const MmMachine *machine) {
-  MmRoom room = mm_machine_free(owner->node->roster, machine);
+victims_on(MmOwner *owner, const MmJob *job, const MmMachine *machine, MmRoom room) {
   g_autoptr(GArray) able = g_array_new(FALSE, FALSE, sizeof(Victim));
-  GArray *chosen;
+  GArray *chosen = g_array_new(FALSE, FALSE, sizeof(Victim));
 
-  for (guint i = 0; i < machine->tasks->len; i++) {
+  for (guint i = 0; i < machine->tasks->len && !mm_room_fits(job->spec.need, room); i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *other = mm_book_find(owner->node->book, seen->job.s);
-    Victim victim = { seen, other, 0 };
     if (other != NULL && seen->state != MM_SEEN_ENDED && seen->state != MM_SEEN_SAVING
         && other->spec.priority < job->spec.priority)
-      g_array_append_val(able, victim);
+      g_array_append_vals(able, &(Victim){ seen, other }, 1);
   }
   g_array_sort(able, cheapest_first);
-  chosen = g_array_new(FALSE, FALSE, sizeof(Victim));
   for (guint i = 0; i < able->len && !mm_room_fits(job->spec.need, room); i++) {
     const Victim *victim = &g_array_index(able, Victim, i);
     room = mm_room_add(room, victim->job->spec.need);
@@ -49,40 +49,63 @@
   return NULL;
 }
 
-/* TRUE when a machine has free room for it anyway: then its next report settles the matter. */
+double
+mm_owner_fetch_s(const MmJob *job, const MmMachine *machine) {
+  if (machine->type == NULL || mm_machine_caches(machine, &job->spec.image))
+    return 0;
+  return job->spec.image_gb / machine->type->fetch_gb_per_s;
+}
+
+double
+mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine, GArray **victims) {
+  MmNode *node = owner->node;
+  MmTime now = mm_node_now(node);
+  gint64 period_ms = (gint64)(node->settings->report_s * 1000);
+  gint64 silent_ms = mm_time_ms_since(now, machine->reported);
+  MmRoom room = mm_machine_free(node->roster, machine);
+  g_autoptr(GArray) stopping = NULL;
+  double delay_s;
+
+  if (!mm_machine_usable(node->roster, machine) || !mm_owner_place_allowed(job, machine)
+      || mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE || machine->addr[0] == '\0'
+      || silent_ms > 2 * period_ms || mm_time_before(now, machine->full_until))
+    return -1;
+  if (mm_time_before(now, machine->clearing))
+    room = mm_room_sub(room, machine->promised);
+  stopping = victims_on(owner, job, machine, room);
+  if (stopping == NULL)
+    return -1;
+  /* Room that is there is given at the next report; a stop makes the worker report at once. */
+  if (stopping->len == 0)
+    delay_s = (double)MAX(period_ms - silent_ms, 0) / 1000.0;
+  else
+    delay_s = STOP_S + STOP_EACH_S * stopping->len;
+  if (victims != NULL)
+    *victims = g_steal_pointer(&stopping);
+  return delay_s + mm_owner_fetch_s(job, machine);
+}
+
+/* Finds the machine where the task would run soonest and clears the room there, if it must be
+ * cleared; the room is spoken for until then. FALSE when there is no such machine. */
 static gboolean
 clear_room(MmOwner *owner, const MmJob *job) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
-  gint64 period_ms = (gint64)(node->settings->report_s * 1000);
   MmMachine *best = NULL;
-  GArray *best_victims = NULL;
-  double best_cost = 0;
+  g_autoptr(GArray) best_victims = NULL;
+  double best_s = 0;
 
   for (guint i = 0; i < node->roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(node->roster->order, i);
-    GArray *victims;
-    double cost;
+    g_autoptr(GArray) victims = NULL;
+    double delay_s = mm_owner_delay_on(owner, job, machine, &victims);
 
-    if (!mm_machine_usable(node->roster, machine) || !mm_owner_place_allowed(job, machine)
-        || !mm_rank_leaves_accelerators(node->rank, job, machine)
-        || mm_time_before(now, machine->clearing) || machine->addr[0] == '\0'
-        || mm_time_ms_since(now, machine->reported) > 2 * period_ms)
+    if (delay_s < 0 || (best != NULL && delay_s >= best_s))
       continue;
-    victims = victims_on(owner, job, machine);
-    if (victims == NULL)
-      continue;
-    cost = victims->len + (mm_machine_caches(machine, &job->spec.image) ? 0 : 2.5);
-    if (victims->len == 0)
-      cost = -1;
-    if (best == NULL || cost < best_cost) {
-      g_clear_pointer(&best_victims, g_array_unref);
-      best = machine;
-      best_victims = victims;
-      best_cost = cost;
-    } else {
-      g_array_unref(victims);
-    }
+    g_clear_pointer(&best_victims, g_array_unref);
+    best = machine;
+    best_victims = g_steal_pointer(&victims);
+    best_s = delay_s;
   }
   if (best == NULL)
     return FALSE;
@@ -93,9 +116,10 @@
     mm_owner_stop(owner, best, &victim->job->spec.id, victim->seen->number, victim->seen->attempt,
                   mm_owner_grace_s(victim->job));
   }
-  if (best_victims->len > 0)
-    best->clearing = mm_time_add_ms(now, 2 * period_ms);
-  g_array_unref(best_victims);
+  if (!mm_time_before(now, best->clearing))
+    best->promised = (MmRoom){ 0 };
+  best->promised = mm_room_add(best->promised, job->spec.need);
+  best->clearing = mm_time_add_ms(now, (gint64)(node->settings->report_s * 2000));
   return TRUE;
 }
 
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -158,39 +158,80 @@
          && (job->spec.spot || !machine->spot);
 }
 
-gboolean
-mm_rank_leaves_accelerators(MmRank *rank, const MmJob *job, const MmMachine *machine) {
+static void
+note_accelerated(MmRank *rank) {
   const GPtrArray *jobs = rank->node->book->order;
-  MmRoom largest = { 0 };
-  MmRoom other = job->spec.need;
-  gboolean known = FALSE;
 
-  if (machine->type == NULL || machine->type->room.accelerators <= 0
-      || job->spec.need.accelerators > 0)
-    return TRUE;
   for (guint i = 0; i < jobs->len; i++) {
-    const MmJob *needs = g_ptr_array_index(jobs, i);
-    if (needs->spec.need.accelerators <= 0)
+    const MmSpec *spec = &((const MmJob *)g_ptr_array_index(jobs, i))->spec;
+    if (spec->need.accelerators <= 0)
       continue;
     rank->accelerated = TRUE;
-    rank->accelerated_spot = rank->accelerated_spot || needs->spec.spot;
-    rank->largest.cores = MAX(rank->largest.cores, needs->spec.need.cores);
-    rank->largest.memory_gb = MAX(rank->largest.memory_gb, needs->spec.need.memory_gb);
+    rank->accelerated_priority = MAX(rank->accelerated_priority, spec->priority);
+    rank->accelerated_spot = rank->accelerated_spot || spec->spot;
+    rank->largest.cores = MAX(rank->largest.cores, spec->need.cores);
+    rank->largest.memory_gb = MAX(rank->largest.memory_gb, spec->need.memory_gb);
   }
-  known = rank->accelerated;
-  if (machine->spot && known && !rank->accelerated_spot)
-    return TRUE;
-  if (!known)
-    return job->spec.kind != MM_KIND_SERVICE;
-  largest = rank->largest;
+}
+
+/* What work without accelerators takes of the machine: all that is taken, less the accelerated
+ * tasks. Counting reported tasks alone once let one answer fill such a machine with services for
+ * good. */
+static MmRoom
+others_take(const MmRank *rank, const MmMachine *machine, MmRoom room) {
+  MmRoom others = mm_room_sub(machine->type->room, room);
+
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
-    if (seen->state != MM_SEEN_ENDED && there != NULL && there->spec.need.accelerators <= 0)
-      other = mm_room_add(other, there->spec.need);
+    if (seen->state != MM_SEEN_ENDED && there != NULL && there->spec.need.accelerators > 0)
+      others = mm_room_sub(others, there->spec.need);
+  }
+  return others;
+}
+
+static gboolean
+holds_largest(const MmRank *rank, const MmMachine *machine, MmRoom others) {
+  return others.cores + rank->largest.cores <= machine->type->room.cores + MM_ROOM_SLACK
+         && others.memory_gb + rank->largest.memory_gb
+                <= machine->type->room.memory_gb + MM_ROOM_SLACK;
+}
+
+MmLeaves
+mm_rank_leaves(MmRank *rank, const MmJob *job, const MmMachine *machine, MmRoom room) {
+  MmRoom others;
+
+  if (machine->type == NULL || machine->type->room.accelerators <= 0
+      || job->spec.need.accelerators > 0)
+    return MM_LEAVES;
+  note_accelerated(rank);
+  if (!rank->accelerated)
+    return job->spec.kind == MM_KIND_SERVICE ? MM_WOULD_TAKE : MM_LEAVES;
+  if (machine->spot && !rank->accelerated_spot)
+    return MM_LEAVES;
+  others = others_take(rank, machine, room);
+  if (holds_largest(rank, machine, mm_room_add(others, job->spec.need)))
+    return MM_LEAVES;
+  if (job->spec.priority <= rank->accelerated_priority)
+    return MM_MAY_NOT;
+  return holds_largest(rank, machine, others) ? MM_WOULD_TAKE : MM_GIVEN_UP;
+}
+
+gboolean
+mm_rank_may_give_up(MmRank *rank) {
+  const MmRoster *roster = rank->node->roster;
+  guint n = 0, given_up = 0;
+
+  for (guint i = 0; i < roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(roster->order, i);
+    if (!mm_machine_usable(roster, machine) || machine->type->room.accelerators <= 0
+        || (machine->spot && !rank->accelerated_spot))
+      continue;
+    n++;
+    given_up += !holds_largest(rank, machine,
+                               others_take(rank, machine, mm_machine_free(roster, machine)));
   }
-  return mm_room_fits(mm_room_add(other, largest),
-                      (MmRoom){ machine->type->room.cores, 1e9, machine->type->room.memory_gb });
+  return n >= 2 && given_up < MAX(n / 3, 1);
 }
 
 typedef struct {
@@ -222,7 +263,7 @@
 
   return job != NULL && !job->cancelled && waiting->ranges->len > 0
                  && mm_room_fits(job->spec.need, room) && mm_rank_allows(job, machine)
-                 && mm_rank_leaves_accelerators(rank, job, machine)
+                 && mm_rank_leaves(rank, job, machine, room) != MM_MAY_NOT
              ? job
              : NULL;
 }
--- a/src/rank/rank.h
+++ b/src/rank/rank.h
@@ -30,6 +30,7 @@
   gboolean accelerated;
   gboolean accelerated_spot;
   MmRoom largest;
+  MmPriority accelerated_priority;
 };
 
 /* What to ask of whom. `view` 0 is this node itself, k + 1 peer k; -1: nothing to ask. */
@@ -54,5 +55,16 @@
 void mm_rank_strike(MmRank *rank, guint view, const char *job, guint number);
 gboolean mm_rank_allows(const MmJob *job, const MmMachine *machine);
 /* Machines with accelerators are left to the work that needs them: other work takes only what stays
- * beside the largest such task seen, unless that work may not run there anyway. */
-gboolean mm_rank_leaves_accelerators(MmRank *rank, const MmJob *job, const MmMachine *machine);
+ * beside the largest such task seen, unless that work may not run there anyway. Such a machine may
+ * be given up to work of higher priority that has no other place, one at a time and a third of them
+ * at most; once it is, more such work joins there. */
+typedef enum {
+  MM_LEAVES,     /* leaves enough, or there is nothing to leave */
+  MM_GIVEN_UP,   /* would not, but the machine is given up already */
+  MM_WOULD_TAKE, /* would make the machine useless for accelerated work */
+  MM_MAY_NOT     /* of too low a priority for that */
+} MmLeaves;
+/* `room` is what is left, starts that no report shows yet already taken off. */
+MmLeaves mm_rank_leaves(MmRank *rank, const MmJob *job, const MmMachine *machine, MmRoom room);
+/* Whether one more such machine may be given up. */
+gboolean mm_rank_may_give_up(MmRank *rank);
