Return silent machines to the cloud instead of waiting out their lease

Cause: after a machine's end its replicas came back only when its lease had run out (11 to 12 s) and the owner could start them anew. A 200 of the cloud proves the same at once. Only where the machine answers no direct question either, the node that heard it is settled and few machines are silent together.

--- a/src/base/wire.h
+++ b/src/base/wire.h
@@ -37,6 +37,7 @@
 /* workers */
 #define W_REPORT_PATH "/checkin"
 #define W_DIRECT_PATH "/do"
+#define W_STATUS_PATH "/status"
 #define W_MACHINE "burrow"
 #define W_MACHINES "burrows"
 #define W_ADDR "addr"
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -83,7 +83,9 @@
   gboolean registered; /* in the state service, as the replica shows */
   gboolean registering;
   gboolean lost;
+  gboolean gone; /* returned: the cloud has said so */
   gboolean releasing;
+  MmTime probed;  /* when it was last asked directly for a sign of life */
   GArray *images; /* MmCachedImage */
   MmTime idle_since;
   guint index; /* place in the order of names */
@@ -139,6 +141,8 @@
 void mm_roster_unregistered(MmRoster *roster, const char *id);
 void mm_roster_list_keys(const MmRoster *roster, const char *prefix, GPtrArray *keys);
 void mm_roster_remove(MmRoster *roster, MmMachine *machine);
+/* The cloud has proved it gone. Late reports of it may still come; they change nothing. */
+void mm_roster_gone(MmRoster *roster, const char *id);
 void mm_roster_tick(MmRoster *roster);
 
 /* Room left beside everything reported and everything placed by this node's parts. Not more than
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -4,12 +4,13 @@
 
 #include "base/wire.h"
 #include "owner/owner.h"
+#include "peers/links.h"
 #include "parts/claims.h"
 #include "rank/rank.h"
 #include "store/replica.h"
 #include "store/store.h"
 
-#define PLAN_EVERY_MS 1000
+#define PLAN_EVERY_MS 500
 #define LIST_PAGE 500
 #define RENT_MAX 50
 #define RELEASE_MAX 100
@@ -17,6 +18,10 @@
 #define REFUSED_MOST_MS 30000
 #define BOOT_FLOOR_S 30
 #define UNLISTED_MS 60000
+#define SILENT_PERIODS 2.5
+#define SILENT_LEAST_S 3.5
+#define SETTLED_MS 8000
+#define PROBE_MS 900
 
 static void list(MmFleet *fleet, const char *after);
 
@@ -150,10 +155,10 @@
     machine->releasing = status == 200;
     if (status != 200)
       continue;
-    /* A 200 proves that the machine and all on it are gone; the other owners learn it from the
-     * register. */
+    /* A 200 proves that the machine and all on it are gone. */
     mm_info("machine %s has been returned", id);
-    mm_owner_machine_gone(node->owner, machine);
+    mm_roster_gone(node->roster, id);
+    mm_links_tell_gone(node->links, id);
     if (machine->registered) {
       MmTxn txn = mm_txn();
       mm_txn_delete(&txn, MM_KEY_MACHINE, id);
@@ -166,6 +171,76 @@
   g_free(release);
 }
 
+/* ---- silent machines ---- */
+
+/* A node in its first seconds, or whose machines are just moving to other nodes, says nothing of
+ * them. */
+static gboolean
+host_is_settled(const MmFleet *fleet, const MmMachine *machine) {
+  const MmNode *node = fleet->node;
+  MmTime now = mm_node_now(node);
+  const char *label = machine->host == MM_HOST_SELF ? node->settings->label.s
+                                                    : node->links->peers[machine->host].label.s;
+  const MmNodeClaim *claim = g_hash_table_lookup(node->replica->nodes, label);
+
+  return claim != NULL && mm_time_ms_since(now, claim->since) > SETTLED_MS
+         && (machine->host == MM_HOST_SELF
+             || mm_time_ms_since(now, node->links->peers[machine->host].ponged) < 1500);
+}
+
+static void
+probe_answered(gpointer data, int status, json_t *body) {
+  MmFleet *fleet = data;
+  MmMachine *machine = mm_roster_find(fleet->node->roster, mm_json_string(body, W_MACHINE) != NULL
+                                                               ? mm_json_string(body, W_MACHINE)
+                                                               : "");
+
+  if (status == 200 && machine != NULL)
+    machine->seen = mm_time_max(machine->seen, mm_node_now(fleet->node));
+}
+
+static void
+probe(MmFleet *fleet, MmMachine *machine) {
+  MmNode *node = fleet->node;
+  MmTime now = mm_node_now(node);
+
+  if (mm_time_ms_since(now, machine->probed) < PROBE_MS || machine->addr[0] == '\0')
+    return;
+  machine->probed = now;
+  node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "GET", W_STATUS_PATH, NULL,
+                     1500, probe_answered, fleet);
+}
+
+/* A machine that neither reports nor answers while the others do: its lease would prove its tasks
+ * gone only at its end, the cloud proves it at once. Not when many are silent together: then the
+ * trouble is hardly with the machines. */
+static gboolean
+silent(MmFleet *fleet, MmMachine *machine) {
+  MmNode *node = fleet->node;
+  MmTime now = mm_node_now(node);
+  gint64 patience_ms
+      = (gint64)(1000
+                 * (node->operators->silent_release_s > 0
+                        ? node->operators->silent_release_s
+                        : MAX(node->settings->report_s * SILENT_PERIODS, SILENT_LEAST_S)));
+  guint quiet = 0, all = 0;
+
+  if (mm_time_ms_since(now, machine->seen) < patience_ms * 2 / 3 || machine->tasks->len == 0)
+    return FALSE;
+  probe(fleet, machine);
+  if (mm_time_ms_since(now, machine->seen) < patience_ms || !host_is_settled(fleet, machine)
+      || mm_time_ms_since(now, node->started) < SETTLED_MS)
+    return FALSE;
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    const MmMachine *other = g_ptr_array_index(node->roster->order, i);
+    if (!other->heard || other->lost)
+      continue;
+    all++;
+    quiet += mm_time_ms_since(now, other->seen) >= patience_ms;
+  }
+  return quiet <= MAX(2, all / 8);
+}
+
 static gboolean
 useless(MmFleet *fleet, MmListed *listed) {
   MmNode *node = fleet->node;
@@ -184,9 +259,7 @@
            && (!listed->running || known_ms > 4000 * (gint64)node->settings->lease_s);
   if (machine->lost)
     return mm_time_ms_since(now, machine->seen) > 2000 * (gint64)node->settings->lease_s;
-  if (node->operators->silent_release_s > 0
-      && mm_time_ms_since(now, machine->seen) > (gint64)(node->operators->silent_release_s * 1000)
-      && mm_time_ms_since(now, fleet->node->started) > 20000)
+  if (silent(fleet, machine))
     return TRUE;
   /* Idle, with nothing waiting anywhere. */
   if (machine->tasks->len == 0 && machine->placed->len == 0
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -118,6 +118,18 @@
     mm_links_send(links, i, &frame);
 }
 
+void
+mm_links_tell_gone(MmLinks *links, const char *machine) {
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Gone gone = MM__GONE__INIT;
+
+  gone.machine = (char *)machine;
+  frame.body_case = MM__FRAME__BODY_GONE;
+  frame.gone = &gone;
+  for (guint i = 0; i < links->n_peers; i++)
+    mm_links_send(links, i, &frame);
+}
+
 void
 mm_links_tell_commands(MmLinks *links, guint peer, const MmMachine *machine,
                        const GArray *commands) {
@@ -322,6 +334,9 @@
   case MM__FRAME__BODY_CANCELLED:
     mm_owner_cancelled(links->node->owner, frame->cancelled->job);
     break;
+  case MM__FRAME__BODY_GONE:
+    mm_roster_gone(links->node->roster, frame->gone->machine);
+    break;
   default:
     mm_debug("a frame of unknown kind from %s", peer->label.s);
     break;
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -43,6 +43,7 @@
 
 void mm_links_tell_report(MmLinks *links, const MmMachine *machine);
 void mm_links_tell_cancelled(MmLinks *links, const char *job);
+void mm_links_tell_gone(MmLinks *links, const char *machine);
 void mm_links_tell_commands(MmLinks *links, guint peer, const MmMachine *machine,
                             const GArray *commands);
 void mm_links_send(MmLinks *links, guint peer, Mm__Frame *frame);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -192,7 +192,12 @@
       call_at(call, held_until + world_delay(world), call_arrives);
       return FALSE;
     }
-    call->status = world_machine_direct(machine, call->request, &call->body);
+    if (strcmp(call->path, W_STATUS_PATH) == 0) {
+      call->status = 200;
+      call->body = world_machine_report(machine);
+    } else {
+      call->status = world_machine_direct(machine, call->request, &call->body);
+    }
     return TRUE;
   }
 }
