--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -129,6 +129,7 @@
     MmAim aim = { .kind = MM_AIM_OTHER,
                   .job_class = mm_name(mm_json_string(item, "class")),
                   .within_s = mm_json_number(item, "within_s", 0),
+                  .times = mm_json_number(item, "times", 1),
                   .share = mm_json_number(item, "share", 0) };
     if (g_strcmp0(kind, "wait") == 0)
       aim.kind = MM_AIM_WAIT;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -21,6 +21,7 @@
   MmAimKind kind;
   MmName job_class;
   double within_s;
+  double times; /* of a deadline */
   double share;
 } MmAim;
 
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -52,6 +52,7 @@
   MmTime dirty;
   guint failed_tasks; /* errors in a row without a success: the job itself may be broken */
   MmTime paused_until;
+  gint64 due_ms; /* time of day by which to act for its next aim, see mm_owner_set_due */
   double seen_s; /* sum of the run times seen, and how many */
   guint seen_n;
   gboolean known_after_claim; /* submitted after the part was taken */
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -33,25 +33,62 @@
          || mm_job_waited_s(owner->node, job) > owner->node->operators->wait_bound_s;
 }
 
-/* Where a job has a deadline, the earlier deadline counts; elsewhere its age does. */
+/* When the last task must have started for the aim, in seconds from the job's submission. */
 static double
-pressing_at(const MmJob *job) {
-  double at = (double)job->submitted_ms / 1000.0;
+aim_at(const MmJob *job, const MmAim *aim, double run_s) {
+  switch (aim->kind) {
+  case MM_AIM_WAIT:
+    return aim->within_s;
+  case MM_AIM_FINISHED:
+    return aim->within_s - run_s;
+  case MM_AIM_DEADLINE:
+    return job->spec.deadline_s >= 0 ? job->spec.deadline_s * aim->times - run_s : -1;
+  default:
+    return -1;
+  }
+}
+
+/* The owner's guess of a run time, corrected by what was seen of the job's own tasks. */
+static double
+run_guess_s(const MmJob *job) {
+  return job->seen_n > 0 ? job->seen_s / job->seen_n : job->spec.estimate_s;
+}
 
-  if (job->spec.deadline_s >= 0)
-    at += job->spec.deadline_s;
-  return at;
+void
+mm_owner_set_due(MmOwner *owner, MmJob *job) {
+  const MmSettings *settings = owner->node->settings;
+  gint64 now_ms = mm_node_wall_ms(owner->node);
+  double run_s = run_guess_s(job);
+  gboolean any = FALSE;
+
+  job->due_ms = G_MAXINT64;
+  for (guint i = 0; i < settings->aims->len; i++) {
+    const MmAim *aim = &g_array_index(settings->aims, MmAim, i);
+    double at_s;
+    gint64 at_ms;
+    if (!mm_name_equal(&aim->job_class, &job->spec.job_class))
+      continue;
+    at_s = aim_at(job, aim, run_s);
+    at_ms = job->submitted_ms + (gint64)(at_s * 1000);
+    any = any || at_s >= 0;
+    if (at_s >= 0 && at_ms >= now_ms && at_ms < job->due_ms)
+      job->due_ms = at_ms;
+  }
+  /* Without any aim of its own, its deadline or its age counts. */
+  if (!any)
+    job->due_ms = job->submitted_ms + (gint64)(MAX(job->spec.deadline_s - run_s, 0) * 1000);
 }
 
 gint
 mm_owner_compare_pressing(gconstpointer a, gconstpointer b) {
   const MmJob *x = *(MmJob *const *)a, *y = *(MmJob *const *)b;
-  double px = pressing_at(x), py = pressing_at(y);
 
   if (x->spec.priority != y->spec.priority)
     return x->spec.priority > y->spec.priority ? -1 : 1;
-  if (px != py)
-    return px < py ? -1 : 1;
+  if (x->due_ms != y->due_ms)
+    return x->due_ms < y->due_ms ? -1 : 1;
+  if (x->submitted_ms != y->submitted_ms)
+    return x->submitted_ms < y->submitted_ms ? -1 : 1;
   return strcmp(x->spec.id.s, y->spec.id.s);
 }
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -231,6 +231,8 @@
 mm_owner_job_changed(MmOwner *owner, MmJob *job) {
   MmHeld *held = mm_owner_held(owner, job);
 
+  mm_owner_set_due(owner, job);
+
   if (held != NULL && job->tasks == NULL) {
     adopt_job(owner, job);
     /* The watch shows changes in order: this job came after the part was taken, so no earlier
@@ -565,6 +567,11 @@
     const Written *w = &g_array_index(write->jobs, Written, i);
     MmJob *job = mm_book_find(node->book, w->id.s);
 
+    if (status == 200 && w->final && job != NULL)
+      mm_info("%s (%s, %u tasks, guess %.0f s) is %s after %.1f s, due %.0f s, runs seen %.0f s",
+              w->id.s, job->spec.job_class.s, job->spec.tasks, job->spec.estimate_s,
+              w->cancelled ? W_CANCELLED : W_DONE, mm_job_waited_s(node, job), job->spec.deadline_s,
+              job->seen_n > 0 ? job->seen_s / job->seen_n : 0);
     if (status == 200 && w->final)
       mm_book_keep_final(node->book, w->id.s, w->cancelled ? W_CANCELLED : W_DONE,
                          job != NULL && job->tasks != NULL ? job->done.count : 0);
@@ -808,6 +815,8 @@
   if (mm_time_before(now, owner->next_slow))
     return;
   owner->next_slow = mm_time_add_ms(now, SLOW_TICK_MS);
+  for (guint i = 0; i < owner->node->book->order->len; i++)
+    mm_owner_set_due(owner, g_ptr_array_index(owner->node->book->order, i));
   ask_echoes(owner);
   repeat_stops(owner);
   mm_owner_plan_gangs(owner);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -72,7 +72,9 @@
 /* Whether the job's tasks may be given out at all at the moment. */
 gboolean mm_owner_open(const MmOwner *owner, const MmJob *job);
 gboolean mm_owner_goes_first(const MmOwner *owner, const MmJob *job);
-/* The order of pressing: priority, then deadline or age. */
+/* Sets by when the job must be given machines for the first of its aims that it can still meet. */
+void mm_owner_set_due(MmOwner *owner, MmJob *job);
+/* The order of pressing: priority, then what is due first; jobs past all their aims come last. */
 gint mm_owner_compare_pressing(gconstpointer a, gconstpointer b);
 /* The rules that bind a task to places: type, zone, kind of machine, the job's other tasks. */
 gboolean mm_owner_place_allowed(const MmJob *job, const MmMachine *machine);
