Spread services over machines, correct run guesses, count rounds under a limit

Jobs late for their deadline were mostly limited by their team's 24 tasks at once or guessed at a third of their run time. Ruled out: capacity (half the machines were free while jobs waited). Services that must fetch go to the least crowded machine; guesses are corrected per class; a job's due time allows for the rounds that the limit imposes.

--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -10,6 +10,7 @@
 #define KEPT_MAX 64
 #define AVOID_MS 60000
 #define GIVE_UP_AFTER_MS 800
+#define SPREAD_PERIODS 0.7
 
 MmAttempt
 mm_owner_next_attempt(MmOwner *owner, const MmHeld *held) {
@@ -48,17 +49,38 @@
   }
 }
 
-/* The owner's guess of a run time, corrected by what was seen of the job's own tasks. */
+/* The user's guess of a run time, corrected by how far the class's guesses were off, or what was
+ * seen of the job's own tasks. */
 static double
-run_guess_s(const MmJob *job) {
-  return job->seen_n > 0 ? job->seen_s / job->seen_n : job->spec.estimate_s;
+run_guess_s(const MmOwner *owner, const MmJob *job) {
+  const MmGuesses *guesses = g_hash_table_lookup(owner->guesses, job->spec.job_class.s);
+  double ratio
+      = guesses != NULL && guesses->guessed_s > 0 ? guesses->seen_s / guesses->guessed_s : 1;
+
+  if (job->seen_n > 0)
+    return job->seen_s / job->seen_n;
+  return job->spec.estimate_s * CLAMP(ratio, 0.25, 4);
+}
+
+/* How many rounds the unassigned tasks need where the team's limit lets only so many run at once.
+ */
+static double
+rounds(const MmOwner *owner, const MmJob *job) {
+  const MmTeamSettings *team = mm_settings_team(owner->node->settings, &job->spec.team);
+  double at_once = job->spec.tasks;
+
+  if (team != NULL && team->limit.cores > 0 && job->spec.need.cores > 0)
+    at_once = MIN(at_once, floor(team->limit.cores / job->spec.need.cores + 1e-6));
+  if (team != NULL && team->limit.accelerators > 0 && job->spec.need.accelerators > 0)
+    at_once = MIN(at_once, floor(team->limit.accelerators / job->spec.need.accelerators + 1e-6));
+  return MAX(ceil((double)job->idle / MAX(at_once, 1)), 1);
 }
 
 void
 mm_owner_set_due(MmOwner *owner, MmJob *job) {
   const MmSettings *settings = owner->node->settings;
   gint64 now_ms = mm_node_wall_ms(owner->node);
-  double run_s = run_guess_s(job);
+  double run_s = run_guess_s(owner, job) * rounds(owner, job);
   gboolean any = FALSE;
 
   job->due_ms = G_MAXINT64;
@@ -145,21 +167,48 @@
          && (limit.accelerators <= 0 || used.accelerators <= limit.accelerators + MM_ROOM_SLACK);
 }
 
+/* Tasks on the machine that outrank or equal the job: they cannot be stopped for it. */
+static guint
+crowd(const MmOwner *owner, const MmJob *job, const MmMachine *machine) {
+  guint n = 0;
+
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    const MmJob *other = mm_book_find(owner->node->book, seen->job.s);
+    n += seen->state != MM_SEEN_ENDED && other != NULL
+         && other->spec.priority >= job->spec.priority;
+  }
+  for (guint i = 0; i < machine->placed->len; i++) {
+    const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
+    n += placed->job->tasks[placed->number].state == MM_TASK_ISSUED
+         && placed->job->spec.priority >= job->spec.priority;
+  }
+  return n;
+}
+
 /* Work in a hurry does not fetch its image where another machine could run it sooner, be it by
  * stopping something there; it does not wait for that for longer than the fetch itself would take.
- */
+ * Where a service must fetch anyway it goes to the least crowded machine: that spreads its image
+ * for the next ones, leaves beside it work that can be stopped for them, and bounds what a
+ * machine's end takes. */
 static gboolean
 better_elsewhere(MmOwner *owner, const MmJob *job, const MmTask *task, const MmMachine *here) {
   MmNode *node = owner->node;
+  double period_s = node->settings->report_s;
   double fetch_s = mm_owner_fetch_s(job, here);
   double waited_s = (double)mm_time_ms_since(mm_node_now(node), task->since) / 1000.0;
+  gboolean spread_out = job->spec.kind == MM_KIND_SERVICE && waited_s < period_s * SPREAD_PERIODS;
+  guint crowd_here = spread_out ? crowd(owner, job, here) : 0;
 
-  if (fetch_s < 0.5 || waited_s > MIN(fetch_s, node->settings->report_s * 1.5))
+  if (fetch_s < 0.5 || waited_s > MIN(fetch_s, period_s * 1.5))
     return FALSE;
   for (guint i = 0; i < node->roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(node->roster->order, i);
     double delay_s = machine == here ? -1 : mm_owner_delay_on(owner, job, machine, NULL);
-    if (delay_s >= 0 && delay_s < fetch_s)
+    if (delay_s < 0)
+      continue;
+    if (delay_s < fetch_s
+        || (spread_out && delay_s <= fetch_s + period_s && crowd(owner, job, machine) < crowd_here))
       return TRUE;
   }
   return FALSE;
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -30,12 +30,14 @@
 
   owner->node = node;
   owner->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
+  owner->guesses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return owner;
 }
 
 void
 mm_owner_free(MmOwner *owner) {
   g_hash_table_unref(owner->held);
+  g_hash_table_unref(owner->guesses);
   g_free(owner);
 }
 
@@ -323,6 +325,21 @@
 
 /* ---- reports ---- */
 
+/* Old days weigh less and less: guesses may be too high on one day and too low on the next. */
+static void
+learn(MmOwner *owner, const MmJob *job, double ran_s) {
+  MmGuesses *guesses = g_hash_table_lookup(owner->guesses, job->spec.job_class.s);
+
+  if (job->spec.estimate_s <= 0)
+    return;
+  if (guesses == NULL) {
+    guesses = g_new0(MmGuesses, 1);
+    g_hash_table_insert(owner->guesses, g_strdup(job->spec.job_class.s), guesses);
+  }
+  guesses->seen_s = guesses->seen_s * 0.98 + ran_s;
+  guesses->guessed_s = guesses->guessed_s * 0.98 + job->spec.estimate_s;
+}
+
 static void
 task_done(MmOwner *owner, MmJob *job, guint number) {
   MmTask *task = &job->tasks[number];
@@ -331,8 +348,10 @@
   if (task->state == MM_TASK_DONE || job->spec.kind == MM_KIND_SERVICE)
     return;
   if (task->state == MM_TASK_RUNNING) {
-    job->seen_s += (double)mm_time_ms_since(now, task->since) / 1000.0;
+    double ran_s = (double)mm_time_ms_since(now, task->since) / 1000.0;
+    job->seen_s += ran_s;
     job->seen_n++;
+    learn(owner, job, ran_s);
   }
   if (task->machine != NULL)
     mm_owner_unplace(owner, job, number);
@@ -567,11 +586,6 @@
     const Written *w = &g_array_index(write->jobs, Written, i);
     MmJob *job = mm_book_find(node->book, w->id.s);
 
-    if (status == 200 && w->final && job != NULL)
-      mm_info("%s (%s, %u tasks, guess %.0f s) is %s after %.1f s, due %.0f s, runs seen %.0f s",
-              w->id.s, job->spec.job_class.s, job->spec.tasks, job->spec.estimate_s,
-              w->cancelled ? W_CANCELLED : W_DONE, mm_job_waited_s(node, job), job->spec.deadline_s,
-              job->seen_n > 0 ? job->seen_s / job->seen_n : 0);
     if (status == 200 && w->final)
       mm_book_keep_final(node->book, w->id.s, w->cancelled ? W_CANCELLED : W_DONE,
                          job != NULL && job->tasks != NULL ? job->done.count : 0);
@@ -615,6 +629,10 @@
   mm_txn_guard(txn, MM_KEY_JOB, job->spec.id.s, job->mark);
   mm_txn_guard(txn, MM_KEY_PART, held->name, held->mark);
   if (final) {
+    mm_info("%s (%s, %u tasks, guess %.0f s) is %s after %.1f s, due %.0f s, runs seen %.0f s",
+            job->spec.id.s, job->spec.job_class.s, job->spec.tasks, job->spec.estimate_s,
+            job->cancelled ? W_CANCELLED : W_DONE, mm_job_waited_s(owner->node, job),
+            job->spec.deadline_s, job->seen_n > 0 ? job->seen_s / job->seen_n : 0);
     mm_txn_put(txn, MM_KEY_FINAL, job->spec.id.s,
                json_pack("{s:s, s:I}", "m", job->cancelled ? W_CANCELLED : W_DONE, "n",
                          (json_int_t)job->done.count),
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -22,10 +22,16 @@
   gboolean ready;
 } MmHeld;
 
+typedef struct {
+  double seen_s;
+  double guessed_s;
+} MmGuesses;
+
 struct MmOwner {
   MmNode *node;
-  GHashTable *held; /* part name -> MmHeld */
-  guint64 sequence; /* of attempts */
+  GHashTable *held;    /* part name -> MmHeld */
+  GHashTable *guesses; /* class -> MmGuesses: how far users' guesses are off */
+  guint64 sequence;    /* of attempts */
   gboolean writing;
   guint solo; /* so many of the next writes carry one job only */
   MmTime next_slow;
