--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -304,10 +304,12 @@
 }
 
 void
-mm_roster_registered(MmRoster *roster, const char *id, const json_t *value) {
+mm_roster_registered(MmRoster *roster, const char *id, const json_t *value, MmMark mark) {
   MmMachine *machine = find_or_add(roster, id);
 
   machine->registered = TRUE;
+  machine->registered_session = mm_json_count(value, "t", 0);
+  machine->registered_mark = mark;
   machine->registering = FALSE;
   if (machine->heard)
     return;
@@ -319,14 +321,36 @@
     g_strlcpy(machine->addr, mm_json_string(value, "a"), sizeof machine->addr);
 }
 
+/* Only lost and returned machines are taken off the register, see mm_roster_unregister. */
 void
 mm_roster_unregistered(MmRoster *roster, const char *id) {
   MmMachine *machine = mm_roster_find(roster, id);
 
-  if (machine != NULL) {
-    machine->registered = FALSE;
+  if (machine == NULL)
+    return;
+  machine->registered = FALSE;
+  if (machine->heard && !machine->gone && machine->stamp.session > machine->registered_session)
+    /* It is back with a new session, which nothing has been started in: that needs a registration
+     * of its own. What was placed on it belongs to the old one. */
+    mm_owner_machine_gone(roster->node->owner, machine);
+  else
     mm_roster_remove(roster, machine);
-  }
+}
+
+static void
+unregister_answered(gpointer data, int status, json_t *body) {
+  /* The replica shows whether it happened; if not, it is tried again. */
+}
+
+void
+mm_roster_unregister(MmRoster *roster, MmMachine *machine) {
+  MmTxn txn = mm_txn();
+
+  machine->unregistering = mm_node_now(roster->node);
+  /* The guard fails once the machine has been registered with a newer session. */
+  mm_txn_guard(&txn, MM_KEY_MACHINE, machine->id.s, machine->registered_mark);
+  mm_txn_delete(&txn, MM_KEY_MACHINE, machine->id.s);
+  mm_store_commit(roster->node->store, &txn, unregister_answered, roster);
 }
 
 void
@@ -376,7 +400,12 @@
   }
 }
 
-/* ---- registration: in the state service before the first start ---- */
+/* ---- registration: in the state service before a session's first start ---- */
+
+static gboolean
+is_registered(const MmMachine *machine) {
+  return machine->registered && machine->registered_session >= machine->stamp.session;
+}
 
 typedef struct {
   MmRoster *roster;
@@ -410,15 +439,16 @@
   txn = mm_txn();
   for (guint i = 0; i < roster->order->len && txn.puts < node->settings->state_txn_ops; i++) {
     MmMachine *machine = g_ptr_array_index(roster->order, i);
-    if (machine->registered || machine->registering || !machine->heard || machine->lost
+    if (is_registered(machine) || machine->registering || !machine->heard || machine->lost
         || machine->releasing || machine->host != MM_HOST_SELF)
       continue;
     if (!mm_store_may_write(node->store, 1))
       break;
     machine->registering = TRUE;
     mm_txn_put(&txn, MM_KEY_MACHINE, machine->id.s,
-               json_pack("{s:s, s:s, s:s, s:i}", "a", machine->addr, "y", machine->type_name.s, "z",
-                         machine->zone.s, "s", machine->spot ? 1 : 0),
+               json_pack("{s:s, s:s, s:s, s:i, s:I}", "a", machine->addr, "y", machine->type_name.s,
+                         "z", machine->zone.s, "s", machine->spot ? 1 : 0, "t",
+                         (json_int_t)machine->stamp.session),
                0);
     g_ptr_array_add(r->ids, g_strdup(machine->id.s));
   }
@@ -470,7 +500,7 @@
 mm_machine_usable(const MmRoster *roster, const MmMachine *machine) {
   MmTime now = mm_node_now(roster->node);
 
-  return machine->heard && machine->registered && !machine->lost && !machine->warned
+  return machine->heard && is_registered(machine) && !machine->lost && !machine->warned
          && !machine->releasing && machine->type != NULL && !mm_time_before(now, machine->shunned);
 }
 
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -74,13 +74,16 @@
   MmStamp stamp;
   MmTerm token;
   gboolean warned;
-  MmTime taken;        /* when the cloud may take it */
-  GArray *tasks;       /* MmSeenTask of the newest report */
-  gint host;           /* the node that heard it last: a peer's index or MM_HOST_SELF */
-  MmTime answered;     /* it may have been answered up to here, as far as this node knows */
-  MmTime seen;         /* newest report of any kind */
-  MmTime reported;     /* newest report made to a node */
-  gboolean registered; /* in the state service, as the replica shows */
+  MmTime taken;               /* when the cloud may take it */
+  GArray *tasks;              /* MmSeenTask of the newest report */
+  gint host;                  /* the node that heard it last: a peer's index or MM_HOST_SELF */
+  MmTime answered;            /* it may have been answered up to here, as far as this node knows */
+  MmTime seen;                /* newest report of any kind */
+  MmTime reported;            /* newest report made to a node */
+  gboolean registered;        /* in the state service, as the replica shows */
+  guint64 registered_session; /* starts need a registration of the session itself */
+  MmMark registered_mark;
+  MmTime unregistering;
   gboolean registering;
   gboolean lost;
   gboolean gone; /* returned: the cloud has said so */
@@ -137,10 +140,13 @@
 /* Takes a report in; NULL when it is older than what is known. `heard_at`: when it was made at the
  * latest; `host`: the node that heard it. */
 MmMachine *mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host);
-void mm_roster_registered(MmRoster *roster, const char *id, const json_t *value);
+void mm_roster_registered(MmRoster *roster, const char *id, const json_t *value, MmMark mark);
 void mm_roster_unregistered(MmRoster *roster, const char *id);
 void mm_roster_list_keys(const MmRoster *roster, const char *prefix, GPtrArray *keys);
 void mm_roster_remove(MmRoster *roster, MmMachine *machine);
+/* Takes a lost or returned machine off the register, unless a newer session was registered
+ * meanwhile: then nobody waits to hear it after the next taking of a part. */
+void mm_roster_unregister(MmRoster *roster, MmMachine *machine);
 /* The cloud has proved it gone. Late reports of it may still come; they change nothing. */
 void mm_roster_gone(MmRoster *roster, const char *id);
 void mm_roster_tick(MmRoster *roster);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -22,6 +22,8 @@
 #define SILENT_LEAST_S 3.5
 #define SETTLED_MS 8000
 #define PROBE_MS 900
+#define RELEASE_AGAIN_MS 1500
+#define UNREGISTER_AGAIN_MS 5000
 
 static void list(MmFleet *fleet, const char *after);
 
@@ -131,11 +133,6 @@
   GPtrArray *ids;
 } Release;
 
-static void
-unregister_answered(gpointer data, int status, json_t *body) {
-  /* The replica shows whether it happened; if not, the machine stays registered and lost. */
-}
-
 static void
 release_answered(gpointer data, int status, json_t *body) {
   Release *release = data;
@@ -143,6 +140,8 @@
   MmNode *node = fleet->node;
 
   fleet->releasing = FALSE;
+  if (status != 200)
+    fleet->next_release = mm_time_add_ms(mm_node_now(node), RELEASE_AGAIN_MS);
   for (guint i = 0; i < release->ids->len; i++) {
     const char *id = g_ptr_array_index(release->ids, i);
     MmListed *listed = g_hash_table_lookup(fleet->listed, id);
@@ -159,13 +158,10 @@
     mm_info("machine %s has been returned", id);
     mm_roster_gone(node->roster, id);
     mm_links_tell_gone(node->links, id);
-    if (machine->registered) {
-      MmTxn txn = mm_txn();
-      mm_txn_delete(&txn, MM_KEY_MACHINE, id);
-      mm_store_commit(node->store, &txn, unregister_answered, fleet);
-    } else {
+    if (machine->registered)
+      mm_roster_unregister(node->roster, machine);
+    else
       mm_roster_remove(node->roster, machine);
-    }
   }
   g_ptr_array_unref(release->ids);
   g_free(release);
@@ -282,7 +278,7 @@
   gpointer value;
   json_t *names;
 
-  if (fleet->releasing)
+  if (fleet->releasing || mm_time_before(now, fleet->next_release))
     return;
   names = json_array();
   release = g_new(Release, 1);
@@ -294,11 +290,6 @@
     if (mm_time_ms_since(now, listed->listed) > UNLISTED_MS) {
       /* Gone from the list for long: taken or returned. */
       if (machine == NULL || machine->lost || listed->releasing) {
-        if (machine != NULL && machine->registered) {
-          MmTxn txn = mm_txn();
-          mm_txn_delete(&txn, MM_KEY_MACHINE, machine->id.s);
-          mm_store_commit(node->store, &txn, unregister_answered, fleet);
-        }
         g_hash_table_iter_remove(&iter);
       }
       continue;
@@ -328,6 +319,22 @@
   g_free(release);
 }
 
+/* A lost machine stays on the register for nobody: after the next taking of a part it would have to
+ * be proved lost once more before its tasks, or any others, could be given out. */
+static void
+unregister_lost(MmFleet *fleet) {
+  MmNode *node = fleet->node;
+  MmTime now = mm_node_now(node);
+
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    if (machine->registered && machine->lost && !mm_store_in_trouble(node->store)
+        && mm_time_ms_since(now, machine->unregistering) > UNREGISTER_AGAIN_MS
+        && mm_store_may_write(node->store, 1))
+      mm_roster_unregister(node->roster, machine);
+  }
+}
+
 /* ---- renting ---- */
 
 typedef struct {
@@ -466,6 +473,24 @@
   return options;
 }
 
+/* For a job that must have all its tasks in one zone: only the zone of the best offer that is not
+ * refused at the moment. */
+static void
+keep_one_zone(MmFleet *fleet, GArray *options) {
+  MmTime now = mm_node_now(fleet->node);
+  MmName zone = { { 0 } };
+
+  for (guint i = 0; i < options->len && mm_name_is_empty(&zone); i++) {
+    const Option *option = &g_array_index(options, Option, i);
+    if (!mm_time_before(now,
+                        offer_for(fleet, &option->type->name, &option->zone, option->spot)->until))
+      zone = option->zone;
+  }
+  for (guint i = options->len; i > 0; i--)
+    if (!mm_name_equal(&g_array_index(options, Option, i - 1).zone, &zone))
+      g_array_remove_index(options, i - 1);
+}
+
 /* Waiting tasks of all owners against what is free and what is coming; the first kind of machine
  * that is short is rented, cheapest slot first. One request at a time. */
 static void
@@ -489,6 +514,8 @@
       for (guint k = 1; k < waiting->ranges->len; k += 2)
         tasks += g_array_index(waiting->ranges, guint, k);
       options = options_for(fleet, job);
+      if (job->spec.one_zone)
+        keep_one_zone(fleet, options);
       for (guint o = 0; o < options->len && tasks > 0; o++) {
         const Option *option = &g_array_index(options, Option, o);
         MmOffer *offer = offer_for(fleet, &option->type->name, &option->zone, option->spot);
@@ -530,5 +557,6 @@
     return;
   fleet->next_plan = mm_time_add_ms(now, PLAN_EVERY_MS);
   return_machines(fleet);
+  unregister_lost(fleet);
   plan(fleet);
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -39,6 +39,7 @@
   gboolean list_known;
   MmTime next_list;
   MmTime next_plan;
+  MmTime next_release;
   guint64 requests;
 };
 
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -29,6 +29,16 @@
   }
 }
 
+/* Some members were seen to be done, the others were lost with their machines before they could say
+ * so. A member can't run alone, so the whole gang is started again: results are kept, and a member
+ * whose result is there ends as done at once. Its being done is not assumed. */
+static void
+run_again(MmOwner *owner, MmJob *job) {
+  for (guint i = 0; i < job->spec.tasks; i++)
+    if (job->tasks[i].state == MM_TASK_DONE)
+      mm_owner_unplace(owner, job, i);
+}
+
 static GArray *
 open_places(MmOwner *owner, const MmJob *job, const MmName *zone) {
   MmRoster *roster = owner->node->roster;
@@ -132,8 +142,9 @@
     /* Some members are gone while others live, or a place did not ask in time: all or none. */
     if (late || (started > 0 && job->idle > 0))
       release_gang(owner, job);
-    else if (held->ready && !paused && job->idle > 0 && job->live == 0
-             && job->idle + job->done.count == job->spec.tasks)
+    else if (held->ready && !paused && job->live == 0 && job->done.count > 0)
+      run_again(owner, job);
+    else if (held->ready && !paused && job->idle == job->spec.tasks)
       plan(owner, held, job);
   }
 }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -758,7 +758,7 @@
   }
   for (guint i = 0; i < book->order->len; i++) {
     MmJob *job = g_ptr_array_index(book->order, i);
-    if (job->tasks != NULL && job->idle > 0 && !mm_job_is_gang(job) && mm_owner_open(owner, job))
+    if (job->tasks != NULL && job->idle > 0 && mm_owner_open(owner, job))
       g_ptr_array_add(jobs, job);
   }
   g_ptr_array_sort(jobs, mm_owner_compare_pressing);
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -257,11 +257,12 @@
   return FALSE;
 }
 
+/* Gangs are listed for the fleet; their places are the owner's to pick. */
 static const MmJob *
 fitting(MmRank *rank, const MmWaiting *waiting, const MmMachine *machine, MmRoom room) {
   const MmJob *job = mm_book_find(rank->node->book, waiting->job.s);
 
-  return job != NULL && !job->cancelled && waiting->ranges->len > 0
+  return job != NULL && !job->cancelled && !mm_job_is_gang(job) && waiting->ranges->len > 0
                  && mm_room_fits(job->spec.need, room) && mm_rank_allows(job, machine)
                  && mm_rank_leaves(rank, job, machine, room) != MM_MAY_NOT
              ? job
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -77,7 +77,7 @@
   } else if (g_str_has_prefix(key, MM_KEY_NODE)) {
     put_node(replica, key + strlen(MM_KEY_NODE), value);
   } else if (g_str_has_prefix(key, MM_KEY_MACHINE)) {
-    mm_roster_registered(replica->node->roster, key + strlen(MM_KEY_MACHINE), value);
+    mm_roster_registered(replica->node->roster, key + strlen(MM_KEY_MACHINE), value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_JOB)) {
     mm_book_put(replica->node->book, key + strlen(MM_KEY_JOB), value, mark);
   }
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -144,10 +144,15 @@
 
 int
 main(int argc, char **argv) {
+  guint days = 16;
+
   g_test_init(&argc, &argv, NULL);
   if (g_getenv("LOG_LEVEL") != NULL)
     mm_log_setup();
-  for (guint seed = 1; seed <= 12; seed++) {
+  /* More days than CI plays: MM_WORLD_DAYS=100 tests/test-world */
+  if (g_getenv("MM_WORLD_DAYS") != NULL)
+    days = (guint)g_ascii_strtoull(g_getenv("MM_WORLD_DAYS"), NULL, 10);
+  for (guint seed = 1; seed <= days; seed++) {
     g_autofree char *name = g_strdup_printf("/world/day-%u", seed);
     g_test_add_data_func(name, GUINT_TO_POINTER(seed), a_day);
   }
--- a/tests/world/worker.c
+++ b/tests/world/worker.c
@@ -23,13 +23,6 @@
   return NULL;
 }
 
-void
-world_machine_wipe(WorldMachine *machine) {
-  for (guint i = 0; i < machine->tasks->len; i++)
-    g_free(g_ptr_array_index(machine->tasks, i));
-  g_ptr_array_set_size(machine->tasks, 0);
-}
-
 void
 world_machine_up(gpointer data) {
   WorldMachine *machine = data;
@@ -80,9 +73,11 @@
   return NULL;
 }
 
+static void end_peers(World *world, const WorldTask *task, guint8 cause);
+
 static void
 end_task(WorldMachine *machine, WorldTask *task, guint8 cause) {
-  World *world = machine->world;
+  gboolean running = task->state == MM_SEEN_RUNNING;
 
   mm_debug("world: %s/%u ends on %s: %s", task->job->id, task->number, machine->id, causes[cause]);
   task->state = MM_SEEN_ENDED;
@@ -92,20 +87,40 @@
     task->job->done[task->number] = TRUE;
     task->job->n_done++;
   }
-  /* Gangs complete together and notice a loss together. */
+  if (running)
+    end_peers(machine->world, task, cause == MM_CAUSE_DONE ? MM_CAUSE_DONE : MM_CAUSE_PEERS);
+}
+
+/* Gangs complete together and notice a loss together. */
+static void
+end_peers(World *world, const WorldTask *task, guint8 cause) {
   if (task->job->spec.kind != MM_KIND_GANG)
     return;
   for (guint i = 0; i < world->machines->len; i++) {
     WorldMachine *other = g_ptr_array_index(world->machines, i);
     for (guint k = 0; k < other->tasks->len; k++) {
       WorldTask *peer = g_ptr_array_index(other->tasks, k);
-      if (peer->job == task->job && peer->attempt == task->attempt
+      if (peer != task && peer->job == task->job && peer->attempt == task->attempt
           && peer->state == MM_SEEN_RUNNING)
-        end_task(other, peer, cause == MM_CAUSE_DONE ? MM_CAUSE_DONE : MM_CAUSE_PEERS);
+        end_task(other, peer, cause);
     }
   }
 }
 
+void
+world_machine_wipe(WorldMachine *machine) {
+  g_autoptr(GPtrArray) tasks = machine->tasks;
+
+  /* The peers of a gang task notice its end. */
+  machine->tasks = g_ptr_array_new();
+  for (guint i = 0; i < tasks->len; i++) {
+    WorldTask *task = g_ptr_array_index(tasks, i);
+    if (task->state == MM_SEEN_RUNNING)
+      end_peers(machine->world, task, MM_CAUSE_PEERS);
+    g_free(task);
+  }
+}
+
 static void
 command_start(WorldMachine *machine, WorldJob *job, guint number, guint64 attempt) {
   World *world = machine->world;
@@ -266,6 +281,12 @@
 
   if (world->now_us < task->at_us || task->state == MM_SEEN_ENDED)
     return;
+  if (task->state == MM_SEEN_FETCHING && task->job->done[task->number]) {
+    world->starts++;
+    world_check_start(world, machine, task);
+    end_task(machine, task, MM_CAUSE_DONE);
+    return;
+  }
   if (task->state == MM_SEEN_FETCHING) {
     machine->changed = TRUE;
     world->starts++;
