--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -152,6 +152,8 @@
   /* More days than CI plays: MM_WORLD_DAYS=100 tests/test-world */
   if (g_getenv("MM_WORLD_DAYS") != NULL)
     days = (guint)g_ascii_strtoull(g_getenv("MM_WORLD_DAYS"), NULL, 10);
+  /* Day 31: a gang split by a lost machine waited without end. */
+  g_test_add_data_func("/world/day-31-split-gang", GUINT_TO_POINTER(31), a_day);
   for (guint seed = 1; seed <= days; seed++) {
     g_autofree char *name = g_strdup_printf("/world/day-%u", seed);
     g_test_add_data_func(name, GUINT_TO_POINTER(seed), a_day);
