Claim room by task, ask the cloud about taken machines, move parts only when all are heard

Room is now claimed by task, one at a time where zones bind; a machine whose notice has run out is returned at once, which proves it gone; parts move only when every machine is heard.

--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -504,6 +504,19 @@
          && !machine->releasing && machine->type != NULL && !mm_time_before(now, machine->shunned);
 }
 
+gboolean
+mm_roster_all_heard(const MmRoster *roster) {
+  MmTime now = mm_node_now(roster->node);
+  gint64 recent_ms = (gint64)(roster->node->settings->report_s * 2000);
+
+  for (guint i = 0; i < roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(roster->order, i);
+    if (machine->registered && mm_time_ms_since(now, machine->seen) > recent_ms)
+      return FALSE;
+  }
+  return TRUE;
+}
+
 guint
 mm_roster_running(const MmRoster *roster, const char *job) {
   guint running = 0;
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -157,6 +157,8 @@
 gboolean mm_machine_caches(const MmMachine *machine, const MmName *image);
 /* A machine that may be given work at all. */
 gboolean mm_machine_usable(const MmRoster *roster, const MmMachine *machine);
+/* Whether every registered machine has been heard lately. */
+gboolean mm_roster_all_heard(const MmRoster *roster);
 guint mm_roster_running(const MmRoster *roster, const char *job);
 json_t *mm_command_to_json(const MmCommand *command);
 void mm_machine_queue(MmMachine *machine, guint64 session, const MmCommand *command);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -22,6 +22,7 @@
 #define SILENT_LEAST_S 3.5
 #define SETTLED_MS 8000
 #define PROBE_MS 900
+#define TAKEN_MS 1500
 #define RELEASE_AGAIN_MS 1500
 #define UNREGISTER_AGAIN_MS 5000
 
@@ -221,7 +222,13 @@
                         : MAX(node->settings->report_s * SILENT_PERIODS, SILENT_LEAST_S)));
   guint quiet = 0, all = 0;
 
-  if (mm_time_ms_since(now, machine->seen) < patience_ms * 2 / 3 || machine->tasks->len == 0)
+  if (machine->tasks->len == 0)
+    return FALSE;
+  /* Its notice has run out: the cloud is asked to say at once that it is gone. */
+  if (machine->warned && mm_time_ms_since(now, machine->taken) > TAKEN_MS
+      && mm_time_ms_since(now, machine->seen) > TAKEN_MS)
+    return TRUE;
+  if (mm_time_ms_since(now, machine->seen) < patience_ms * 2 / 3)
     return FALSE;
   probe(fleet, machine);
   if (mm_time_ms_since(now, machine->seen) < patience_ms || !host_is_settled(fleet, machine)
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -29,6 +29,7 @@
   MmStamp issued;    /* the report whose answer carries the start */
   MmTime since;      /* when the state began; for idle tasks, when the wait began */
   MmTime not_before; /* retry pause */
+  MmTime claimed;    /* until when room is being cleared for it */
   MmTime told;       /* when it was last told to stop */
   MmName avoid;      /* the machine that failed it last */
 } MmTask;
@@ -56,7 +57,6 @@
   double seen_s; /* sum of the run times seen, and how many */
   guint seen_n;
   gboolean known_after_claim; /* submitted after the part was taken */
-  MmTime claimed_room;        /* until when room is being cleared for it */
 } MmJob;
 
 struct MmBook {
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -208,8 +208,12 @@
     if (delay_s < 0)
       continue;
     if (delay_s < fetch_s
-        || (spread_out && delay_s <= fetch_s + period_s && crowd(owner, job, machine) < crowd_here))
+        || (spread_out && delay_s <= fetch_s + period_s
+            && crowd(owner, job, machine) < crowd_here)) {
+      mm_debug("%s waits %.1f s: %s would run it in %.1f s, %s in %.1f s", job->spec.id.s, waited_s,
+               machine->id.s, delay_s, here->id.s, fetch_s);
       return TRUE;
+    }
   }
   return FALSE;
 }
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -123,34 +123,49 @@
   return TRUE;
 }
 
-void
-mm_owner_preempt(MmOwner *owner) {
+/* Clears room for the job's waiting tasks, each claimed once a report period. A job that is bound
+ * to zones has one task cleared for at a time: where the first goes decides where the next may go.
+ */
+static guint
+clear_for_job(MmOwner *owner, MmJob *job, guint most) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
   gint64 bound_ms = (gint64)(node->operators->preempt_after_s * 1000);
+  gboolean bound_to_zones = job->spec.spread || job->spec.one_zone;
+  guint tries = 0;
+
+  for (guint i = job->first_idle; i < job->spec.tasks && tries < most; i++) {
+    MmTask *task = &job->tasks[i];
+    if (task->state != MM_TASK_IDLE)
+      continue;
+    if (mm_time_before(now, task->claimed)) {
+      if (bound_to_zones)
+        break;
+      continue;
+    }
+    if (mm_time_before(now, task->not_before) || mm_time_ms_since(now, task->since) < bound_ms)
+      continue;
+    tries++;
+    if (!clear_room(owner, job))
+      break;
+    task->claimed = mm_time_add_ms(now, (gint64)(node->settings->report_s * 1000));
+    if (bound_to_zones)
+      break;
+  }
+  return tries;
+}
+
+void
+mm_owner_preempt(MmOwner *owner) {
+  MmNode *node = owner->node;
   guint left = TASKS_A_ROUND;
 
   for (guint i = 0; i < node->book->order->len && left > 0; i++) {
     MmJob *job = g_ptr_array_index(node->book->order, i);
-    guint clearing = 0;
 
-    if (job->tasks == NULL || job->idle == 0 || job->spec.priority < MM_URGENT
-        || mm_job_is_gang(job) || !mm_owner_open(owner, job)
-        || mm_time_before(now, job->claimed_room))
-      continue;
-    if (!mm_owner_quota_allows(owner, mm_owner_held(owner, job), job, 1))
-      continue;
-    for (guint k = job->first_idle; k < job->spec.tasks && left > 0; k++) {
-      const MmTask *task = &job->tasks[k];
-      if (task->state != MM_TASK_IDLE || mm_time_before(now, task->not_before)
-          || mm_time_ms_since(now, task->since) < bound_ms)
-        continue;
-      left--;
-      if (!clear_room(owner, job))
-        break;
-      clearing++;
-    }
-    if (clearing > 0)
-      job->claimed_room = mm_time_add_ms(now, (gint64)(node->settings->report_s * 1000));
+    if (job->tasks != NULL && job->idle > 0 && job->spec.priority >= MM_URGENT
+        && !mm_job_is_gang(job) && mm_owner_open(owner, job)
+        && mm_owner_quota_allows(owner, mm_owner_held(owner, job), job, 1))
+      left -= clear_for_job(owner, job, left);
   }
 }
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -1,6 +1,7 @@
 #include "parts/claims.h"
 
 #include "base/wire.h"
+#include "checkin/roster.h"
 #include "peers/links.h"
 #include "store/replica.h"
 #include "store/store.h"
@@ -325,7 +326,9 @@
   }
   for (guint n = 0; n < live->len; n++)
     fewest = MIN(fewest, held[n]);
-  if (held[me] < fewest + 2)
+  /* The taker must hear every machine: while one is silent, a move would stop the team's starts
+   * until that machine is proved lost. */
+  if (held[me] < fewest + 2 || !mm_roster_all_heard(claims->node->roster))
     claims->uneven.us = 0;
   else if (claims->uneven.us == 0)
     claims->uneven = now;
