--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -29,7 +29,8 @@
   MmStamp issued;    /* the report whose answer carries the start */
   MmTime since;      /* when the state began; for idle tasks, when the wait began */
   MmTime not_before; /* retry pause */
-  MmTime claimed;    /* until when room is being cleared for it */
+  MmTime claimed;    /* until when room is being cleared for it, */
+  MmName claimed_on; /* and where */
   MmTime told;       /* when it was last told to stop */
   MmName avoid;      /* the machine that failed it last */
 } MmTask;
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -167,9 +167,8 @@
          && (limit.accelerators <= 0 || used.accelerators <= limit.accelerators + MM_ROOM_SLACK);
 }
 
-/* Tasks on the machine that outrank or equal the job: they cannot be stopped for it. */
-static guint
-crowd(const MmOwner *owner, const MmJob *job, const MmMachine *machine) {
+guint
+mm_owner_crowd(const MmOwner *owner, const MmJob *job, const MmMachine *machine) {
   guint n = 0;
 
   for (guint i = 0; i < machine->tasks->len; i++) {
@@ -198,10 +197,14 @@
   double fetch_s = mm_owner_fetch_s(job, here);
   double waited_s = (double)mm_time_ms_since(mm_node_now(node), task->since) / 1000.0;
   gboolean spread_out = job->spec.kind == MM_KIND_SERVICE && waited_s < period_s * SPREAD_PERIODS;
-  guint crowd_here = spread_out ? crowd(owner, job, here) : 0;
+  guint crowd_here = spread_out ? mm_owner_crowd(owner, job, here) : 0;
 
   if (fetch_s < 0.5 || waited_s > MIN(fetch_s, period_s * 1.5))
     return FALSE;
+  /* What was stopped here to make room was stopped for it: choosing again would only lose time. */
+  if (mm_time_before(mm_node_now(node), task->claimed)
+      && mm_name_equal(&task->claimed_on, &here->id))
+    return FALSE;
   for (guint i = 0; i < node->roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(node->roster->order, i);
     double delay_s = machine == here ? -1 : mm_owner_delay_on(owner, job, machine, NULL);
@@ -209,7 +212,7 @@
       continue;
     if (delay_s < fetch_s
         || (spread_out && delay_s <= fetch_s + period_s
-            && crowd(owner, job, machine) < crowd_here)) {
+            && mm_owner_crowd(owner, job, machine) < crowd_here)) {
       mm_debug("%s waits %.1f s: %s would run it in %.1f s, %s in %.1f s", job->spec.id.s, waited_s,
                machine->id.s, delay_s, here->id.s, fetch_s);
       return TRUE;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -111,3 +111,5 @@
  * included; below 0 when that can't be. `victims` (may be NULL) gets what would have to stop. */
 double mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine, GArray **victims);
 double mm_owner_fetch_s(const MmJob *job, const MmMachine *machine);
+/* Tasks on the machine that outrank or equal the job: they cannot be stopped for it. */
+guint mm_owner_crowd(const MmOwner *owner, const MmJob *job, const MmMachine *machine);
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -9,6 +9,8 @@
  * worker's report half a second after its last at the earliest, the answer. */
 #define STOP_S 0.5
 #define STOP_EACH_S 0.05
+/* What a service would wait longer to be less crowded, for each task beside it. */
+#define CROWD_S 0.25
 
 typedef struct {
   const MmSeenTask *seen;
@@ -88,7 +90,7 @@
 /* Finds the machine where the task would run soonest and clears the room there, if it must be
  * cleared; the room is spoken for until then. FALSE when there is no such machine. */
 static gboolean
-clear_room(MmOwner *owner, const MmJob *job) {
+clear_room(MmOwner *owner, const MmJob *job, MmTask *task) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
   MmMachine *best = NULL;
@@ -100,7 +102,11 @@
     g_autoptr(GArray) victims = NULL;
     double delay_s = mm_owner_delay_on(owner, job, machine, &victims);
 
-    if (delay_s < 0 || (best != NULL && delay_s >= best_s))
+    if (delay_s < 0)
+      continue;
+    if (job->spec.kind == MM_KIND_SERVICE)
+      delay_s += CROWD_S * mm_owner_crowd(owner, job, machine);
+    if (best != NULL && delay_s >= best_s)
       continue;
     g_clear_pointer(&best_victims, g_array_unref);
     best = machine;
@@ -120,6 +126,8 @@
     best->promised = (MmRoom){ 0 };
   best->promised = mm_room_add(best->promised, job->spec.need);
   best->clearing = mm_time_add_ms(now, (gint64)(node->settings->report_s * 2000));
+  task->claimed = mm_time_add_ms(now, (gint64)(node->settings->report_s * 1000));
+  task->claimed_on = best->id;
   return TRUE;
 }
 
@@ -146,9 +154,8 @@
     if (mm_time_before(now, task->not_before) || mm_time_ms_since(now, task->since) < bound_ms)
       continue;
     tries++;
-    if (!clear_room(owner, job))
+    if (!clear_room(owner, job, task))
       break;
-    task->claimed = mm_time_add_ms(now, (gint64)(node->settings->report_s * 1000));
     if (bound_to_zones)
       break;
   }
