Judge silent machines by direct questions, also right after a crash

Cause, from both incidents' logs: a machine that died about when a node crashed held up the parts taken over for 12 to 14 s, since silence was not judged while its node was down or new, nor for machines known from the register only. Three unanswered direct questions now stand for that: a machine on its way to another node answers them.

--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -82,7 +82,7 @@
   machine->host = MM_HOST_SELF;
   /* Nothing is known of its past: it may have been answered a moment ago. */
   machine->answered = mm_node_now(roster->node);
-  machine->idle_since = machine->answered;
+  machine->idle_since = machine->seen = machine->answered;
   g_hash_table_insert(roster->machines, machine->id.s, machine);
   g_ptr_array_add(roster->order, machine);
   renumber(roster);
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -88,8 +88,9 @@
   gboolean lost;
   gboolean gone; /* returned: the cloud has said so */
   gboolean releasing;
-  MmTime probed;  /* when it was last asked directly for a sign of life */
-  GArray *images; /* MmCachedImage */
+  MmTime probed;    /* when it was last asked directly for a sign of life, */
+  guint unanswered; /* and how often since it last gave one */
+  GArray *images;   /* MmCachedImage */
   MmTime idle_since;
   guint index; /* place in the order of names */
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -20,7 +20,7 @@
 #define UNLISTED_MS 60000
 #define SILENT_PERIODS 2.5
 #define SILENT_LEAST_S 3.5
-#define SETTLED_MS 8000
+#define PROBES 3
 #define PROBE_MS 900
 #define TAKEN_MS 1500
 #define RELEASE_AGAIN_MS 1500
@@ -170,21 +170,6 @@
 
 /* ---- silent machines ---- */
 
-/* A node in its first seconds, or whose machines are just moving to other nodes, says nothing of
- * them. */
-static gboolean
-host_is_settled(const MmFleet *fleet, const MmMachine *machine) {
-  const MmNode *node = fleet->node;
-  MmTime now = mm_node_now(node);
-  const char *label = machine->host == MM_HOST_SELF ? node->settings->label.s
-                                                    : node->links->peers[machine->host].label.s;
-  const MmNodeClaim *claim = g_hash_table_lookup(node->replica->nodes, label);
-
-  return claim != NULL && mm_time_ms_since(now, claim->since) > SETTLED_MS
-         && (machine->host == MM_HOST_SELF
-             || mm_time_ms_since(now, node->links->peers[machine->host].ponged) < 1500);
-}
-
 static void
 probe_answered(gpointer data, int status, json_t *body) {
   MmFleet *fleet = data;
@@ -194,6 +179,8 @@
 
   if (status == 200 && machine != NULL)
     machine->seen = mm_time_max(machine->seen, mm_node_now(fleet->node));
+  if (machine != NULL)
+    machine->unanswered = 0;
 }
 
 static void
@@ -204,6 +191,7 @@
   if (mm_time_ms_since(now, machine->probed) < PROBE_MS || machine->addr[0] == '\0')
     return;
   machine->probed = now;
+  machine->unanswered++;
   node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "GET", W_STATUS_PATH, NULL,
                      1500, probe_answered, fleet);
 }
@@ -222,21 +210,25 @@
                         : MAX(node->settings->report_s * SILENT_PERIODS, SILENT_LEAST_S)));
   guint quiet = 0, all = 0;
 
-  if (machine->tasks->len == 0)
+  /* One that is registered and has not been heard by this life of the node may hold tasks: until it
+   * is heard or proved gone, the parts taken anew stand still. */
+  if (machine->heard ? machine->tasks->len == 0 : !machine->registered)
     return FALSE;
   /* Its notice has run out: the cloud is asked to say at once that it is gone. */
   if (machine->warned && mm_time_ms_since(now, machine->taken) > TAKEN_MS
       && mm_time_ms_since(now, machine->seen) > TAKEN_MS)
     return TRUE;
-  if (mm_time_ms_since(now, machine->seen) < patience_ms * 2 / 3)
+  if (mm_time_ms_since(now, machine->seen) < patience_ms / 2) {
+    machine->unanswered = 0;
     return FALSE;
+  }
+  /* Its node may have crashed and it may be on its way to another: then it answers directly. */
   probe(fleet, machine);
-  if (mm_time_ms_since(now, machine->seen) < patience_ms || !host_is_settled(fleet, machine)
-      || mm_time_ms_since(now, node->started) < SETTLED_MS)
+  if (mm_time_ms_since(now, machine->seen) < patience_ms || machine->unanswered < PROBES)
     return FALSE;
   for (guint i = 0; i < node->roster->order->len; i++) {
     const MmMachine *other = g_ptr_array_index(node->roster->order, i);
-    if (!other->heard || other->lost)
+    if (!(other->heard || other->registered) || other->lost)
       continue;
     all++;
     quiet += mm_time_ms_since(now, other->seen) >= patience_ms;
@@ -256,7 +248,7 @@
 
   if (listed->failed)
     return TRUE;
-  if (machine == NULL || !machine->heard)
+  if (machine == NULL || (!machine->heard && !machine->registered))
     /* Never came up, or is up and never reported. */
     return listed->age_s > patience_s
            && (!listed->running || known_ms > 4000 * (gint64)node->settings->lease_s);
