Keep to one given-up accelerator machine across restarts; rent a freed place at once

Until accelerated work is seen, any other work on such a machine counts as having taken it; a return clears refusals for its kind; stuck boots are returned after three times the nominal time.

--- a/src/config/operators.c
+++ b/src/config/operators.c
@@ -22,7 +22,7 @@
   SETTING(
       silent_release_s, "s", 0, 0, 86400,
       "a machine silent this long is returned; 0: two and a half report periods, 3.5 s at least"),
-  SETTING(boot_patience, "times", 4, 1, 100,
+  SETTING(boot_patience, "times", 3, 1, 100,
           "a machine booting this many times the nominal boot time is returned"),
   SETTING(preempt_after_s, "s", 0.1, 0, 86400,
           "how long urgent work waits for free room before it may preempt"),
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -150,6 +150,12 @@
 
     if (listed != NULL)
       listed->releasing = status == 200;
+    if (listed != NULL && status == 200) {
+      /* Its place can be rented anew at once. */
+      MmOffer *offer = offer_for(fleet, &listed->type, &listed->zone, listed->spot);
+      offer->until.us = 0;
+      offer->refusals = 0;
+    }
     if (machine == NULL)
       continue;
     machine->releasing = status == 200;
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -190,11 +190,17 @@
   return others;
 }
 
+/* Until this life of the node has seen accelerated work, a machine with any other work on it counts
+ * as taken: after a restart of all nodes a second one was given up, since nothing was known of the
+ * first. */
 static gboolean
 holds_largest(const MmRank *rank, const MmMachine *machine, MmRoom others) {
-  return others.cores + rank->largest.cores <= machine->type->room.cores + MM_ROOM_SLACK
-         && others.memory_gb + rank->largest.memory_gb
-                <= machine->type->room.memory_gb + MM_ROOM_SLACK;
+  MmRoom room = machine->type->room;
+
+  if (!rank->accelerated)
+    return others.cores <= MM_ROOM_SLACK;
+  return others.cores + rank->largest.cores <= room.cores + MM_ROOM_SLACK
+         && others.memory_gb + rank->largest.memory_gb <= room.memory_gb + MM_ROOM_SLACK;
 }
 
 MmLeaves
@@ -205,9 +211,9 @@
       || job->spec.need.accelerators > 0)
     return MM_LEAVES;
   note_accelerated(rank);
-  if (!rank->accelerated)
-    return job->spec.kind == MM_KIND_SERVICE ? MM_WOULD_TAKE : MM_LEAVES;
-  if (machine->spot && !rank->accelerated_spot)
+  if (!rank->accelerated && job->spec.kind != MM_KIND_SERVICE)
+    return MM_LEAVES;
+  if (rank->accelerated && machine->spot && !rank->accelerated_spot)
     return MM_LEAVES;
   others = others_take(rank, machine, room);
   if (holds_largest(rank, machine, mm_room_add(others, job->spec.need)))
