--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -35,6 +35,7 @@
   gboolean writing;
   guint solo; /* so many of the next writes carry one job only */
   MmTime next_slow;
+  MmTime next_move;
   MmTime next_preempt;
   MmTime next_gangs;
 };
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -11,6 +11,8 @@
 #define STOP_EACH_S 0.05
 /* What a service would wait longer to be less crowded, for each task beside it. */
 #define CROWD_S 0.25
+#define MOVE_AFTER_MS 1500
+#define MOVE_EVERY_MS 1500
 
 typedef struct {
   const MmSeenTask *seen;
@@ -87,12 +89,25 @@
   return delay_s + mm_owner_fetch_s(job, machine);
 }
 
+/* Keeps the room on the machine for the task until its worker's next reports. */
+static void
+promise(MmOwner *owner, const MmJob *job, MmTask *task, MmMachine *machine) {
+  MmTime now = mm_node_now(owner->node);
+  gint64 period_ms = (gint64)(owner->node->settings->report_s * 1000);
+
+  if (!mm_time_before(now, machine->clearing))
+    machine->promised = (MmRoom){ 0 };
+  machine->promised = mm_room_add(machine->promised, job->spec.need);
+  machine->clearing = mm_time_add_ms(now, 2 * period_ms);
+  task->claimed = mm_time_add_ms(now, period_ms);
+  task->claimed_on = machine->id;
+}
+
 /* Finds the machine where the task would run soonest and clears the room there, if it must be
  * cleared; the room is spoken for until then. FALSE when there is no such machine. */
 static gboolean
 clear_room(MmOwner *owner, const MmJob *job, MmTask *task) {
   MmNode *node = owner->node;
-  MmTime now = mm_node_now(node);
   MmMachine *best = NULL;
   g_autoptr(GArray) best_victims = NULL;
   double best_s = 0;
@@ -122,15 +137,74 @@
     mm_owner_stop(owner, best, &victim->job->spec.id, victim->seen->number, victim->seen->attempt,
                   mm_owner_grace_s(victim->job));
   }
-  if (!mm_time_before(now, best->clearing))
-    best->promised = (MmRoom){ 0 };
-  best->promised = mm_room_add(best->promised, job->spec.need);
-  best->clearing = mm_time_add_ms(now, (gint64)(node->settings->report_s * 2000));
-  task->claimed = mm_time_add_ms(now, (gint64)(node->settings->report_s * 1000));
-  task->claimed_on = best->id;
+  promise(owner, job, task, best);
   return TRUE;
 }
 
+/* Where a replica that runs on `from` could run again shortly, or NULL. */
+static MmMachine *
+new_home(MmOwner *owner, const MmJob *job, const MmMachine *from) {
+  MmRoster *roster = owner->node->roster;
+
+  for (guint i = 0; i < roster->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(roster->order, i);
+    double delay_s;
+    if (machine == from || !mm_machine_caches(machine, &job->spec.image))
+      continue;
+    delay_s = mm_owner_delay_on(owner, job, machine, NULL);
+    if (delay_s >= 0 && delay_s <= owner->node->settings->report_s + STOP_S)
+      return machine;
+  }
+  return NULL;
+}
+
+/* The last resort for a service that no machine in its zones can take: a replica of another
+ * service, one that could run elsewhere at once, gives its place up. Two zones full and the third
+ * half empty once kept services of two tasks waiting for minutes. */
+static gboolean
+move_replica(MmOwner *owner, const MmJob *job, MmTask *task) {
+  MmNode *node = owner->node;
+  MmTime now = mm_node_now(node);
+
+  if (job->spec.kind != MM_KIND_SERVICE || mm_time_before(now, owner->next_move)
+      || mm_time_ms_since(now, task->since) < MOVE_AFTER_MS)
+    return FALSE;
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    MmRoom room = mm_machine_free(node->roster, machine);
+
+    if (!mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->clearing)
+        || !mm_owner_place_allowed(job, machine)
+        || mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE)
+      continue;
+    for (guint k = 0; k < machine->placed->len; k++) {
+      const MmPlaced *placed = g_ptr_array_index(machine->placed, k);
+      MmJob *other = placed->job;
+      MmTask *moved = &other->tasks[placed->number];
+      MmMachine *home;
+
+      if (other == job || other->cancelled || other->spec.kind != MM_KIND_SERVICE
+          || other->spec.priority > job->spec.priority || moved->state != MM_TASK_RUNNING
+          || moved->stopping || !mm_room_fits(job->spec.need, mm_room_add(room, other->spec.need)))
+        continue;
+      home = new_home(owner, other, machine);
+      if (home == NULL)
+        continue;
+      mm_info("moving %s/%u from %s to %s to make room for %s", other->spec.id.s, placed->number,
+              machine->id.s, home->id.s, job->spec.id.s);
+      promise(owner, job, task, machine);
+      moved->avoid = machine->id;
+      moved->stopping = TRUE;
+      moved->told = now;
+      mm_owner_stop(owner, machine, &other->spec.id, placed->number, moved->attempt,
+                    mm_owner_grace_s(other));
+      owner->next_move = mm_time_add_ms(now, MOVE_EVERY_MS);
+      return TRUE;
+    }
+  }
+  return FALSE;
+}
+
 /* Clears room for the job's waiting tasks, each claimed once a report period. A job that is bound
  * to zones has one task cleared for at a time: where the first goes decides where the next may go.
  */
@@ -154,7 +228,7 @@
     if (mm_time_before(now, task->not_before) || mm_time_ms_since(now, task->since) < bound_ms)
       continue;
     tries++;
-    if (!clear_room(owner, job, task))
+    if (!clear_room(owner, job, task) && !move_replica(owner, job, task))
       break;
     if (bound_to_zones)
       break;
