--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -232,7 +232,7 @@
   if (leaves < MM_WOULD_TAKE)
     return TRUE;
   if (leaves == MM_MAY_NOT || mm_time_ms_since(mm_node_now(node), task->since) < GIVE_UP_AFTER_MS
-      || !mm_rank_may_give_up(node->rank))
+      || !mm_rank_may_give_up(node->rank, here))
     return FALSE;
   for (guint i = 0; i < node->roster->order->len; i++)
     if (mm_owner_delay_on(owner, job, g_ptr_array_index(node->roster->order, i), NULL) >= 0)
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -13,6 +13,7 @@
 #define CROWD_S 0.25
 #define MOVE_AFTER_MS 1500
 #define MOVE_EVERY_MS 1500
+#define MOVE_FETCH_S 5
 
 typedef struct {
   const MmSeenTask *seen;
@@ -143,16 +144,16 @@
 
 /* Where a replica that runs on `from` could run again shortly, or NULL. */
 static MmMachine *
-new_home(MmOwner *owner, const MmJob *job, const MmMachine *from) {
+new_home(MmOwner *owner, const MmJob *job, const MmMachine *from, double most_fetch_s) {
   MmRoster *roster = owner->node->roster;
 
   for (guint i = 0; i < roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(roster->order, i);
     double delay_s;
-    if (machine == from || !mm_machine_caches(machine, &job->spec.image))
+    if (machine == from || mm_owner_fetch_s(job, machine) > most_fetch_s)
       continue;
     delay_s = mm_owner_delay_on(owner, job, machine, NULL);
-    if (delay_s >= 0 && delay_s <= owner->node->settings->report_s + STOP_S)
+    if (delay_s >= 0 && delay_s <= owner->node->settings->report_s + STOP_S + most_fetch_s)
       return machine;
   }
   return NULL;
@@ -165,6 +166,8 @@
 move_replica(MmOwner *owner, const MmJob *job, MmTask *task) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
+  /* A replica may fetch its image for it once the wait has outgrown that. */
+  double fetch_s = mm_time_ms_since(now, task->since) > MOVE_FETCH_S * 1000 ? MOVE_FETCH_S : 0;
 
   if (job->spec.kind != MM_KIND_SERVICE || mm_time_before(now, owner->next_move)
       || mm_time_ms_since(now, task->since) < MOVE_AFTER_MS)
@@ -187,7 +190,7 @@
           || other->spec.priority > job->spec.priority || moved->state != MM_TASK_RUNNING
           || moved->stopping || !mm_room_fits(job->spec.need, mm_room_add(room, other->spec.need)))
         continue;
-      home = new_home(owner, other, machine);
+      home = new_home(owner, other, machine, fetch_s);
       if (home == NULL)
         continue;
       mm_info("moving %s/%u from %s to %s to make room for %s", other->spec.id.s, placed->number,
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -174,17 +174,20 @@
   }
 }
 
-/* What work without accelerators takes of the machine: all that is taken, less the accelerated
- * tasks. Counting reported tasks alone once let one answer fill such a machine with services for
- * good. */
+/* What work without accelerators takes of the machine for good: all that is taken, less the
+ * accelerated tasks, and less what they could stop where `lasting`. Counting reported tasks alone
+ * once let one answer fill such a machine with services for good; counting arrays as lasting gave
+ * all of them up at the start. */
 static MmRoom
-others_take(const MmRank *rank, const MmMachine *machine, MmRoom room) {
+others_take(const MmRank *rank, const MmMachine *machine, MmRoom room, gboolean lasting) {
   MmRoom others = mm_room_sub(machine->type->room, room);
+  MmPriority outranks = rank->accelerated ? rank->accelerated_priority : MM_URGENT;
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
-    if (seen->state != MM_SEEN_ENDED && there != NULL && there->spec.need.accelerators > 0)
+    if (seen->state != MM_SEEN_ENDED && there != NULL
+        && (there->spec.need.accelerators > 0 || (lasting && there->spec.priority < outranks)))
       others = mm_room_sub(others, there->spec.need);
   }
   return others;
@@ -215,7 +218,7 @@
     return MM_LEAVES;
   if (rank->accelerated && machine->spot && !rank->accelerated_spot)
     return MM_LEAVES;
-  others = others_take(rank, machine, room);
+  others = others_take(rank, machine, room, job->spec.priority > MM_NORMAL);
   if (holds_largest(rank, machine, mm_room_add(others, job->spec.need)))
     return MM_LEAVES;
   if (job->spec.priority <= rank->accelerated_priority)
@@ -224,20 +227,25 @@
 }
 
 gboolean
-mm_rank_may_give_up(MmRank *rank) {
+mm_rank_may_give_up(MmRank *rank, const MmMachine *machine) {
   const MmRoster *roster = rank->node->roster;
+  const MmMachine *next = NULL;
   guint n = 0, given_up = 0;
 
   for (guint i = 0; i < roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(roster->order, i);
-    if (!mm_machine_usable(roster, machine) || machine->type->room.accelerators <= 0
-        || (machine->spot && !rank->accelerated_spot))
+    const MmMachine *other = g_ptr_array_index(roster->order, i);
+    MmRoom free;
+    if (!mm_machine_usable(roster, other) || other->type->room.accelerators <= 0
+        || (other->spot && !rank->accelerated_spot))
       continue;
     n++;
-    given_up += !holds_largest(rank, machine,
-                               others_take(rank, machine, mm_machine_free(roster, machine)));
+    free = mm_machine_free(roster, other);
+    if (!holds_largest(rank, other, others_take(rank, other, free, TRUE)))
+      given_up++;
+    else if (next == NULL)
+      next = other;
   }
-  return n >= 2 && given_up < MAX(n / 3, 1);
+  return n >= 2 && given_up < MAX(n / 3, 1) && machine == next;
 }
 
 typedef struct {
--- a/src/rank/rank.h
+++ b/src/rank/rank.h
@@ -66,5 +66,6 @@
 } MmLeaves;
 /* `room` is what is left, starts that no report shows yet already taken off. */
 MmLeaves mm_rank_leaves(MmRank *rank, const MmJob *job, const MmMachine *machine, MmRoom room);
-/* Whether one more such machine may be given up. */
-gboolean mm_rank_may_give_up(MmRank *rank);
+/* Whether one more such machine may be given up, and this is the one: owners that decide at the
+ * same time must not each choose another. */
+gboolean mm_rank_may_give_up(MmRank *rank, const MmMachine *machine);
