Count only what lasts as having taken an accelerator machine

Lasting work is now summed directly, and nothing is given up while accelerated work may be just unknown (20 s after a start).

--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -7,6 +7,7 @@
 #define TELL_EVERY_MS 30
 #define TELL_AGAIN_MS 1000
 #define RANKED_MAX 512
+#define UNKNOWN_MS 20000
 
 static void
 waiting_free(gpointer data) {
@@ -174,25 +175,57 @@
   }
 }
 
-/* What work without accelerators takes of the machine for good: all that is taken, less the
- * accelerated tasks, and less what they could stop where `lasting`. Counting reported tasks alone
- * once let one answer fill such a machine with services for good; counting arrays as lasting gave
- * all of them up at the start. */
+/* What work without accelerators takes of the machine: all that is taken, less the accelerated
+ * tasks. Counting reported tasks alone once let one answer fill such a machine with services for
+ * good. */
 static MmRoom
-others_take(const MmRank *rank, const MmMachine *machine, MmRoom room, gboolean lasting) {
+others_take(const MmRank *rank, const MmMachine *machine, MmRoom room) {
   MmRoom others = mm_room_sub(machine->type->room, room);
-  MmPriority outranks = rank->accelerated ? rank->accelerated_priority : MM_URGENT;
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
-    if (seen->state != MM_SEEN_ENDED && there != NULL
-        && (there->spec.need.accelerators > 0 || (lasting && there->spec.priority < outranks)))
+    if (seen->state != MM_SEEN_ENDED && there != NULL && there->spec.need.accelerators > 0)
       others = mm_room_sub(others, there->spec.need);
   }
   return others;
 }
 
+static gboolean
+lasts(const MmRank *rank, const MmJob *job) {
+  MmPriority outranks = rank->accelerated ? rank->accelerated_priority : MM_URGENT;
+
+  return job->spec.need.accelerators <= 0 && job->spec.priority > outranks;
+}
+
+/* What accelerated work could not stop. Counting arrays as well once gave up every such machine at
+ * the start of a day, and services joined them for good. */
+static MmRoom
+lasting_take(const MmRank *rank, const MmMachine *machine) {
+  MmRoom taken = { 0 };
+
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
+    if (seen->state != MM_SEEN_ENDED && there != NULL && lasts(rank, there))
+      taken = mm_room_add(taken, there->spec.need);
+  }
+  for (guint i = 0; i < machine->placed->len; i++) {
+    const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
+    if (placed->job->tasks[placed->number].state == MM_TASK_ISSUED && lasts(rank, placed->job))
+      taken = mm_room_add(taken, placed->job->spec.need);
+  }
+  return taken;
+}
+
+/* Accelerated work may come any moment at the start of a day: nothing is taken for its absence yet.
+ */
+static gboolean
+still_unknown(const MmRank *rank) {
+  return !rank->accelerated
+         && mm_time_ms_since(mm_node_now(rank->node), rank->node->started) < UNKNOWN_MS;
+}
+
 /* Until this life of the node has seen accelerated work, a machine with any other work on it counts
  * as taken: after a restart of all nodes a second one was given up, since nothing was known of the
  * first. */
@@ -218,12 +251,14 @@
     return MM_LEAVES;
   if (rank->accelerated && machine->spot && !rank->accelerated_spot)
     return MM_LEAVES;
-  others = others_take(rank, machine, room, job->spec.priority > MM_NORMAL);
+  if (still_unknown(rank))
+    return MM_WOULD_TAKE;
+  others = others_take(rank, machine, room);
   if (holds_largest(rank, machine, mm_room_add(others, job->spec.need)))
     return MM_LEAVES;
   if (job->spec.priority <= rank->accelerated_priority)
     return MM_MAY_NOT;
-  return holds_largest(rank, machine, others) ? MM_WOULD_TAKE : MM_GIVEN_UP;
+  return holds_largest(rank, machine, lasting_take(rank, machine)) ? MM_WOULD_TAKE : MM_GIVEN_UP;
 }
 
 gboolean
@@ -234,18 +269,16 @@
 
   for (guint i = 0; i < roster->order->len; i++) {
     const MmMachine *other = g_ptr_array_index(roster->order, i);
-    MmRoom free;
     if (!mm_machine_usable(roster, other) || other->type->room.accelerators <= 0
         || (other->spot && !rank->accelerated_spot))
       continue;
     n++;
-    free = mm_machine_free(roster, other);
-    if (!holds_largest(rank, other, others_take(rank, other, free, TRUE)))
+    if (!holds_largest(rank, other, lasting_take(rank, other)))
       given_up++;
     else if (next == NULL)
       next = other;
   }
-  return n >= 2 && given_up < MAX(n / 3, 1) && machine == next;
+  return !still_unknown(rank) && n >= 2 && given_up < MAX(n / 3, 1) && machine == next;
 }
 
 typedef struct {
