Keep the machine types in the state service, so that nodes can start without the cloud

Ruled out: the state service, the parts (ready within 0.3 s). The types, prices aside, are stored when they change; the cloud's own word stays the newer one. A test restarts all nodes without the cloud.

--- a/src/fleet/types.c
+++ b/src/fleet/types.c
@@ -1,9 +1,14 @@
 #include "fleet/types.h"
 
+#include <stdlib.h>
+
 #include "base/wire.h"
+#include "parts/claims.h"
+#include "store/store.h"
 
 #define REFRESH_MS 60000
 #define RETRY_MS 1000
+#define STORE_AGAIN_MS 3000
 
 static void
 type_free(gpointer data) {
@@ -25,6 +30,7 @@
 void
 mm_types_free(MmTypes *types) {
   g_ptr_array_unref(types->types);
+  g_free(types->stored);
   g_free(types);
 }
 
@@ -91,6 +97,60 @@
   }
 }
 
+/* What does not change from one answer to the next. */
+static char *
+lasting_text(const json_t *list) {
+  g_autoptr(json_t) copy = json_deep_copy(list);
+  size_t i;
+  json_t *item;
+  char *text, *kept;
+
+  json_array_foreach(copy, i, item) {
+    json_object_del(item, W_PRICE);
+    json_object_del(item, W_SPOT_PRICE);
+  }
+  text = json_dumps(copy, JSON_COMPACT | JSON_SORT_KEYS);
+  kept = g_strdup(text);
+  free(text);
+  return kept;
+}
+
+void
+mm_types_stored(MmTypes *types, const json_t *value) {
+  const json_t *list = mm_json_get(value, W_TYPES);
+  size_t i;
+  json_t *item;
+
+  if (!json_is_array(list))
+    return;
+  g_free(types->stored);
+  types->stored = lasting_text(list);
+  /* What the cloud itself has said since is newer. */
+  if (mm_types_known(types))
+    return;
+  json_array_foreach(list, i, item) read_type(types, item);
+}
+
+static void
+stored_answered(gpointer data, int status, json_t *body) {
+  /* The replica shows what is stored; if nothing, the next answer of the cloud is. */
+}
+
+static void
+store(MmTypes *types, const json_t *list) {
+  MmNode *node = types->node;
+  g_autofree char *text = lasting_text(list);
+  MmTxn txn;
+
+  if (g_strcmp0(text, types->stored) == 0 || !mm_claims_may_answer(node->claims)
+      || strlen(text) + 512 > node->settings->state_value_bytes
+      || !mm_store_may_write(node->store, 1))
+    return;
+  txn = mm_txn();
+  mm_txn_put(&txn, MM_KEY_TYPES, "", json_pack("{s:O}", W_TYPES, list), 0);
+  mm_store_commit(node->store, &txn, stored_answered, types);
+}
+
 static void
 answered(gpointer data, int status, json_t *body) {
   MmTypes *types = data;
@@ -106,7 +166,9 @@
     return;
   }
   json_array_foreach(list, i, item) read_type(types, item);
-  types->next = mm_time_add_ms(now, REFRESH_MS);
+  /* Soon again until the state service holds them: a claim may not have been there yet. */
+  types->next = mm_time_add_ms(now, types->stored != NULL ? REFRESH_MS : STORE_AGAIN_MS);
+  store(types, list);
 }
 
 void
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -3,6 +3,7 @@
 #include "base/wire.h"
 #include "checkin/checkin.h"
 #include "checkin/roster.h"
+#include "fleet/types.h"
 #include "jobs/book.h"
 #include "owner/owner.h"
 #include "store/store.h"
@@ -72,6 +73,8 @@
   if (strcmp(key, MM_KEY_TERM) == 0) {
     replica->term.v = MAX(replica->term.v, mm_json_count(value, "t", 0));
     replica->term_mark = mark;
+  } else if (strcmp(key, MM_KEY_TYPES) == 0) {
+    mm_types_stored(replica->node->types, value);
   } else if (g_str_has_prefix(key, MM_KEY_PART)) {
     put_part(replica, key + strlen(MM_KEY_PART), value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_NODE)) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -21,6 +21,8 @@
 } MmTxn;
 
 #define MM_KEY_ROOT "mm/r/"
+/* First in order, so that machines read later find their types. */
+#define MM_KEY_TYPES MM_KEY_ROOT "a-types"
 #define MM_KEY_TERM MM_KEY_ROOT "term"
 #define MM_KEY_NODE MM_KEY_ROOT "n/"
 #define MM_KEY_PART MM_KEY_ROOT "p/"
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -142,6 +142,28 @@
   world_free(world);
 }
 
+/* Nodes that all start anew while the cloud is down go by the machine types that were stored: they
+ * once stood idle, and unhealthy, until it was back. */
+static void
+test_restart_without_cloud(void) {
+  World *world = world_new(9);
+  WorldJob *job;
+
+  for (guint i = 0; i < 3; i++)
+    world_add_machine(world, "small", "a", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 10);
+  world->cloud_down_until_us = world->now_us + 600 * (gint64)G_USEC_PER_SEC;
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_kill_node(world, i, 0.5);
+  world_run(world, 3);
+  job = world_submit(world, json_pack("{s:i}", W_TASKS, 4), 2);
+  world_run(world, 25);
+  no_rule_broken(world);
+  g_assert_cmpint(job->told, ==, TOLD_DONE);
+  world_free(world);
+}
+
 int
 main(int argc, char **argv) {
   guint days = 16;
@@ -152,6 +174,7 @@
   /* More days than CI plays: MM_WORLD_DAYS=100 tests/test-world */
   if (g_getenv("MM_WORLD_DAYS") != NULL)
     days = (guint)g_ascii_strtoull(g_getenv("MM_WORLD_DAYS"), NULL, 10);
+  g_test_add_func("/world/restart-without-cloud", test_restart_without_cloud);
   /* Day 31: a gang split by a lost machine waited without end. */
   g_test_add_data_func("/world/day-31-split-gang", GUINT_TO_POINTER(31), a_day);
   for (guint seed = 1; seed <= days; seed++) {
