--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -155,7 +155,6 @@
   MmMachine *machine = mm_roster_find(node->roster, session->machine.s);
   json_t *commands;
 
-  checkin->open--;
   if (!mm_claims_may_answer(node->claims)) {
     mm_exchange_answer(session->exchange, 503, mm_json_error("not entitled to answer"), 0);
     session_free(session);
@@ -394,7 +393,6 @@
   session->tried = g_array_new(FALSE, TRUE, sizeof(MmTaskRef));
   session->room = mm_machine_free(node->roster, machine);
   session->deadline = mm_time_add_ms(mm_node_now(node), (gint64)node->operators->ask_timeout_ms);
-  checkin->open++;
   mm_report_clear(&report);
   go_on(session);
 }
--- a/src/checkin/checkin.h
+++ b/src/checkin/checkin.h
@@ -13,7 +13,6 @@
   MmTime counted;
   guint hosted;
   GHashTable *confirming; /* jobs whose final state is being read */
-  guint open;             /* answers under construction */
 };
 
 MmCheckin *mm_checkin_new(MmNode *node);
--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -211,15 +211,21 @@
 
 /* ---- faulty machines ---- */
 
-static gboolean
-was_ended(const MmMachine *machine, const MmSeenTask *task) {
+const MmSeenTask *
+mm_machine_seen(const MmMachine *machine, const MmName *job, guint number, MmAttempt attempt) {
   for (guint i = 0; i < machine->tasks->len; i++) {
-    const MmSeenTask *old = &g_array_index(machine->tasks, MmSeenTask, i);
-    if (old->state == MM_SEEN_ENDED && old->number == task->number
-        && old->attempt.v == task->attempt.v && mm_name_equal(&old->job, &task->job))
-      return TRUE;
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    if (seen->number == number && seen->attempt.v == attempt.v && mm_name_equal(&seen->job, job))
+      return seen;
   }
-  return FALSE;
+  return NULL;
+}
+
+static gboolean
+was_ended(const MmMachine *machine, const MmSeenTask *task) {
+  const MmSeenTask *old = mm_machine_seen(machine, &task->job, task->number, task->attempt);
+
+  return old != NULL && old->state == MM_SEEN_ENDED;
 }
 
 /* Errors of different jobs without a success between point at the machine. Every node sees every
@@ -337,11 +343,6 @@
     mm_roster_remove(roster, machine);
 }
 
-static void
-unregister_answered(gpointer data, int status, json_t *body) {
-  /* The replica shows whether it happened; if not, it is tried again. */
-}
-
 void
 mm_roster_unregister(MmRoster *roster, MmMachine *machine) {
   MmTxn txn = mm_txn();
@@ -350,7 +351,8 @@
   /* The guard fails once the machine has been registered with a newer session. */
   mm_txn_guard(&txn, MM_KEY_MACHINE, machine->id.s, machine->registered_mark);
   mm_txn_delete(&txn, MM_KEY_MACHINE, machine->id.s);
-  mm_store_commit(roster->node->store, &txn, unregister_answered, roster);
+  /* Should it fail, it is tried again. */
+  mm_store_commit(roster->node->store, &txn, NULL, NULL);
 }
 
 void
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -155,6 +155,9 @@
 /* Room left beside everything reported and everything placed by this node's parts. Not more than
  * nothing when a task on it belongs to a job that is not known here. */
 MmRoom mm_machine_free(const MmRoster *roster, const MmMachine *machine);
+/* The task as the newest report shows it, or NULL. */
+const MmSeenTask *mm_machine_seen(const MmMachine *machine, const MmName *job, guint number,
+                                  MmAttempt attempt);
 gboolean mm_machine_caches(const MmMachine *machine, const MmName *image);
 /* A machine that may be given work at all. */
 gboolean mm_machine_usable(const MmRoster *roster, const MmMachine *machine);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -179,9 +179,8 @@
 static void
 probe_answered(gpointer data, int status, json_t *body) {
   MmFleet *fleet = data;
-  MmMachine *machine = mm_roster_find(fleet->node->roster, mm_json_string(body, W_MACHINE) != NULL
-                                                               ? mm_json_string(body, W_MACHINE)
-                                                               : "");
+  const char *id = mm_json_string(body, W_MACHINE);
+  MmMachine *machine = id != NULL ? mm_roster_find(fleet->node->roster, id) : NULL;
 
   if (status == 200 && machine != NULL)
     machine->seen = mm_time_max(machine->seen, mm_node_now(fleet->node));
@@ -294,9 +293,8 @@
     MmMachine *machine = mm_roster_find(node->roster, listed->id.s);
     if (mm_time_ms_since(now, listed->listed) > UNLISTED_MS) {
       /* Gone from the list for long: taken or returned. */
-      if (machine == NULL || machine->lost || listed->releasing) {
+      if (machine == NULL || machine->lost || listed->releasing)
         g_hash_table_iter_remove(&iter);
-      }
       continue;
     }
     if (listed->releasing || release->ids->len >= RELEASE_MAX || !useless(fleet, listed))
--- a/src/fleet/types.c
+++ b/src/fleet/types.c
@@ -131,11 +131,6 @@
   json_array_foreach(list, i, item) read_type(types, item);
 }
 
-static void
-stored_answered(gpointer data, int status, json_t *body) {
-  /* The replica shows what is stored; if nothing, the next answer of the cloud is. */
-}
-
 static void
 store(MmTypes *types, const json_t *list) {
   MmNode *node = types->node;
@@ -148,7 +143,8 @@
     return;
   txn = mm_txn();
   mm_txn_put(&txn, MM_KEY_TYPES, "", json_pack("{s:O}", W_TYPES, list), 0);
-  mm_store_commit(node->store, &txn, stored_answered, types);
+  /* Should it fail, the cloud's next answer is stored. */
+  mm_store_commit(node->store, &txn, NULL, NULL);
 }
 
 static void
--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -177,12 +177,11 @@
 submit_written(gpointer data, int status, json_t *body) {
   Call *call = data;
 
-  if (status == 200)
+  if (status == 200) {
     mm_info("%s (%s of %s, %u tasks) is accepted", call->id.s, call->spec.job_class.s,
             call->spec.team.s, call->spec.tasks);
-  if (status == 200)
     finish(call, 201, json_pack("{s:s, s:s}", W_JOB_ID, call->id.s, W_STATE, W_PENDING), 0);
-  else if (status == 409)
+  } else if (status == 409)
     lookup(call); /* known already: its state now */
   else
     give_up(call);
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -3,6 +3,7 @@
 #include "base/wire.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
+#include "rank/rank.h"
 
 #define FINALS_KEPT 4096
 #define ENDED_KEPT 8192
@@ -78,6 +79,7 @@
     g_hash_table_insert(book->jobs, job->spec.id.s, job);
     g_ptr_array_add(book->order, job);
     g_ptr_array_sort(book->order, older_first);
+    mm_rank_note(book->node->rank, &job->spec);
   }
   job->mark = mark;
   if (!mm_done_set_parse(&job->recorded, mm_json_string(value, "d")))
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -22,9 +22,7 @@
       task->machine->full_until = mm_time_add_ms(mm_node_now(owner->node), UNASKED_MS);
       mm_owner_unplace(owner, job, i);
     } else if (task->machine != NULL && !task->stopping) {
-      task->stopping = TRUE;
-      task->told = mm_node_now(owner->node);
-      mm_owner_stop(owner, task->machine, &job->spec.id, i, task->attempt, mm_owner_grace_s(job));
+      mm_owner_stop_task(owner, job, i);
     }
   }
 }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -255,8 +255,8 @@
   return job->spec.checkpoint_s > 0 && !job->cancelled ? job->spec.save_s + 1 : 0;
 }
 
-static void
-stop_task(MmOwner *owner, MmJob *job, guint number) {
+void
+mm_owner_stop_task(MmOwner *owner, MmJob *job, guint number) {
   MmTask *task = &job->tasks[number];
 
   if (task->machine == NULL || task->state == MM_TASK_RESERVED)
@@ -277,7 +277,7 @@
     if (job->tasks[i].state == MM_TASK_RESERVED)
       mm_owner_unplace(owner, job, i);
     else if (is_live(job->tasks[i].state))
-      stop_task(owner, job, i);
+      mm_owner_stop_task(owner, job, i);
   }
   mm_rank_changed(owner->node->rank);
 }
@@ -437,17 +437,6 @@
   }
 }
 
-static const MmSeenTask *
-find_seen(const MmMachine *machine, const MmJob *job, guint number, MmAttempt attempt) {
-  for (guint i = 0; i < machine->tasks->len; i++) {
-    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    if (seen->number == number && seen->attempt.v == attempt.v
-        && mm_name_equal(&seen->job, &job->spec.id))
-      return seen;
-  }
-  return NULL;
-}
-
 /* Tasks placed on the machine that this report does not show have left it; a start is denied only
  * by a report that was sent after the one whose answer carried it. */
 static void
@@ -458,7 +447,8 @@
     guint number = placed->number;
     MmTask *task = &job->tasks[number];
 
-    if (task->state == MM_TASK_RESERVED || find_seen(machine, job, number, task->attempt) != NULL)
+    if (task->state == MM_TASK_RESERVED
+        || mm_machine_seen(machine, &job->spec.id, number, task->attempt) != NULL)
       continue;
     if (task->state == MM_TASK_ISSUED) {
       gboolean denied = report->stamp.session > task->issued.session
@@ -818,7 +808,7 @@
       const MmTask *task = &placed->job->tasks[placed->number];
       if ((placed->job->cancelled || task->stopping) && task->state != MM_TASK_SAVING
           && mm_time_ms_since(now, task->told) > STOP_EVERY_MS)
-        stop_task(owner, placed->job, placed->number);
+        mm_owner_stop_task(owner, placed->job, placed->number);
     }
   }
 }
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -36,8 +36,6 @@
   guint solo; /* so many of the next writes carry one job only */
   MmTime next_slow;
   MmTime next_move;
-  MmTime next_preempt;
-  MmTime next_gangs;
 };
 
 typedef struct {
@@ -95,6 +93,8 @@
 /* Tells a task's machine to stop it, at once and with every answer until it is gone. */
 void mm_owner_stop(MmOwner *owner, MmMachine *machine, const MmName *job, guint number,
                    MmAttempt attempt, double grace_s);
+/* Tells a placed task to stop, and again with later reports. */
+void mm_owner_stop_task(MmOwner *owner, MmJob *job, guint number);
 /* The smallest grace that lets the job save. */
 double mm_owner_grace_s(const MmJob *job);
 
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -197,10 +197,7 @@
               machine->id.s, home->id.s, job->spec.id.s);
       promise(owner, job, task, machine);
       moved->avoid = machine->id;
-      moved->stopping = TRUE;
-      moved->told = now;
-      mm_owner_stop(owner, machine, &other->spec.id, placed->number, moved->attempt,
-                    mm_owner_grace_s(other));
+      mm_owner_stop_task(owner, other, placed->number);
       owner->next_move = mm_time_add_ms(now, MOVE_EVERY_MS);
       return TRUE;
     }
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -116,7 +116,6 @@
   if (status == 200 && claim != 0) {
     MmTxn txn = mm_txn();
     call->claim = claim;
-    claims->lives++;
     mm_txn_put(&txn, MM_KEY_NODE, claims->node->settings->label.s,
                json_pack("{s:I}", "c", (json_int_t)claim), claim);
     /* `sent` stays the grant's: the lease has been running since then. */
--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -17,7 +17,6 @@
   MmTime uneven;          /* since when the map has been uneven */
   GPtrArray *names;       /* all part names, in a fixed order */
   GHashTable *free_since; /* part name -> MmTime */
-  guint64 lives;          /* claims taken by this process: makes request names unique */
 };
 
 MmClaims *mm_claims_new(MmNode *node);
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -41,6 +41,12 @@
   links->node->port.send(links->node->port.self, peer, frame);
 }
 
+static void
+send_to_all(MmLinks *links, Mm__Frame *frame) {
+  for (guint i = 0; i < links->n_peers; i++)
+    mm_links_send(links, i, frame);
+}
+
 static guint32
 outage_ms(const MmLinks *links) {
   MmTime refused = links->node->store->last_refused;
@@ -114,8 +120,7 @@
   cancelled.job = (char *)job;
   frame.body_case = MM__FRAME__BODY_CANCELLED;
   frame.cancelled = &cancelled;
-  for (guint i = 0; i < links->n_peers; i++)
-    mm_links_send(links, i, &frame);
+  send_to_all(links, &frame);
 }
 
 void
@@ -126,8 +131,7 @@
   gone.machine = (char *)machine;
   frame.body_case = MM__FRAME__BODY_GONE;
   frame.gone = &gone;
-  for (guint i = 0; i < links->n_peers; i++)
-    mm_links_send(links, i, &frame);
+  send_to_all(links, &frame);
 }
 
 void
@@ -356,6 +360,5 @@
   ping.outage_ms = outage_ms(links);
   frame.body_case = MM__FRAME__BODY_PING;
   frame.ping = &ping;
-  for (guint i = 0; i < links->n_peers; i++)
-    mm_links_send(links, i, &frame);
+  send_to_all(links, &frame);
 }
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -159,20 +159,15 @@
          && (job->spec.spot || !machine->spot);
 }
 
-static void
-note_accelerated(MmRank *rank) {
-  const GPtrArray *jobs = rank->node->book->order;
-
-  for (guint i = 0; i < jobs->len; i++) {
-    const MmSpec *spec = &((const MmJob *)g_ptr_array_index(jobs, i))->spec;
-    if (spec->need.accelerators <= 0)
-      continue;
-    rank->accelerated = TRUE;
-    rank->accelerated_priority = MAX(rank->accelerated_priority, spec->priority);
-    rank->accelerated_spot = rank->accelerated_spot || spec->spot;
-    rank->largest.cores = MAX(rank->largest.cores, spec->need.cores);
-    rank->largest.memory_gb = MAX(rank->largest.memory_gb, spec->need.memory_gb);
-  }
+void
+mm_rank_note(MmRank *rank, const MmSpec *spec) {
+  if (spec->need.accelerators <= 0)
+    return;
+  rank->accelerated = TRUE;
+  rank->accelerated_priority = MAX(rank->accelerated_priority, spec->priority);
+  rank->accelerated_spot = rank->accelerated_spot || spec->spot;
+  rank->largest.cores = MAX(rank->largest.cores, spec->need.cores);
+  rank->largest.memory_gb = MAX(rank->largest.memory_gb, spec->need.memory_gb);
 }
 
 /* What work without accelerators takes of the machine: all that is taken, less the accelerated
@@ -246,7 +241,6 @@
   if (machine->type == NULL || machine->type->room.accelerators <= 0
       || job->spec.need.accelerators > 0)
     return MM_LEAVES;
-  note_accelerated(rank);
   if (!rank->accelerated && job->spec.kind != MM_KIND_SERVICE)
     return MM_LEAVES;
   if (rank->accelerated && machine->spot && !rank->accelerated_spot)
--- a/src/rank/rank.h
+++ b/src/rank/rank.h
@@ -53,6 +53,8 @@
                         guint dry);
 /* Takes a task out of a view: it has been given out or refused. */
 void mm_rank_strike(MmRank *rank, guint view, const char *job, guint number);
+/* A job has come: what accelerated work needs is remembered. */
+void mm_rank_note(MmRank *rank, const MmSpec *spec);
 gboolean mm_rank_allows(const MmJob *job, const MmMachine *machine);
 /* Machines with accelerators are left to the work that needs them: other work takes only what stays
  * beside the largest such task seen, unless that work may not run there anyway. Such a machine may
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -38,7 +38,8 @@
     call->store->last_served = mm_time_max(call->store->last_served, call->sent);
   if (status == 429)
     mm_info("the state service says 429");
-  call->answered(call->data, status, body);
+  if (call->answered != NULL)
+    call->answered(call->data, status, body);
   g_free(call);
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -45,7 +45,8 @@
                    MmAnswered answered, gpointer data);
 void mm_store_watch(MmStore *store, const char *prefix, guint64 since, guint wait_ms,
                     MmAnswered answered, gpointer data);
-/* Sends and consumes the transaction. */
+/* Sends and consumes the transaction. `answered` may be NULL where the replica shows the outcome.
+ */
 void mm_store_commit(MmStore *store, MmTxn *txn, MmAnswered answered, gpointer data);
 void mm_store_request(MmStore *store, const char *method, const char *path, const json_t *body,
                       guint timeout_ms, MmAnswered answered, gpointer data);
