Relay only what is new, keep sums and orders, ask few machines for echoes

Cause: profile of a driven world of 454 machines (node code alone, no sockets): 22 ms a second and node, most of it in the owners' scans of all jobs and machines for each request, in relaying every report whole, and in sorting the roster for each new machine. The first end of a node then asked all 440 machines for an echo at once: claims ended for want of processor time, and parts changed hands without end. Change: reports that show nothing new go to peers in batches, told before each pong; what a link sends in one turn goes out in one write, on plain sockets; a team's use is a running sum; the order of jobs is kept between slow ticks; running tasks are counted as reports change; echoes are asked of machines that do not report, four a round, the others echo by themselves. Ruled out: the modulo ranking itself, protobuf. Conclusion: processor time was the limit at this size.

--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -11,6 +11,8 @@
 
 #define QUEUED_MAX 256
 #define TASKS_MAX 4096
+/* Both look at every machine. */
+#define TICK_EVERY_MS 150
 #define DRIFT 0.002
 #define LOST_MARGIN_MS 250
 #define FAULTS_TO_SHUN 2
@@ -39,6 +41,7 @@
   roster->node = node;
   roster->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
   roster->order = g_ptr_array_new();
+  roster->running = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   return roster;
 }
 
@@ -46,6 +49,7 @@
 mm_roster_free(MmRoster *roster) {
   g_ptr_array_unref(roster->order);
   g_hash_table_unref(roster->machines);
+  g_hash_table_unref(roster->running);
   g_free(roster);
 }
 
@@ -54,16 +58,49 @@
   return g_hash_table_lookup(roster->machines, id);
 }
 
-static gint
-by_id(gconstpointer a, gconstpointer b) {
-  return strcmp((*(MmMachine *const *)a)->id.s, (*(MmMachine *const *)b)->id.s);
+static void
+renumber(MmRoster *roster, guint from) {
+  for (guint i = from; i < roster->order->len; i++)
+    ((MmMachine *)g_ptr_array_index(roster->order, i))->index = i;
 }
 
+/* The order is by id, which is the order of renting: new ones mostly come last. */
 static void
-renumber(MmRoster *roster) {
-  g_ptr_array_sort(roster->order, by_id);
-  for (guint i = 0; i < roster->order->len; i++)
-    ((MmMachine *)g_ptr_array_index(roster->order, i))->index = i;
+insert(MmRoster *roster, MmMachine *machine) {
+  guint at = roster->order->len;
+
+  while (at > 0
+         && strcmp(((MmMachine *)g_ptr_array_index(roster->order, at - 1))->id.s, machine->id.s)
+                > 0)
+    at--;
+  g_ptr_array_insert(roster->order, (gint)at, machine);
+  renumber(roster, at);
+}
+
+/* ---- how many tasks of a job are seen running ---- */
+
+static void
+count_running(MmRoster *roster, const MmMachine *machine, gint by) {
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
+    gint n;
+    if (task->state != MM_SEEN_RUNNING)
+      continue;
+    n = GPOINTER_TO_INT(g_hash_table_lookup(roster->running, task->job.s)) + by;
+    if (n > 0)
+      g_hash_table_insert(roster->running, g_strdup(task->job.s), GINT_TO_POINTER(n));
+    else
+      g_hash_table_remove(roster->running, task->job.s);
+  }
+}
+
+static void
+set_tasks(MmRoster *roster, MmMachine *machine, const GArray *tasks) {
+  count_running(roster, machine, -1);
+  g_array_set_size(machine->tasks, 0);
+  if (tasks != NULL)
+    g_array_append_vals(machine->tasks, tasks->data, tasks->len);
+  count_running(roster, machine, 1);
 }
 
 static MmMachine *
@@ -84,16 +121,18 @@
   machine->answered = mm_node_now(roster->node);
   machine->idle_since = machine->seen = machine->answered;
   g_hash_table_insert(roster->machines, machine->id.s, machine);
-  g_ptr_array_add(roster->order, machine);
-  renumber(roster);
+  insert(roster, machine);
   return machine;
 }
 
 void
 mm_roster_remove(MmRoster *roster, MmMachine *machine) {
+  guint at = machine->index;
+
   mm_owner_machine_gone(roster->node->owner, machine);
-  g_ptr_array_remove(roster->order, machine);
-  renumber(roster);
+  set_tasks(roster, machine, NULL);
+  g_ptr_array_remove_index(roster->order, at);
+  renumber(roster, at);
   g_hash_table_remove(roster->machines, machine->id.s);
 }
 
@@ -251,10 +290,29 @@
 
 /* ---- taking reports in ---- */
 
+/* Whether the report shows what is known already. */
+static gboolean
+shows_the_same(const MmMachine *machine, const MmReport *report, gint host) {
+  if (!machine->heard || machine->lost || (!report->direct && machine->host != host)
+      || report->stamp.session != machine->stamp.session || report->token.v != machine->token.v
+      || report->warned != machine->warned || report->tasks->len != machine->tasks->len
+      || (report->addr[0] != '\0' && strcmp(report->addr, machine->addr) != 0))
+    return FALSE;
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const MmSeenTask *a = &g_array_index(report->tasks, MmSeenTask, i);
+    const MmSeenTask *b = &g_array_index(machine->tasks, MmSeenTask, i);
+    if (a->number != b->number || a->attempt.v != b->attempt.v || a->state != b->state
+        || a->cause != b->cause || a->saved != b->saved || !mm_name_equal(&a->job, &b->job))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 MmMachine *
 mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host) {
   MmMachine *machine = find_or_add(roster, report->machine.s);
   gboolean live = FALSE;
+  gboolean same;
 
   /* Also an old report may have been answered just now. */
   if (!report->direct)
@@ -266,6 +324,8 @@
   if (machine->gone
       || (machine->heard && machine->lost && report->stamp.session == machine->stamp.session))
     return NULL;
+  same = shows_the_same(machine, report, host);
+  machine->untold = machine->untold || !same;
   if (machine->lost)
     mm_info("machine %s reports again, session %" G_GUINT64_FORMAT, machine->id.s,
             report->stamp.session);
@@ -291,9 +351,14 @@
   if (report->warned && !machine->warned)
     machine->taken = mm_time_add_ms(heard_at, (gint64)(report->notice_s * 1000));
   machine->warned = report->warned;
+  if (same) {
+    if (machine->live)
+      machine->idle_since = heard_at;
+    mm_owner_report(roster->node->owner, machine, report, FALSE);
+    return machine;
+  }
   count_faults(roster, machine, report);
-  g_array_set_size(machine->tasks, 0);
-  g_array_append_vals(machine->tasks, report->tasks->data, report->tasks->len);
+  set_tasks(roster, machine, report->tasks);
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *job = mm_book_find(roster->node->book, task->job.s);
@@ -303,12 +368,33 @@
             || (task->state == MM_SEEN_ENDED && task->cause == MM_CAUSE_DONE)))
       image_used(roster, machine, &job->spec.image, job->spec.image_gb);
   }
+  machine->live = live;
   if (live)
     machine->idle_since = heard_at;
-  mm_owner_report(roster->node->owner, machine, report);
+  mm_owner_report(roster->node->owner, machine, report, TRUE);
   return machine;
 }
 
+void
+mm_roster_beat(MmRoster *roster, const char *id, MmStamp stamp, MmTime heard_at, gint host) {
+  MmMachine *machine = mm_roster_find(roster, id);
+  MmReport report = { .stamp = stamp };
+
+  /* Unknown here since it was removed as gone: should it come back, it starts as just answered. */
+  if (machine == NULL)
+    return;
+  machine->answered = mm_time_max(machine->answered, heard_at);
+  if (!machine->heard || machine->lost || machine->gone || machine->host != host
+      || stamp.session != machine->stamp.session || !mm_stamp_newer(stamp, machine->stamp))
+    return;
+  machine->stamp = stamp;
+  machine->seen = mm_time_max(machine->seen, heard_at);
+  machine->reported = mm_time_max(machine->reported, heard_at);
+  if (machine->live)
+    machine->idle_since = heard_at;
+  mm_owner_report(roster->node->owner, machine, &report, FALSE);
+}
+
 void
 mm_roster_registered(MmRoster *roster, const char *id, const json_t *value, MmMark mark) {
   MmMachine *machine = find_or_add(roster, id);
@@ -370,7 +456,8 @@
 clear_away(MmRoster *roster, MmMachine *machine) {
   machine->lost = TRUE;
   mm_owner_machine_gone(roster->node->owner, machine);
-  g_array_set_size(machine->tasks, 0);
+  set_tasks(roster, machine, NULL);
+  machine->live = FALSE;
   g_array_set_size(machine->images, 0);
 }
 
@@ -466,6 +553,11 @@
 
 void
 mm_roster_tick(MmRoster *roster) {
+  MmTime now = mm_node_now(roster->node);
+
+  if (mm_time_before(now, roster->next))
+    return;
+  roster->next = mm_time_add_ms(now, TICK_EVERY_MS);
   find_lost(roster);
   register_new(roster);
 }
@@ -521,16 +613,7 @@
 
 guint
 mm_roster_running(const MmRoster *roster, const char *job) {
-  guint running = 0;
-
-  for (guint i = 0; i < roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(roster->order, i);
-    for (guint k = 0; k < machine->tasks->len; k++) {
-      const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, k);
-      running += task->state == MM_SEEN_RUNNING && strcmp(task->job.s, job) == 0;
-    }
-  }
-  return running;
+  return GPOINTER_TO_UINT(g_hash_table_lookup(roster->running, job));
 }
 
 /* ---- commands ---- */
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -76,6 +76,9 @@
   gboolean warned;
   MmTime taken;               /* when the cloud may take it */
   GArray *tasks;              /* MmSeenTask of the newest report */
+  gboolean unsettled;         /* the owner must look at the same tasks again */
+  gboolean live;              /* that shows a task which has not ended */
+  gboolean untold;            /* something here is new to the peers */
   gint host;                  /* the node that heard it last: a peer's index or MM_HOST_SELF */
   MmTime answered;            /* it may have been answered up to here, as far as this node knows */
   MmTime seen;                /* newest report of any kind */
@@ -127,8 +130,10 @@
 
 struct MmRoster {
   MmNode *node;
+  GHashTable *running;  /* job id -> how many of its tasks are seen running */
   GHashTable *machines; /* id -> MmMachine */
   GPtrArray *order;     /* MmMachine by id */
+  MmTime next;
 };
 
 MmRoster *mm_roster_new(MmNode *node);
@@ -141,6 +146,8 @@
 /* Takes a report in; NULL when it is older than what is known. `heard_at`: when it was made at the
  * latest; `host`: the node that heard it. */
 MmMachine *mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host);
+/* A peer answered a report that showed nothing new since the last one it told of. */
+void mm_roster_beat(MmRoster *roster, const char *id, MmStamp stamp, MmTime heard_at, gint host);
 void mm_roster_registered(MmRoster *roster, const char *id, const json_t *value, MmMark mark);
 void mm_roster_unregistered(MmRoster *roster, const char *id);
 void mm_roster_list_keys(const MmRoster *roster, const char *prefix, GPtrArray *keys);
--- a/src/edge/peer-socket.c
+++ b/src/edge/peer-socket.c
@@ -1,5 +1,6 @@
 /* Links between nodes: each node sends on connections of its own making and receives on those that
- * the others made. A frame is its length in four bytes, then the message. */
+ * the others made. A frame is its length in four bytes, then the message. What is sent within one
+ * turn of the main loop goes out in one write. */
 #include "edge/edge.h"
 
 #include <netinet/in.h>
@@ -10,7 +11,7 @@
 
 #define FRAME_MAX (1024 * 1024)
 #define QUEUE_MAX (2 * 1024 * 1024)
-#define READ_SIZE 8192
+#define READ_SIZE (32 * 1024)
 #define RETRY_MS 250
 #define CONNECT_S 2
 
@@ -19,8 +20,10 @@
   guint peer;
   char *endpoint;
   GSocketConnection *connection;
-  GByteArray *queue;   /* to be written */
-  GByteArray *writing; /* being written */
+  GByteArray *queue; /* to be written */
+  GSource *flush;    /* set to the end of this turn while something is queued */
+  GSource *writable; /* only while the socket is full */
+  GSource *readable; /* the peer never writes here: its end shows this way */
 } Out;
 
 typedef struct {
@@ -28,7 +31,6 @@
   GSocketConnection *connection;
   GByteArray *buffer;
   gint peer; /* -1 until its hello */
-  guint8 chunk[READ_SIZE];
 } In;
 
 struct MmPeerSockets {
@@ -53,32 +55,19 @@
   return g_inet_socket_address_new_from_string(host, (guint)g_ascii_strtoull(colon + 1, NULL, 10));
 }
 
-MmPeerSockets *
-mm_peer_sockets_new(const MmSettings *settings) {
-  MmPeerSockets *sockets = g_new0(MmPeerSockets, 1);
-
-  sockets->settings = settings;
-  sockets->n = settings->peers->len;
-  sockets->outs = g_new0(Out, sockets->n);
-  sockets->client = g_socket_client_new();
-  g_socket_client_set_enable_proxy(sockets->client, FALSE);
-  g_socket_client_set_timeout(sockets->client, CONNECT_S);
-  for (guint i = 0; i < sockets->n; i++) {
-    Out *out = &sockets->outs[i];
-    out->sockets = sockets;
-    out->peer = i;
-    out->endpoint = g_array_index(settings->peers, MmPeerSettings, i).endpoint;
-    out->queue = g_byte_array_new();
-  }
-  return sockets;
-}
-
 static void
-no_delay(GSocketConnection *connection) {
+prepare_socket(GSocketConnection *connection) {
   GSocket *socket = g_socket_connection_get_socket(connection);
 
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
   g_socket_set_timeout(socket, 0);
+  g_socket_set_blocking(socket, FALSE);
+}
+
+static void
+close_connection(GSocketConnection *connection) {
+  g_socket_close(g_socket_connection_get_socket(connection), NULL);
+  g_object_unref(connection);
 }
 
 /* ---- sending ---- */
@@ -89,57 +78,95 @@
   return G_SOURCE_REMOVE;
 }
 
+static void
+drop_source(GSource **source) {
+  if (*source == NULL)
+    return;
+  g_source_destroy(*source);
+  g_clear_pointer(source, g_source_unref);
+}
+
 static void
 drop_out(Out *out) {
   if (out->connection == NULL)
     return;
-  g_io_stream_close_async(G_IO_STREAM(out->connection), G_PRIORITY_DEFAULT, NULL, NULL, NULL);
-  g_clear_object(&out->connection);
+  drop_source(&out->writable);
+  drop_source(&out->readable);
+  close_connection(g_steal_pointer(&out->connection));
   g_byte_array_set_size(out->queue, 0);
   mm_links_down(out->sockets->node->links, out->peer);
   g_timeout_add(RETRY_MS, reconnect, out);
 }
 
-static void write_out(Out *out);
-
-typedef struct {
-  Out *out;
-  GSocketConnection *connection;
-  GByteArray *bytes;
-} Writing;
+static gboolean write_again(GSocket *socket, GIOCondition condition, gpointer data);
 
 static void
-written(GObject *source, GAsyncResult *result, gpointer data) {
-  Writing *writing = data;
-  Out *out = writing->out;
-  gboolean good = g_output_stream_write_all_finish(G_OUTPUT_STREAM(source), result, NULL, NULL);
-  gboolean current = out->connection == writing->connection;
-
-  g_byte_array_unref(writing->bytes);
-  g_object_unref(writing->connection);
-  g_free(writing);
-  if (!current)
+write_out(Out *out) {
+  g_autoptr(GError) error = NULL;
+  GSocket *socket;
+  gssize n;
+
+  if (out->connection == NULL || out->queue->len == 0 || out->writable != NULL)
     return;
-  out->writing = NULL;
-  if (!good)
+  socket = g_socket_connection_get_socket(out->connection);
+  n = g_socket_send(socket, (const char *)out->queue->data, out->queue->len, NULL, &error);
+  if (n > 0)
+    g_byte_array_remove_range(out->queue, 0, (guint)n);
+  else if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
     drop_out(out);
-  else
-    write_out(out);
+    return;
+  }
+  if (out->queue->len == 0)
+    return;
+  out->writable = g_socket_create_source(socket, G_IO_OUT, NULL);
+  g_source_set_callback(out->writable, G_SOURCE_FUNC(write_again), out, NULL);
+  g_source_attach(out->writable, NULL);
 }
 
-static void
-write_out(Out *out) {
-  Writing *writing;
+static gboolean
+write_again(GSocket *socket, GIOCondition condition, gpointer data) {
+  Out *out = data;
 
-  if (out->connection == NULL || out->writing != NULL || out->queue->len == 0)
-    return;
-  out->writing = out->queue;
-  out->queue = g_byte_array_new();
-  writing = g_new(Writing, 1);
-  *writing = (Writing){ out, g_object_ref(out->connection), out->writing };
-  g_output_stream_write_all_async(g_io_stream_get_output_stream(G_IO_STREAM(out->connection)),
-                                  out->writing->data, out->writing->len, G_PRIORITY_DEFAULT, NULL,
-                                  written, writing);
+  g_clear_pointer(&out->writable, g_source_unref);
+  write_out(out);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+flush_due(GSource *source, GSourceFunc callback, gpointer data) {
+  g_source_set_ready_time(source, -1);
+  return callback(data);
+}
+
+static gboolean
+flush(gpointer data) {
+  write_out(data);
+  return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs flush_funcs = { NULL, NULL, flush_due, NULL, NULL, NULL };
+
+MmPeerSockets *
+mm_peer_sockets_new(const MmSettings *settings) {
+  MmPeerSockets *sockets = g_new0(MmPeerSockets, 1);
+
+  sockets->settings = settings;
+  sockets->n = settings->peers->len;
+  sockets->outs = g_new0(Out, sockets->n);
+  sockets->client = g_socket_client_new();
+  g_socket_client_set_enable_proxy(sockets->client, FALSE);
+  g_socket_client_set_timeout(sockets->client, CONNECT_S);
+  for (guint i = 0; i < sockets->n; i++) {
+    Out *out = &sockets->outs[i];
+    out->sockets = sockets;
+    out->peer = i;
+    out->endpoint = g_array_index(settings->peers, MmPeerSettings, i).endpoint;
+    out->queue = g_byte_array_new();
+    out->flush = g_source_new(&flush_funcs, sizeof(GSource));
+    g_source_set_callback(out->flush, flush, out, NULL);
+    g_source_attach(out->flush, NULL);
+  }
+  return sockets;
 }
 
 void
@@ -147,48 +174,42 @@
   Out *out = &sockets->outs[peer];
   guint32 length = (guint32)mm__frame__get_packed_size(frame);
   guint32 big = g_htonl(length);
-  guint at;
+  guint at = out->queue->len;
 
   if (out->connection == NULL)
     return;
-  if (out->queue->len + length > QUEUE_MAX) {
+  if (at + length > QUEUE_MAX) {
     mm_info("peer %u does not read: its link is closed", peer);
     drop_out(out);
     return;
   }
-  at = out->queue->len;
   g_byte_array_set_size(out->queue, at + 4 + length);
   memcpy(out->queue->data + at, &big, 4);
   mm__frame__pack(frame, out->queue->data + at + 4);
-  write_out(out);
+  g_source_set_ready_time(out->flush, 0);
 }
 
-/* The peer never writes on our link: anything read, and above all its end, means it is over. */
-static void
-out_read(GObject *source, GAsyncResult *result, gpointer data) {
-  Out *out = data;
-
-  g_input_stream_skip_finish(G_INPUT_STREAM(source), result, NULL);
-  if (out->connection != NULL
-      && g_io_stream_get_input_stream(G_IO_STREAM(out->connection)) == G_INPUT_STREAM(source))
-    drop_out(out);
+static gboolean
+out_read(GSocket *socket, GIOCondition condition, gpointer data) {
+  drop_out(data);
+  return G_SOURCE_REMOVE;
 }
 
 static void
 connected(GObject *source, GAsyncResult *result, gpointer data) {
   Out *out = data;
-  g_autoptr(GSocketConnection) connection
+  GSocketConnection *connection
       = g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, NULL);
 
   if (connection == NULL) {
     g_timeout_add(RETRY_MS, reconnect, out);
     return;
   }
-  no_delay(connection);
-  out->connection = g_steal_pointer(&connection);
-  out->writing = NULL;
-  g_input_stream_skip_async(g_io_stream_get_input_stream(G_IO_STREAM(out->connection)), 1,
-                            G_PRIORITY_DEFAULT, NULL, out_read, out);
+  prepare_socket(connection);
+  out->connection = connection;
+  out->readable = g_socket_create_source(g_socket_connection_get_socket(connection), G_IO_IN, NULL);
+  g_source_set_callback(out->readable, G_SOURCE_FUNC(out_read), out, NULL);
+  g_source_attach(out->readable, NULL);
   mm_links_up(out->sockets->node->links, out->peer);
 }
 
@@ -206,14 +227,6 @@
 
 /* ---- receiving ---- */
 
-static void
-drop_in(In *in) {
-  g_io_stream_close_async(G_IO_STREAM(in->connection), G_PRIORITY_DEFAULT, NULL, NULL, NULL);
-  g_object_unref(in->connection);
-  g_byte_array_unref(in->buffer);
-  g_free(in);
-}
-
 /* FALSE when the stream makes no sense. */
 static gboolean
 take_frames(In *in) {
@@ -245,36 +258,42 @@
   return TRUE;
 }
 
-static void
-in_read(GObject *source, GAsyncResult *result, gpointer data) {
+static gboolean
+in_read(GSocket *socket, GIOCondition condition, gpointer data) {
   In *in = data;
-  gssize n = g_input_stream_read_finish(G_INPUT_STREAM(source), result, NULL);
-
-  if (n <= 0) {
-    drop_in(in);
-    return;
-  }
-  g_byte_array_append(in->buffer, in->chunk, (guint)n);
-  if (!take_frames(in)) {
+  g_autoptr(GError) error = NULL;
+  guint at = in->buffer->len;
+  gssize n;
+
+  g_byte_array_set_size(in->buffer, at + READ_SIZE);
+  n = g_socket_receive(socket, (char *)in->buffer->data + at, READ_SIZE, NULL, &error);
+  g_byte_array_set_size(in->buffer, at + (guint)MAX(n, 0));
+  if (n < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    return G_SOURCE_CONTINUE;
+  if (n > 0 && take_frames(in))
+    return G_SOURCE_CONTINUE;
+  if (n > 0)
     mm_info("a peer's link makes no sense and is closed");
-    drop_in(in);
-    return;
-  }
-  g_input_stream_read_async(G_INPUT_STREAM(source), in->chunk, READ_SIZE, G_PRIORITY_DEFAULT, NULL,
-                            in_read, in);
+  close_connection(in->connection);
+  g_byte_array_unref(in->buffer);
+  g_free(in);
+  return G_SOURCE_REMOVE;
 }
 
 static gboolean
 incoming(GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data) {
   In *in = g_new0(In, 1);
+  GSource *readable;
 
   in->sockets = data;
   in->connection = g_object_ref(connection);
   in->buffer = g_byte_array_new();
   in->peer = -1;
-  no_delay(connection);
-  g_input_stream_read_async(g_io_stream_get_input_stream(G_IO_STREAM(connection)), in->chunk,
-                            READ_SIZE, G_PRIORITY_DEFAULT, NULL, in_read, in);
+  prepare_socket(connection);
+  readable = g_socket_create_source(g_socket_connection_get_socket(connection), G_IO_IN, NULL);
+  g_source_set_callback(readable, G_SOURCE_FUNC(in_read), in, NULL);
+  g_source_attach(readable, NULL);
+  g_source_unref(readable);
   return TRUE;
 }
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -410,29 +410,28 @@
   return n;
 }
 
-/* Machines of this kind on the way: listed but not heard, or rented and not listed. */
-static guint
-coming(MmFleet *fleet, const MmType *type, const MmName *zone, gboolean spot) {
-  MmOffer *offer = offer_for(fleet, &type->name, zone, spot);
+/* Machines on the way, by kind: listed but not heard, or rented and not listed. */
+static void
+count_coming(MmFleet *fleet) {
   MmTime now = mm_node_now(fleet->node);
-  guint n;
   GHashTableIter iter;
   gpointer value;
 
-  if (mm_time_ms_since(now, offer->asked_at)
-      > (gint64)(3000 * MAX(fleet->node->settings->cloud_list_lag_s, 1)))
-    offer->asked = 0;
-  n = offer->asked;
+  for (guint i = 0; i < fleet->offers->len; i++) {
+    MmOffer *offer = &g_array_index(fleet->offers, MmOffer, i);
+    if (mm_time_ms_since(now, offer->asked_at)
+        > (gint64)(3000 * MAX(fleet->node->settings->cloud_list_lag_s, 1)))
+      offer->asked = 0;
+    offer->coming = offer->asked;
+  }
   g_hash_table_iter_init(&iter, fleet->listed);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     const MmListed *listed = value;
     const MmMachine *machine = mm_roster_find(fleet->node->roster, listed->id.s);
-    n += !listed->releasing && !listed->failed && (machine == NULL || !machine->heard)
-         && mm_time_ms_since(now, listed->listed) < UNLISTED_MS
-         && mm_name_equal(&listed->type, &type->name) && mm_name_equal(&listed->zone, zone)
-         && listed->spot == spot;
+    if (!listed->releasing && !listed->failed && (machine == NULL || !machine->heard)
+        && mm_time_ms_since(now, listed->listed) < UNLISTED_MS)
+      offer_for(fleet, &listed->type, &listed->zone, listed->spot)->coming++;
   }
-  return n;
 }
 
 typedef struct {
@@ -505,6 +504,7 @@
 
   if (fleet->renting || !fleet->list_known || node->operators->rent < 0.5)
     return;
+  count_coming(fleet);
   for (guint v = 0; v < rank->n_views; v++) {
     for (guint i = 0; i < rank->views[v].waiting->len; i++) {
       const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
@@ -523,9 +523,8 @@
         const Option *option = &g_array_index(options, Option, o);
         MmOffer *offer = offer_for(fleet, &option->type->name, &option->zone, option->spot);
         gpointer key = GUINT_TO_POINTER((guint)(offer - (MmOffer *)fleet->offers->data) + 1);
-        guint on_way = coming(fleet, option->type, &option->zone, option->spot);
         guint used = GPOINTER_TO_UINT(g_hash_table_lookup(promised, key));
-        guint room = on_way * option->slots;
+        guint room = offer->coming * option->slots;
         guint take = MIN(tasks, room > used ? room - used : 0);
 
         g_hash_table_insert(promised, key, GUINT_TO_POINTER(used + take));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -26,6 +26,7 @@
   guint refusals;
   guint asked; /* rented but not yet listed */
   MmTime asked_at;
+  guint coming; /* on the way, as of the last plan */
 } MmOffer;
 
 struct MmFleet {
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -135,32 +135,38 @@
   return !job->spec.spread || here < mm_spec_zone_limit(&job->spec);
 }
 
-/* What the team's tasks take or might take: all that may be on a machine, stops under way included,
- * and on a machine that has not been heard whatever fits there. */
-gboolean
-mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks) {
-  MmRoom limit = held->team->limit;
-  MmRoom used = { 0 };
-  MmBook *book = owner->node->book;
+static void
+sum_unheard(MmOwner *owner, MmHeld *held) {
   GHashTableIter iter;
   gpointer id;
 
-  if (limit.cores <= 0 && limit.accelerators <= 0)
-    return TRUE;
-  for (guint i = 0; i < book->order->len; i++) {
-    const MmJob *other = g_ptr_array_index(book->order, i);
-    if (other->tasks == NULL || other->live == 0 || strcmp(other->part, held->name) != 0)
-      continue;
-    used.cores += other->live * other->spec.need.cores;
-    used.accelerators += other->live * other->spec.need.accelerators;
-  }
+  held->unheard_changed = FALSE;
+  held->unheard_any = FALSE;
+  held->unheard_room = (MmRoom){ 0 };
   g_hash_table_iter_init(&iter, held->unheard);
   while (g_hash_table_iter_next(&iter, &id, NULL)) {
     const MmMachine *machine = mm_roster_find(owner->node->roster, id);
     if (machine == NULL || machine->type == NULL)
-      return FALSE;
-    used = mm_room_add(used, machine->type->room);
+      held->unheard_any = held->unheard_changed = TRUE; /* its type may become known */
+    else
+      held->unheard_room = mm_room_add(held->unheard_room, machine->type->room);
   }
+}
+
+/* What the team's tasks take or might take: all that may be on a machine, stops under way included,
+ * and on a machine that has not been heard whatever fits there. */
+gboolean
+mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks) {
+  MmRoom limit = held->team->limit;
+  MmRoom used;
+
+  if (limit.cores <= 0 && limit.accelerators <= 0)
+    return TRUE;
+  if (held->unheard_changed)
+    sum_unheard(owner, held);
+  if (held->unheard_any)
+    return FALSE;
+  used = mm_room_add(held->used, held->unheard_room);
   used.cores += tasks * job->spec.need.cores;
   used.accelerators += tasks * job->spec.need.accelerators;
   return (limit.cores <= 0 || used.cores <= limit.cores + MM_ROOM_SLACK)
@@ -354,10 +360,29 @@
   return FALSE;
 }
 
+/* In an order as old as the last slow tick at most. */
+static const GPtrArray *
+pressing_jobs(MmOwner *owner) {
+  MmBook *book = owner->node->book;
+
+  if (!owner->pressing_stale)
+    return owner->pressing;
+  owner->pressing_stale = FALSE;
+  g_ptr_array_set_size(owner->pressing, 0);
+  for (guint i = 0; i < book->order->len; i++) {
+    MmJob *job = g_ptr_array_index(book->order, i);
+    if (job->tasks != NULL && !mm_job_is_gang(job) && !job->cancelled)
+      g_ptr_array_add(owner->pressing, job);
+  }
+  g_ptr_array_sort(owner->pressing, mm_owner_compare_pressing);
+  return owner->pressing;
+}
+
 gboolean
 mm_owner_ask(MmOwner *owner, const MmAsk *ask, MmApproval *approval) {
   MmBook *book = owner->node->book;
   g_autoptr(GPtrArray) jobs = NULL;
+  const GPtrArray *pressing;
 
   if (!mm_claims_valid(owner->node->claims) || !mm_machine_usable(owner->node->roster, ask->machine)
       || mm_stamp_newer(ask->machine->stamp, ask->stamp)
@@ -365,16 +390,16 @@
     return FALSE;
   if (mm_owner_reserved(owner, ask, approval))
     return TRUE;
-  jobs = g_ptr_array_new();
-  for (guint i = 0; i < book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(book->order, i);
-    if (job->tasks != NULL && job->idle > 0 && !mm_job_is_gang(job)
-        && mm_room_fits(job->spec.need, ask->room) && mm_owner_open(owner, job))
+  pressing = pressing_jobs(owner);
+  jobs = g_ptr_array_sized_new(pressing->len);
+  for (guint i = 0; i < pressing->len; i++) {
+    MmJob *job = g_ptr_array_index(pressing, i);
+    if (job->idle > 0 && mm_room_fits(job->spec.need, ask->room) && mm_owner_open(owner, job)
+        && mm_owner_quota_allows(owner, job->held, job, 1))
       g_ptr_array_add(jobs, job);
   }
   if (jobs->len == 0)
     return FALSE;
-  g_ptr_array_sort(jobs, mm_owner_compare_pressing);
   if (try_first(owner, ask, jobs, approval))
     return TRUE;
   while (ask->machine->kept->len > 0)
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -9,7 +9,8 @@
 #define WRITE_EVERY_MS 1000
 #define WRITE_DELAY_MS 300
 #define SLOW_TICK_MS 200
-#define ECHO_EVERY_MS 1500
+#define ECHO_EVERY_MS 3000
+#define ECHOES_A_ROUND 4
 #define STOP_EVERY_MS 2000
 #define BACKLOG_JOBS 64
 #define BACKLOG_TASKS 512
@@ -29,6 +30,7 @@
   MmOwner *owner = g_new0(MmOwner, 1);
 
   owner->node = node;
+  owner->pressing = g_ptr_array_new();
   owner->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
   owner->guesses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return owner;
@@ -36,6 +38,7 @@
 
 void
 mm_owner_free(MmOwner *owner) {
+  g_ptr_array_unref(owner->pressing);
   g_hash_table_unref(owner->held);
   g_hash_table_unref(owner->guesses);
   g_free(owner);
@@ -43,7 +46,7 @@
 
 MmHeld *
 mm_owner_held(const MmOwner *owner, const MmJob *job) {
-  return g_hash_table_lookup(owner->held, job->part);
+  return job->held != NULL ? job->held : g_hash_table_lookup(owner->held, job->part);
 }
 
 /* ---- where tasks are ---- */
@@ -74,6 +77,12 @@
   job->live -= is_live(task->state);
   job->idle += state == MM_TASK_IDLE;
   job->live += is_live(state);
+  if (is_live(state) != is_live(task->state)) {
+    MmHeld *held = mm_owner_held(owner, job);
+    if (held != NULL)
+      held->used = is_live(state) ? mm_room_add(held->used, job->spec.need)
+                                  : mm_room_sub(held->used, job->spec.need);
+  }
   task->state = state;
   task->since = mm_node_now(owner->node);
   if (state == MM_TASK_IDLE)
@@ -118,19 +127,29 @@
 
 static void
 drop_job(MmOwner *owner, MmJob *job) {
+  MmHeld *held = mm_owner_held(owner, job);
+
+  if (held != NULL && job->live > 0) {
+    held->used.cores -= job->live * job->spec.need.cores;
+    held->used.accelerators -= job->live * job->spec.need.accelerators;
+  }
   for (guint i = 0; job->tasks != NULL && i < job->spec.tasks; i++)
     unlist(job->tasks[i].machine, job, i);
   g_clear_pointer(&job->tasks, g_free);
   mm_done_set_clear(&job->done);
   job->idle = job->live = 0;
   job->writing = FALSE;
+  job->held = NULL;
+  owner->pressing_stale = TRUE;
   mm_rank_changed(owner->node->rank);
 }
 
 static void
-adopt_job(MmOwner *owner, MmJob *job) {
+adopt_job(MmOwner *owner, MmHeld *held, MmJob *job) {
   MmTime now = mm_node_now(owner->node);
 
+  job->held = held;
+  owner->pressing_stale = TRUE;
   job->tasks = g_new0(MmTask, job->spec.tasks);
   mm_done_set_init(&job->done, job->spec.tasks);
   job->first_idle = 0;
@@ -190,7 +209,7 @@
   for (guint i = 0; i < node->book->order->len; i++) {
     MmJob *job = g_ptr_array_index(node->book->order, i);
     if (strcmp(job->part, name) == 0)
-      adopt_job(owner, job);
+      adopt_job(owner, held, job);
   }
   /* Machines registered later than this term only ever get starts of this term or a later one:
    * whoever answers them has seen their registration, and so the term, in the replica. */
@@ -204,6 +223,7 @@
       g_hash_table_add(held->unheard, g_strdup(machine->id.s));
     machine->echo_asked.us = 0;
   }
+  held->unheard_changed = TRUE;
   mm_info("part %s is held here with term %" G_GUINT64_FORMAT ", %u machines to hear", name,
           held->term.v, g_hash_table_size(held->unheard));
   check_ready(owner, held);
@@ -236,7 +256,7 @@
   mm_owner_set_due(owner, job);
 
   if (held != NULL && job->tasks == NULL) {
-    adopt_job(owner, job);
+    adopt_job(owner, held, job);
     /* The watch shows changes in order: this job came after the part was taken, so no earlier
      * holder can have started any of it. */
     job->known_after_claim = job->mark.v > held->mark.v && owner->node->replica->loaded;
@@ -427,14 +447,21 @@
 
 static void
 take_tasks(MmOwner *owner, MmMachine *machine, const char *only_part) {
+  gboolean unsettled = FALSE;
+
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     MmJob *job = mm_book_find(owner->node->book, seen->job.s);
+    unsettled = unsettled || job == NULL || seen->state == MM_SEEN_ENDED;
     if (job == NULL || job->tasks == NULL || seen->number >= job->spec.tasks)
       continue;
     if (only_part == NULL || strcmp(only_part, job->part) == 0)
       take_task(owner, machine, job, seen);
+    unsettled = unsettled || job->tasks[seen->number].machine != machine;
   }
+  /* A record may come after the report that shows its tasks, and a result may be taken only once
+   * another attempt has left its machine: the same report must then be looked at again. */
+  machine->unsettled = unsettled;
 }
 
 /* Tasks placed on the machine that this report does not show have left it; a start is denied only
@@ -507,20 +534,23 @@
 }
 
 void
-mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report) {
+mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report, gboolean changed) {
   GHashTableIter iter;
   gpointer value;
 
   if (g_hash_table_size(owner->held) == 0)
     return;
-  take_tasks(owner, machine, NULL);
+  if (changed || machine->unsettled)
+    take_tasks(owner, machine, NULL);
   miss_tasks(owner, machine, report);
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     MmHeld *held = value;
     if (!held->ready && machine->token.v >= held->term.v
-        && g_hash_table_remove(held->unheard, machine->id.s))
+        && g_hash_table_remove(held->unheard, machine->id.s)) {
+      held->unheard_changed = TRUE;
       check_ready(owner, held);
+    }
   }
   commands_for(owner, machine, report);
 }
@@ -538,8 +568,10 @@
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     MmHeld *held = value;
-    if (g_hash_table_remove(held->unheard, machine->id.s))
+    if (g_hash_table_remove(held->unheard, machine->id.s)) {
+      held->unheard_changed = TRUE;
       check_ready(owner, held);
+    }
   }
 }
 
@@ -748,7 +780,9 @@
   }
   for (guint i = 0; i < book->order->len; i++) {
     MmJob *job = g_ptr_array_index(book->order, i);
-    if (job->tasks != NULL && job->idle > 0 && mm_owner_open(owner, job))
+    /* What its team's limit keeps from starting need not be asked for, nor machines rented. */
+    if (job->tasks != NULL && job->idle > 0 && mm_owner_open(owner, job)
+        && mm_owner_quota_allows(owner, job->held, job, 1))
       g_ptr_array_add(jobs, job);
   }
   g_ptr_array_sort(jobs, mm_owner_compare_pressing);
@@ -771,19 +805,45 @@
 
 /* ---- the loop ---- */
 
-/* An empty command spreads the term, and its answer is an echo. */
+/* Sums that are kept as tasks come and go are taken anew now and then: amounts are fractions. */
+static void
+sum_up(MmOwner *owner) {
+  MmBook *book = owner->node->book;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init(&iter, owner->held);
+  while (g_hash_table_iter_next(&iter, NULL, &value))
+    ((MmHeld *)value)->used = (MmRoom){ 0 };
+  for (guint i = 0; i < book->order->len; i++) {
+    const MmJob *job = g_ptr_array_index(book->order, i);
+    MmHeld *held = job->live > 0 ? mm_owner_held(owner, job) : NULL;
+    if (held == NULL)
+      continue;
+    held->used.cores += job->live * job->spec.need.cores;
+    held->used.accelerators += job->live * job->spec.need.accelerators;
+    held->used.memory_gb += job->live * job->spec.need.memory_gb;
+  }
+}
+
+/* An empty command spreads the term, and its answer is an echo. Only machines that do not report
+ * are asked, a few at a time: asking four hundred at once took all the processor time there was,
+ * and claims ended over it. */
 static void
 ask_echoes(MmOwner *owner) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
+  gint64 quiet_ms = (gint64)(node->settings->report_s * 1500);
+  guint left = ECHOES_A_ROUND;
 
-  for (guint i = 0; i < node->roster->order->len; i++) {
+  for (guint i = 0; i < node->roster->order->len && left > 0; i++) {
     MmMachine *machine = g_ptr_array_index(node->roster->order, i);
     GHashTableIter iter;
     gpointer value;
     gboolean wanted = FALSE;
 
-    if (machine->lost || mm_time_ms_since(now, machine->echo_asked) < ECHO_EVERY_MS)
+    if (machine->lost || mm_time_ms_since(now, machine->echo_asked) < ECHO_EVERY_MS
+        || mm_time_ms_since(now, machine->reported) < quiet_ms)
       continue;
     g_hash_table_iter_init(&iter, owner->held);
     while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -791,6 +851,7 @@
     if (!wanted)
       continue;
     machine->echo_asked = now;
+    left--;
     send_direct(owner, machine, json_array());
   }
 }
@@ -825,6 +886,8 @@
   owner->next_slow = mm_time_add_ms(now, SLOW_TICK_MS);
   for (guint i = 0; i < owner->node->book->order->len; i++)
     mm_owner_set_due(owner, g_ptr_array_index(owner->node->book->order, i));
+  sum_up(owner);
+  owner->pressing_stale = TRUE;
   ask_echoes(owner);
   repeat_stops(owner);
   mm_owner_plan_gangs(owner);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -12,15 +12,19 @@
 #include "peers.pb-c.h"
 #include "rank/rank.h"
 
-typedef struct {
+struct MmHeld {
   char *name;
   MmTerm term;
   MmMark mark;
   MmTime taken;
   const MmTeamSettings *team;
+  MmRoom used;          /* by tasks that are or may be on machines */
+  MmRoom unheard_room;  /* what unheard machines might hold beside them */
+  gboolean unheard_any; /* one of them is of an unknown type: that may be anything */
+  gboolean unheard_changed;
   GHashTable *unheard; /* ids of machines that may hold tasks that are not known of */
   gboolean ready;
-} MmHeld;
+};
 
 typedef struct {
   double seen_s;
@@ -33,7 +37,9 @@
   GHashTable *guesses; /* class -> MmGuesses: how far users' guesses are off */
   guint64 sequence;    /* of attempts */
   gboolean writing;
-  guint solo; /* so many of the next writes carry one job only */
+  guint solo;          /* so many of the next writes carry one job only */
+  GPtrArray *pressing; /* MmJob of the parts held here, most pressing first */
+  gboolean pressing_stale;
   MmTime next_slow;
   MmTime next_move;
 };
@@ -63,7 +69,8 @@
 void mm_owner_job_changed(MmOwner *owner, MmJob *job);
 void mm_owner_job_removed(MmOwner *owner, MmJob *job);
 void mm_owner_cancelled(MmOwner *owner, const char *job);
-void mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report);
+/* `changed`: the report shows other tasks than the one before. */
+void mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report, gboolean changed);
 void mm_owner_machine_gone(MmOwner *owner, MmMachine *machine);
 /* Adds MmWaiting for what is unassigned in the parts held here, most pressing first, and the names
  * of machines with reserved places. */
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -7,12 +7,17 @@
 #include "store/replica.h"
 #include "store/store.h"
 
+/* How long reports that show nothing new may wait to be told together. */
+#define BEATS_EVERY_MS 200
+#define BEATS_MAX 1024
+
 MmLinks *
 mm_links_new(MmNode *node) {
   MmLinks *links = g_new0(MmLinks, 1);
 
   links->node = node;
   links->n_peers = node->settings->peers->len;
+  links->beats = g_array_new(FALSE, FALSE, sizeof(MmBeat));
   links->peers = g_new0(MmPeer, links->n_peers);
   for (guint i = 0; i < links->n_peers; i++)
     links->peers[i].label = g_array_index(node->settings->peers, MmPeerSettings, i).label;
@@ -21,6 +26,7 @@
 
 void
 mm_links_free(MmLinks *links) {
+  g_array_unref(links->beats);
   g_free(links->peers);
   g_free(links);
 }
@@ -105,8 +111,44 @@
   mm_links_send(links, peer, &frame);
 }
 
+static void
+tell_beats(MmLinks *links) {
+  guint n = links->beats->len;
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Beats beats = MM__BEATS__INIT;
+  g_autofree char **machines = g_new(char *, MAX(n, 1));
+  g_autofree guint64 *sessions = g_new(guint64, MAX(n, 1));
+  g_autofree guint64 *seqs = g_new(guint64, MAX(n, 1));
+
+  links->beat_told = mm_node_now(links->node);
+  if (n == 0)
+    return;
+  for (guint i = 0; i < n; i++) {
+    MmBeat *beat = &g_array_index(links->beats, MmBeat, i);
+    machines[i] = beat->machine.s;
+    sessions[i] = beat->stamp.session;
+    seqs[i] = beat->stamp.seq;
+  }
+  beats.machines = machines;
+  beats.sessions = sessions;
+  beats.seqs = seqs;
+  beats.n_machines = beats.n_sessions = beats.n_seqs = n;
+  frame.body_case = MM__FRAME__BODY_BEATS;
+  frame.beats = &beats;
+  send_to_all(links, &frame);
+  g_array_set_size(links->beats, 0);
+}
+
 void
-mm_links_tell_report(MmLinks *links, const MmMachine *machine) {
+mm_links_tell_report(MmLinks *links, MmMachine *machine) {
+  if (!machine->untold) {
+    MmBeat beat = { machine->id, machine->stamp };
+    g_array_append_val(links->beats, beat);
+    if (links->beats->len >= BEATS_MAX)
+      tell_beats(links);
+    return;
+  }
+  machine->untold = FALSE;
   for (guint i = 0; i < links->n_peers; i++)
     if (links->peers[i].up)
       send_report(links, i, machine);
@@ -264,6 +306,18 @@
   mm_report_clear(&report);
 }
 
+static void
+take_beats(MmLinks *links, guint peer, const Mm__Beats *beats) {
+  MmTime now = mm_node_now(links->node);
+
+  if (beats->n_sessions != beats->n_machines || beats->n_seqs != beats->n_machines)
+    return;
+  for (size_t i = 0; i < beats->n_machines; i++) {
+    MmStamp stamp = { beats->sessions[i], beats->seqs[i] };
+    mm_roster_beat(links->node->roster, beats->machines[i], stamp, now, (gint)peer);
+  }
+}
+
 static void
 take_commands(MmLinks *links, const Mm__Commands *message) {
   MmMachine *machine = mm_roster_find(links->node->roster, message->machine);
@@ -289,6 +343,8 @@
   Mm__Frame frame = MM__FRAME__INIT;
   Mm__Pong pong = MM__PONG__INIT;
 
+  /* The pong says that all answers given before the ping are known: so they are told first. */
+  tell_beats(links);
   pong.at_us = ping->at_us;
   pong.outage_ms = outage_ms(links);
   pong.claim = links->node->claims->claim;
@@ -323,6 +379,9 @@
   case MM__FRAME__BODY_REPORT:
     take_report(links, index, frame->report);
     break;
+  case MM__FRAME__BODY_BEATS:
+    take_beats(links, index, frame->beats);
+    break;
   case MM__FRAME__BODY_ASK:
     mm_owner_peer_ask(links->node->owner, index, frame->ask);
     break;
@@ -353,6 +412,8 @@
   Mm__Frame frame = MM__FRAME__INIT;
   Mm__Ping ping = MM__PING__INIT;
 
+  if (mm_time_ms_since(now, links->beat_told) >= BEATS_EVERY_MS)
+    tell_beats(links);
   if (mm_time_before(now, links->next_ping))
     return;
   links->next_ping = mm_time_add_ms(now, (gint64)(links->node->operators->peer_ping_s * 1000));
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -17,11 +17,18 @@
   guint machines;
 } MmPeer;
 
+typedef struct {
+  MmName machine;
+  MmStamp stamp;
+} MmBeat;
+
 struct MmLinks {
   MmNode *node;
   MmPeer *peers;
   guint n_peers;
   MmTime next_ping;
+  GArray *beats; /* MmBeat not yet told; before any pong they are */
+  MmTime beat_told;
   guint64 frames_out;
 };
 
@@ -41,7 +48,9 @@
 /* A peer that may answer workers, best the one with fewest machines; -1: none. */
 gint mm_links_other(const MmLinks *links);
 
-void mm_links_tell_report(MmLinks *links, const MmMachine *machine);
+/* A report that was heard here and is about to be answered: whole when it shows anything new, else
+ * in one of the batches that keep peers informed of who was answered. */
+void mm_links_tell_report(MmLinks *links, MmMachine *machine);
 void mm_links_tell_cancelled(MmLinks *links, const char *job);
 void mm_links_tell_gone(MmLinks *links, const char *machine);
 void mm_links_tell_commands(MmLinks *links, guint peer, const MmMachine *machine,
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -4,7 +4,8 @@
 #include "peers/links.h"
 #include "rank/modulo.h"
 
-#define TELL_EVERY_MS 30
+#define TELL_EVERY_MS 100
+#define GIVE_UP_EVERY_MS 100
 #define TELL_AGAIN_MS 1000
 #define RANKED_MAX 512
 #define UNKNOWN_MS 20000
@@ -260,6 +261,10 @@
   const MmRoster *roster = rank->node->roster;
   const MmMachine *next = NULL;
   guint n = 0, given_up = 0;
+  MmTime now = mm_node_now(rank->node);
+
+  if (mm_time_ms_since(now, rank->given_up_at) < GIVE_UP_EVERY_MS)
+    return machine == rank->next_given_up;
 
   for (guint i = 0; i < roster->order->len; i++) {
     const MmMachine *other = g_ptr_array_index(roster->order, i);
@@ -272,7 +277,9 @@
     else if (next == NULL)
       next = other;
   }
-  return !still_unknown(rank) && n >= 2 && given_up < MAX(n / 3, 1) && machine == next;
+  rank->given_up_at = now;
+  rank->next_given_up = !still_unknown(rank) && n >= 2 && given_up < MAX(n / 3, 1) ? next : NULL;
+  return next != NULL && machine == rank->next_given_up;
 }
 
 typedef struct {
--- a/src/rank/rank.h
+++ b/src/rank/rank.h
@@ -24,7 +24,9 @@
   MmNode *node;
   MmBacklogView *views; /* this node's own first, then the peers' */
   guint n_views;
-  gboolean dirty; /* our own backlog has changed since it was told */
+  const MmMachine *next_given_up; /* as of `given_up_at`; looking at all machines each time */
+  MmTime given_up_at;             /* took a fifth of an owner's time */
+  gboolean dirty;                 /* our own backlog has changed since it was told */
   MmTime told;
   /* The largest need of work with accelerators seen so far. */
   gboolean accelerated;
--- a/tests/world/cloud.c
+++ b/tests/world/cloud.c
@@ -3,8 +3,6 @@
 
 #include "base/wire.h"
 
-#define CAPACITY 6
-
 static const struct {
   const char *name;
   double cores, accelerators, memory_gb, boot_s;
@@ -18,7 +16,8 @@
 
   machine->world = world;
   g_snprintf(machine->id, sizeof machine->id, "m-%06u", ++world->next_machine);
-  g_snprintf(machine->addr, sizeof machine->addr, "10.1.0.%u:9000", world->next_machine);
+  g_snprintf(machine->addr, sizeof machine->addr, "10.1.%u.%u:9000",
+             world->next_machine / 200, world->next_machine % 200 + 1);
   g_strlcpy(machine->type, type, sizeof machine->type);
   g_strlcpy(machine->zone, zone, sizeof machine->zone);
   machine->spot = spot;
@@ -77,12 +76,12 @@
     there += !machine->gone && strcmp(machine->type, type) == 0 && strcmp(machine->zone, zone) == 0
              && machine->spot == spot;
   }
-  if (there >= CAPACITY) {
+  if (there >= world->capacity) {
     *answer = mm_json_error("no capacity");
     return 503;
   }
   names = json_array();
-  for (; count > 0 && there < CAPACITY; count--, there++)
+  for (; count > 0 && there < world->capacity; count--, there++)
     json_array_append_new(names,
                           json_string(world_add_machine(world, type, zone, spot,
                                                         boot_s * world_uniform(world, 0.6, 1.5))
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -54,6 +54,6 @@
     }
   }
   for (guint i = 0; i < 4; i++)
-    if (cores[i] > 24 + 1e-6)
+    if (cores[i] > world->team_cores + 1e-6)
       world_break(world, "quota: team-%u uses %g cores", i, cores[i]);
 }
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -282,7 +282,8 @@
   WorldNode *to = &parcel->world->nodes[parcel->to];
 
   if (to->node != NULL && to->life == parcel->to_life && from->life == parcel->from_life) {
-    Mm__Frame *frame = mm__frame__unpack(NULL, parcel->length, parcel->bytes);
+    Mm__Frame *frame;
+    frame = mm__frame__unpack(NULL, parcel->length, parcel->bytes);
     mm_links_frame(to->node->links, peer_index(parcel->to, parcel->from), frame);
     mm__frame__free_unpacked(frame, NULL);
   }
@@ -571,7 +572,8 @@
   for (guint i = 0; i < 4; i++) {
     g_autofree char *name = g_strdup_printf("team-%u", i);
     json_array_append_new(teams, json_pack("{s:s, s:f, s:f, s:f, s:f}", "name", name, "cpus", 4.0,
-                                           "gpus", 0.0, "cpus_max", 24.0, "gpus_max", 0.0));
+                                           "gpus", 0.0, "cpus_max", world->team_cores, "gpus_max",
+                                           0.0));
   }
   json_object_set_new(root, "others", others);
   json_object_set_new(json_object_get(root, "settings"), "teams", teams);
@@ -600,6 +602,8 @@
   world->lease_s = 8;
   world->report_s = 1;
   world->cancel_s = 25;
+  world->capacity = 6;
+  world->team_cores = 24;
   world->broken = g_ptr_array_new_with_free_func(g_free);
   world->machines = g_ptr_array_new();
   world->jobs = g_ptr_array_new();
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -125,6 +125,8 @@
   double believed_lease_s; /* what the nodes' settings say; 0: the truth */
 
   double lease_s, report_s, cancel_s;
+  guint capacity;    /* machines of each type, zone and kind that the cloud has */
+  double team_cores; /* each team's limit */
   guint starts;
   gboolean closing;  /* users have gone home */
   GPtrArray *broken; /* broken rules, as text */
