--- a/tests/world/cloud.c
+++ b/tests/world/cloud.c
@@ -16,8 +16,8 @@
 
   machine->world = world;
   g_snprintf(machine->id, sizeof machine->id, "m-%06u", ++world->next_machine);
-  g_snprintf(machine->addr, sizeof machine->addr, "10.1.%u.%u:9000",
-             world->next_machine / 200, world->next_machine % 200 + 1);
+  g_snprintf(machine->addr, sizeof machine->addr, "10.1.%u.%u:9000", world->next_machine / 200,
+             world->next_machine % 200 + 1);
   g_strlcpy(machine->type, type, sizeof machine->type);
   g_strlcpy(machine->zone, zone, sizeof machine->zone);
   machine->spot = spot;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -571,9 +571,9 @@
   }
   for (guint i = 0; i < 4; i++) {
     g_autofree char *name = g_strdup_printf("team-%u", i);
-    json_array_append_new(teams, json_pack("{s:s, s:f, s:f, s:f, s:f}", "name", name, "cpus", 4.0,
-                                           "gpus", 0.0, "cpus_max", world->team_cores, "gpus_max",
-                                           0.0));
+    json_array_append_new(teams,
+                          json_pack("{s:s, s:f, s:f, s:f, s:f}", "name", name, "cpus", 4.0, "gpus",
+                                    0.0, "cpus_max", world->team_cores, "gpus_max", 0.0));
   }
   json_object_set_new(root, "others", others);
   json_object_set_new(json_object_get(root, "settings"), "teams", teams);
