--- a/src/edge/http-server.c
+++ b/src/edge/http-server.c
@@ -17,10 +17,12 @@
 struct MmHttpServer {
   struct MHD_Daemon *daemon;
   MmNode *node;
+  GSource *source;
 };
 
 typedef struct {
   MmExchange exchange;
+  MmHttpServer *server;
   struct MHD_Connection *connection;
   GByteArray *body;
   gboolean too_long;
@@ -49,8 +51,11 @@
   exchange->retry_after_s = retry_after_s;
   if (exchange->gone)
     exchange_free(exchange);
-  else if (!exchange->inside)
+  else if (!exchange->inside) {
     MHD_resume_connection(exchange->connection);
+    /* Whatever its descriptor shows: answers once waited for the next request to come in. */
+    g_source_set_ready_time(exchange->server->source, 0);
+  }
 }
 
 static enum MHD_Result
@@ -91,6 +96,7 @@
   if (exchange == NULL) {
     *request = exchange = g_new0(Exchange, 1);
     exchange->exchange.answer = answer;
+    exchange->server = self;
     exchange->connection = connection;
     return MHD_YES;
   }
@@ -162,6 +168,7 @@
 
 static gboolean
 source_dispatch(GSource *source, GSourceFunc callback, gpointer data) {
+  g_source_set_ready_time(source, -1);
   MHD_run(((DaemonSource *)source)->server->daemon);
   return G_SOURCE_CONTINUE;
 }
@@ -177,6 +184,7 @@
   source->server = self;
   source->epoll = g_source_add_unix_fd(&source->base, info->epoll_fd, G_IO_IN);
   g_source_attach(&source->base, NULL);
+  self->source = &source->base;
 }
 
 MmHttpServer *
