Pack the register, one read for many polls, claims before all else

Changes: packs of a few dozen machines a key, each node its own, guarded as before, with lost ones taken off in one go; polls wait for the replica to reach a revision that is read once for all who ask within a short while; watches are paced by the settings' request limit; the state service's answers and the tick go first in the main loop. Two hazards seen while arguing it: an entry of a newer session than the lost one keeps the machine on the register; while pages are read, a term may show that is newer than the part map, so nothing is answered until the watch has come as far.

--- /dev/null
+++ b/src/checkin/register.c
@@ -0,0 +1,291 @@
+#include "checkin/register.h"
+
+#include "store/replica.h"
+#include "store/store.h"
+
+#define EVERY_MS 250
+/* All nodes read a pack anew whenever it changes: a few dozen machines each. */
+#define PACK_BYTES 4096
+
+static void
+pack_free(gpointer data) {
+  MmPack *pack = data;
+
+  g_array_unref(pack->entries);
+  g_free(pack);
+}
+
+MmRegister *
+mm_register_new(MmNode *node) {
+  MmRegister *reg = g_new0(MmRegister, 1);
+
+  reg->node = node;
+  reg->packs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pack_free);
+  return reg;
+}
+
+void
+mm_register_free(MmRegister *reg) {
+  g_hash_table_unref(reg->packs);
+  g_free(reg);
+}
+
+/* ---- packs as JSON ---- */
+
+static json_t *
+pack_json(const GArray *entries) {
+  json_t *list = json_array();
+
+  for (guint i = 0; i < entries->len; i++) {
+    const MmEntry *e = &g_array_index(entries, MmEntry, i);
+    json_array_append_new(list, json_pack("[s, s, s, s, i, I]", e->machine.s, e->addr, e->type.s,
+                                          e->zone.s, e->spot ? 1 : 0, (json_int_t)e->session));
+  }
+  return json_pack("{s:o}", "v", list);
+}
+
+static gsize
+entry_bytes(const MmEntry *e) {
+  return strlen(e->machine.s) + strlen(e->addr) + strlen(e->type.s) + strlen(e->zone.s) + 40;
+}
+
+static GArray *
+read_pack(const json_t *value) {
+  GArray *entries = g_array_new(FALSE, TRUE, sizeof(MmEntry));
+  size_t i;
+  json_t *item;
+
+  json_array_foreach(mm_json_get(value, "v"), i, item) {
+    MmEntry e = { .machine = mm_name(json_string_value(json_array_get(item, 0))),
+                  .type = mm_name(json_string_value(json_array_get(item, 2))),
+                  .zone = mm_name(json_string_value(json_array_get(item, 3))),
+                  .spot = json_integer_value(json_array_get(item, 4)) != 0,
+                  .session = (guint64)json_integer_value(json_array_get(item, 5)) };
+    const char *addr = json_string_value(json_array_get(item, 1));
+    if (mm_name_is_empty(&e.machine))
+      continue;
+    g_strlcpy(e.addr, addr != NULL ? addr : "", sizeof e.addr);
+    g_array_append_val(entries, e);
+  }
+  return entries;
+}
+
+static const MmEntry *
+find_entry(const GArray *entries, const char *machine) {
+  for (guint i = 0; i < entries->len; i++)
+    if (strcmp(g_array_index(entries, MmEntry, i).machine.s, machine) == 0)
+      return &g_array_index(entries, MmEntry, i);
+  return NULL;
+}
+
+/* The machine's newest session in the register, or NULL. */
+static const MmEntry *
+newest(const MmRegister *reg, const char *machine) {
+  const MmEntry *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init(&iter, reg->packs);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    const MmEntry *e = find_entry(((MmPack *)value)->entries, machine);
+    if (e != NULL && (best == NULL || e->session > best->session))
+      best = e;
+  }
+  return best;
+}
+
+/* ---- from the replica ---- */
+
+/* Entries that a pack no longer has. */
+static void
+left_out(MmRegister *reg, const GArray *old, const GArray *now) {
+  for (guint i = 0; i < old->len; i++) {
+    const MmEntry *e = &g_array_index(old, MmEntry, i);
+    const MmEntry *other;
+    if (now != NULL && find_entry(now, e->machine.s) != NULL)
+      continue;
+    other = newest(reg, e->machine.s);
+    if (other != NULL)
+      mm_roster_registered(reg->node->roster, other);
+    else
+      mm_roster_unregistered(reg->node->roster, e->machine.s);
+  }
+}
+
+void
+mm_register_put(MmRegister *reg, const char *name, const json_t *value, MmMark mark) {
+  MmPack *pack = g_hash_table_lookup(reg->packs, name);
+  g_autoptr(GArray) old = NULL;
+
+  if (pack != NULL && mark.v < pack->mark.v)
+    return;
+  if (pack == NULL) {
+    pack = g_new0(MmPack, 1);
+    g_hash_table_insert(reg->packs, g_strdup(name), pack);
+  }
+  old = g_steal_pointer(&pack->entries);
+  pack->mark = mark;
+  pack->entries = read_pack(value);
+  for (guint i = 0; i < pack->entries->len; i++) {
+    const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
+    const MmMachine *machine = mm_roster_find(reg->node->roster, e->machine.s);
+    if (machine == NULL || !machine->registered || e->session > machine->registered_session)
+      mm_roster_registered(reg->node->roster, e);
+  }
+  if (old != NULL)
+    left_out(reg, old, pack->entries);
+}
+
+void
+mm_register_remove(MmRegister *reg, const char *name) {
+  MmPack *pack = g_hash_table_lookup(reg->packs, name);
+  g_autoptr(GArray) old = NULL;
+
+  if (pack == NULL)
+    return;
+  old = g_array_ref(pack->entries);
+  g_hash_table_remove(reg->packs, name);
+  left_out(reg, old, NULL);
+}
+
+void
+mm_register_list_keys(const MmRegister *reg, const char *prefix, GPtrArray *keys) {
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init(&iter, reg->packs);
+  while (g_hash_table_iter_next(&iter, &name, NULL))
+    g_ptr_array_add(keys, g_strconcat(prefix, name, NULL));
+}
+
+/* ---- entering ---- */
+
+static void
+entered(gpointer data, int status, json_t *body) {
+  MmRegister *reg = data;
+
+  /* Who is entered is for the replica to show; what is not shown is tried again. */
+  reg->writing = FALSE;
+  reg->next = mm_time_add_ms(mm_node_now(reg->node), EVERY_MS);
+}
+
+static GPtrArray *
+to_enter(const MmRegister *reg) {
+  GPtrArray *list = g_ptr_array_new();
+  const GPtrArray *order = reg->node->roster->order;
+
+  for (guint i = 0; i < order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(order, i);
+    if (!mm_machine_is_registered(machine) && machine->heard && !machine->lost
+        && !machine->releasing && machine->host == MM_HOST_SELF)
+      g_ptr_array_add(list, machine);
+  }
+  return list;
+}
+
+/* What the pack should hold: its entries without those that a newer session has replaced elsewhere,
+ * and of the list as many as there is room for, which are taken off it. */
+static GArray *
+filled(const MmRegister *reg, const MmPack *pack, GPtrArray *list) {
+  GArray *entries = g_array_new(FALSE, TRUE, sizeof(MmEntry));
+  gsize most = MIN(reg->node->settings->state_value_bytes, PACK_BYTES) - 64, bytes = 0;
+
+  for (guint i = 0; pack != NULL && i < pack->entries->len; i++) {
+    const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
+    const MmMachine *machine = mm_roster_find(reg->node->roster, e->machine.s);
+    if (machine != NULL
+        && (e->session < machine->registered_session || g_ptr_array_find(list, machine, NULL)))
+      continue;
+    g_array_append_val(entries, *e);
+    bytes += entry_bytes(e);
+  }
+  while (list->len > 0) {
+    const MmMachine *machine = g_ptr_array_index(list, list->len - 1);
+    MmEntry e = { .machine = machine->id,
+                  .type = machine->type_name,
+                  .zone = machine->zone,
+                  .spot = machine->spot,
+                  .session = machine->stamp.session };
+    memcpy(e.addr, machine->addr, sizeof e.addr);
+    if (bytes + entry_bytes(&e) > most)
+      break;
+    bytes += entry_bytes(&e);
+    g_array_append_val(entries, e);
+    g_ptr_array_set_size(list, (gint)list->len - 1);
+  }
+  return entries;
+}
+
+/* Each node writes packs of its own, so that nodes do not get in each other's way. */
+void
+mm_register_tick(MmRegister *reg) {
+  MmNode *node = reg->node;
+  MmTime now = mm_node_now(node);
+  g_autoptr(GPtrArray) list = NULL;
+  MmTxn txn;
+
+  if (reg->writing || mm_time_before(now, reg->next) || mm_store_in_trouble(node->store)
+      || !node->replica->loaded)
+    return;
+  reg->next = mm_time_add_ms(now, EVERY_MS);
+  list = to_enter(reg);
+  if (list->len == 0)
+    return;
+  txn = mm_txn();
+  for (guint k = 0; list->len > 0 && txn.puts < node->settings->state_txn_ops; k++) {
+    g_autofree char *name = g_strdup_printf("%s/%u", node->settings->label.s, k);
+    const MmPack *pack = g_hash_table_lookup(reg->packs, name);
+    guint before = list->len;
+    g_autoptr(GArray) entries = filled(reg, pack, list);
+
+    if (list->len == before)
+      continue;
+    if (!mm_store_may_write(node->store, 1))
+      break;
+    mm_txn_guard(&txn, MM_KEY_PACK, name, pack != NULL ? pack->mark : (MmMark){ 0 });
+    mm_txn_put(&txn, MM_KEY_PACK, name, pack_json(entries), 0);
+  }
+  reg->writing = txn.puts > 0;
+  mm_store_commit_any(node->store, &txn, entered, reg);
+}
+
+/* ---- taking off ---- */
+
+static void
+dropped(gpointer data, int status, json_t *body) {
+  ((MmRegister *)data)->dropping = FALSE;
+}
+
+void
+mm_register_drop_lost(MmRegister *reg) {
+  MmNode *node = reg->node;
+  GHashTableIter iter;
+  gpointer name, value;
+  MmTxn txn;
+
+  if (reg->dropping || mm_store_in_trouble(node->store))
+    return;
+  txn = mm_txn();
+  g_hash_table_iter_init(&iter, reg->packs);
+  while (txn.puts < node->settings->state_txn_ops && g_hash_table_iter_next(&iter, &name, &value)) {
+    const MmPack *pack = value;
+    g_autoptr(GArray) kept = g_array_new(FALSE, TRUE, sizeof(MmEntry));
+    for (guint i = 0; i < pack->entries->len; i++) {
+      const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
+      const MmMachine *machine = mm_roster_find(node->roster, e->machine.s);
+      /* `stamp` is of the session that is lost, or nothing was heard of it at all. */
+      if (machine == NULL || !machine->lost
+          || (machine->heard && !machine->gone && e->session > machine->stamp.session))
+        g_array_append_val(kept, *e);
+    }
+    if (kept->len == pack->entries->len || !mm_store_may_write(node->store, 1))
+      continue;
+    mm_txn_guard(&txn, MM_KEY_PACK, name, pack->mark);
+    if (kept->len > 0)
+      mm_txn_put(&txn, MM_KEY_PACK, name, pack_json(kept), 0);
+    else
+      mm_txn_delete(&txn, MM_KEY_PACK, name);
+  }
+  reg->dropping = txn.puts > 0;
+  mm_store_commit_any(node->store, &txn, dropped, reg);
+}
--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -4,14 +4,14 @@
 #include <stdlib.h>
 
 #include "base/wire.h"
+#include "checkin/register.h"
 #include "owner/owner.h"
 #include "peers/links.h"
 #include "store/replica.h"
-#include "store/store.h"
 
 #define QUEUED_MAX 256
 #define TASKS_MAX 4096
-/* Both look at every machine. */
+/* It looks at every machine. */
 #define TICK_EVERY_MS 150
 #define DRIFT 0.002
 #define LOST_MARGIN_MS 250
@@ -395,25 +395,33 @@
   mm_owner_report(roster->node->owner, machine, &report, FALSE);
 }
 
-void
-mm_roster_registered(MmRoster *roster, const char *id, const json_t *value, MmMark mark) {
-  MmMachine *machine = find_or_add(roster, id);
+gboolean
+mm_machine_is_registered(const MmMachine *machine) {
+  return machine->registered && machine->registered_session >= machine->stamp.session;
+}
 
+void
+mm_roster_registered(MmRoster *roster, const MmEntry *entry) {
+  MmMachine *machine = find_or_add(roster, entry->machine.s);
+
+  /* Somebody has heard a newer session than the one that is lost: that one may hold tasks. */
+  if (machine->lost && !machine->gone && entry->session > machine->registered_session
+      && (!machine->heard || entry->session > machine->stamp.session)) {
+    machine->lost = FALSE;
+    machine->answered = mm_node_now(roster->node);
+  }
   machine->registered = TRUE;
-  machine->registered_session = mm_json_count(value, "t", 0);
-  machine->registered_mark = mark;
-  machine->registering = FALSE;
+  machine->registered_session = entry->session;
   if (machine->heard)
     return;
-  machine->type_name = mm_name(mm_json_string(value, "y"));
+  machine->type_name = entry->type;
   machine->type = mm_types_find(roster->node->types, &machine->type_name);
-  machine->zone = mm_name(mm_json_string(value, "z"));
-  machine->spot = mm_json_count(value, "s", 0) != 0;
-  if (mm_json_string(value, "a") != NULL)
-    g_strlcpy(machine->addr, mm_json_string(value, "a"), sizeof machine->addr);
+  machine->zone = entry->zone;
+  machine->spot = entry->spot;
+  memcpy(machine->addr, entry->addr, sizeof machine->addr);
 }
 
-/* Only lost and returned machines are taken off the register, see mm_roster_unregister. */
+/* Only lost and returned machines are taken off the register. */
 void
 mm_roster_unregistered(MmRoster *roster, const char *id) {
   MmMachine *machine = mm_roster_find(roster, id);
@@ -429,27 +437,6 @@
     mm_roster_remove(roster, machine);
 }
 
-void
-mm_roster_unregister(MmRoster *roster, MmMachine *machine) {
-  MmTxn txn = mm_txn();
-
-  machine->unregistering = mm_node_now(roster->node);
-  /* The guard fails once the machine has been registered with a newer session. */
-  mm_txn_guard(&txn, MM_KEY_MACHINE, machine->id.s, machine->registered_mark);
-  mm_txn_delete(&txn, MM_KEY_MACHINE, machine->id.s);
-  /* Should it fail, it is tried again. */
-  mm_store_commit(roster->node->store, &txn, NULL, NULL);
-}
-
-void
-mm_roster_list_keys(const MmRoster *roster, const char *prefix, GPtrArray *keys) {
-  for (guint i = 0; i < roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(roster->order, i);
-    if (machine->registered)
-      g_ptr_array_add(keys, g_strconcat(prefix, machine->id.s, NULL));
-  }
-}
-
 /* ---- lost machines ---- */
 
 static void
@@ -489,68 +476,6 @@
   }
 }
 
-/* ---- registration: in the state service before a session's first start ---- */
-
-static gboolean
-is_registered(const MmMachine *machine) {
-  return machine->registered && machine->registered_session >= machine->stamp.session;
-}
-
-typedef struct {
-  MmRoster *roster;
-  GPtrArray *ids;
-} Registration;
-
-static void
-registration_answered(gpointer data, int status, json_t *body) {
-  Registration *r = data;
-
-  /* Whether it is registered is for the replica to show. */
-  for (guint i = 0; i < r->ids->len && status != 200; i++) {
-    MmMachine *machine = mm_roster_find(r->roster, g_ptr_array_index(r->ids, i));
-    if (machine != NULL)
-      machine->registering = FALSE;
-  }
-  g_ptr_array_unref(r->ids);
-  g_free(r);
-}
-
-static void
-register_new(MmRoster *roster) {
-  MmNode *node = roster->node;
-  Registration *r;
-  MmTxn txn;
-
-  if (mm_store_in_trouble(node->store) || !node->replica->loaded)
-    return;
-  r = g_new(Registration, 1);
-  *r = (Registration){ roster, g_ptr_array_new_with_free_func(g_free) };
-  txn = mm_txn();
-  for (guint i = 0; i < roster->order->len && txn.puts < node->settings->state_txn_ops; i++) {
-    MmMachine *machine = g_ptr_array_index(roster->order, i);
-    if (is_registered(machine) || machine->registering || !machine->heard || machine->lost
-        || machine->releasing || machine->host != MM_HOST_SELF)
-      continue;
-    if (!mm_store_may_write(node->store, 1))
-      break;
-    machine->registering = TRUE;
-    mm_txn_put(&txn, MM_KEY_MACHINE, machine->id.s,
-               json_pack("{s:s, s:s, s:s, s:i, s:I}", "a", machine->addr, "y", machine->type_name.s,
-                         "z", machine->zone.s, "s", machine->spot ? 1 : 0, "t",
-                         (json_int_t)machine->stamp.session),
-               0);
-    g_ptr_array_add(r->ids, g_strdup(machine->id.s));
-  }
-  if (txn.puts > 0) {
-    mm_store_commit(node->store, &txn, registration_answered, r);
-    return;
-  }
-  json_decref(txn.guards);
-  json_decref(txn.apply);
-  g_ptr_array_unref(r->ids);
-  g_free(r);
-}
-
 void
 mm_roster_tick(MmRoster *roster) {
   MmTime now = mm_node_now(roster->node);
@@ -559,7 +484,6 @@
     return;
   roster->next = mm_time_add_ms(now, TICK_EVERY_MS);
   find_lost(roster);
-  register_new(roster);
 }
 
 /* ---- rooms ---- */
@@ -594,7 +518,7 @@
 mm_machine_usable(const MmRoster *roster, const MmMachine *machine) {
   MmTime now = mm_node_now(roster->node);
 
-  return machine->heard && is_registered(machine) && !machine->lost && !machine->warned
+  return machine->heard && mm_machine_is_registered(machine) && !machine->lost && !machine->warned
          && !machine->releasing && machine->type != NULL && !mm_time_before(now, machine->shunned);
 }
 
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -85,9 +85,6 @@
   MmTime reported;            /* newest report made to a node */
   gboolean registered;        /* in the state service, as the replica shows */
   guint64 registered_session; /* starts need a registration of the session itself */
-  MmMark registered_mark;
-  MmTime unregistering;
-  gboolean registering;
   gboolean lost;
   gboolean gone; /* returned: the cloud has said so */
   gboolean releasing;
@@ -148,13 +145,10 @@
 MmMachine *mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host);
 /* A peer answered a report that showed nothing new since the last one it told of. */
 void mm_roster_beat(MmRoster *roster, const char *id, MmStamp stamp, MmTime heard_at, gint host);
-void mm_roster_registered(MmRoster *roster, const char *id, const json_t *value, MmMark mark);
+typedef struct MmEntry MmEntry;
+void mm_roster_registered(MmRoster *roster, const MmEntry *entry);
 void mm_roster_unregistered(MmRoster *roster, const char *id);
-void mm_roster_list_keys(const MmRoster *roster, const char *prefix, GPtrArray *keys);
 void mm_roster_remove(MmRoster *roster, MmMachine *machine);
-/* Takes a lost or returned machine off the register, unless a newer session was registered
- * meanwhile: then nobody waits to hear it after the next taking of a part. */
-void mm_roster_unregister(MmRoster *roster, MmMachine *machine);
 /* The cloud has proved it gone. Late reports of it may still come; they change nothing. */
 void mm_roster_gone(MmRoster *roster, const char *id);
 void mm_roster_tick(MmRoster *roster);
@@ -166,6 +160,8 @@
 const MmSeenTask *mm_machine_seen(const MmMachine *machine, const MmName *job, guint number,
                                   MmAttempt attempt);
 gboolean mm_machine_caches(const MmMachine *machine, const MmName *image);
+/* Whether its session is in the register: only then it may be given starts. */
+gboolean mm_machine_is_registered(const MmMachine *machine);
 /* A machine that may be given work at all. */
 gboolean mm_machine_usable(const MmRoster *roster, const MmMachine *machine);
 /* Whether every registered machine has been heard lately. */
--- a/src/edge/http-client.c
+++ b/src/edge/http-client.c
@@ -6,9 +6,13 @@
 #define CONNECTIONS_A_HOST 24
 #define IDLE_S 60
 
+/* The state service goes before everything else that waits: a node too busy to renew its claim
+ * would lose its parts and be busier still. */
+static const int priorities[] = { G_PRIORITY_HIGH, G_PRIORITY_DEFAULT, G_PRIORITY_DEFAULT };
+
 struct MmHttpClient {
-  SoupSession *session;
-  char *bases[3]; /* by MmTarget; none for workers */
+  SoupSession *sessions[3]; /* by MmTarget */
+  char *bases[3];           /* by MmTarget; none for workers */
 };
 
 typedef struct {
@@ -23,11 +27,13 @@
 mm_http_client_new(const MmSettings *settings) {
   MmHttpClient *client = g_new0(MmHttpClient, 1);
 
-  client->session = soup_session_new_with_options(
-      "max-conns", CONNECTIONS_MAX, "max-conns-per-host", CONNECTIONS_A_HOST, "idle-timeout",
-      IDLE_S, "proxy-resolver", NULL, NULL);
-  soup_session_remove_feature_by_type(client->session, SOUP_TYPE_CONTENT_DECODER);
-  soup_session_remove_feature_by_type(client->session, SOUP_TYPE_AUTH_MANAGER);
+  for (guint i = 0; i < G_N_ELEMENTS(client->sessions); i++) {
+    client->sessions[i] = soup_session_new_with_options(
+        "max-conns", CONNECTIONS_MAX, "max-conns-per-host", CONNECTIONS_A_HOST, "idle-timeout",
+        IDLE_S, "proxy-resolver", NULL, NULL);
+    soup_session_remove_feature_by_type(client->sessions[i], SOUP_TYPE_CONTENT_DECODER);
+    soup_session_remove_feature_by_type(client->sessions[i], SOUP_TYPE_AUTH_MANAGER);
+  }
   client->bases[MM_TARGET_STORE] = g_strconcat("http://", settings->state, NULL);
   client->bases[MM_TARGET_CLOUD] = g_strconcat("http://", settings->cloud, NULL);
   return client;
@@ -113,6 +119,6 @@
   call->answered = answered;
   call->data = data;
   call->timer = g_timeout_add(timeout_ms, timed_out, call);
-  soup_session_send_and_read_async(client->session, message, G_PRIORITY_DEFAULT, call->cancellable,
-                                   finished, call);
+  soup_session_send_and_read_async(client->sessions[target], message, priorities[target],
+                                   call->cancellable, finished, call);
 }
--- a/src/edge/main.c
+++ b/src/edge/main.c
@@ -76,7 +76,7 @@
     return EXIT_FAILURE;
   }
   mm_info("%s serves %s in zone %s", settings->label.s, settings->front, settings->zone.s);
-  g_timeout_add(MM_NODE_TICK_MS, tick, node);
+  g_timeout_add_full(G_PRIORITY_HIGH, MM_NODE_TICK_MS, tick, node, NULL);
   mm_node_start(node);
   g_main_loop_run(loop); /* until the process is killed */
   return EXIT_SUCCESS;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "base/wire.h"
+#include "checkin/register.h"
 #include "owner/owner.h"
 #include "peers/links.h"
 #include "parts/claims.h"
@@ -24,7 +25,6 @@
 #define PROBE_MS 900
 #define TAKEN_MS 1500
 #define RELEASE_AGAIN_MS 1500
-#define UNREGISTER_AGAIN_MS 5000
 
 static void list(MmFleet *fleet, const char *after);
 
@@ -165,9 +165,7 @@
     mm_info("machine %s has been returned", id);
     mm_roster_gone(node->roster, id);
     mm_links_tell_gone(node->links, id);
-    if (machine->registered)
-      mm_roster_unregister(node->roster, machine);
-    else
+    if (!machine->registered)
       mm_roster_remove(node->roster, machine);
   }
   g_ptr_array_unref(release->ids);
@@ -322,22 +320,6 @@
   g_free(release);
 }
 
-/* A lost machine stays on the register for nobody: after the next taking of a part it would have to
- * be proved lost once more before its tasks, or any others, could be given out. */
-static void
-unregister_lost(MmFleet *fleet) {
-  MmNode *node = fleet->node;
-  MmTime now = mm_node_now(node);
-
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
-    if (machine->registered && machine->lost && !mm_store_in_trouble(node->store)
-        && mm_time_ms_since(now, machine->unregistering) > UNREGISTER_AGAIN_MS
-        && mm_store_may_write(node->store, 1))
-      mm_roster_unregister(node->roster, machine);
-  }
-}
-
 /* ---- renting ---- */
 
 typedef struct {
@@ -559,6 +541,8 @@
     return;
   fleet->next_plan = mm_time_add_ms(now, PLAN_EVERY_MS);
   return_machines(fleet);
-  unregister_lost(fleet);
+  /* A lost machine stays on the register for nobody: after the next taking of a part it would have
+   * to be proved lost once more before its tasks, or any others, could be given out. */
+  mm_register_drop_lost(node->reg);
   plan(fleet);
 }
--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -9,9 +9,11 @@
 #include "jobs/book.h"
 #include "owner/owner.h"
 #include "peers/links.h"
+#include "store/replica.h"
 #include "store/store.h"
 
 #define CANCEL_TRIES 6
+#define REFUSED_MS 500
 
 typedef struct {
   MmNode *node;
@@ -44,6 +46,12 @@
   g_free(call);
 }
 
+static gboolean
+refused_just_now(const MmNode *node) {
+  return mm_store_in_trouble(node->store)
+         && mm_time_ms_since(mm_node_now(node), node->store->last_refused) < REFUSED_MS;
+}
+
 /* The final answer of this request: come again later. */
 static void
 give_up(Call *call) {
@@ -57,9 +65,9 @@
                    W_RUNNING, (json_int_t)running);
 }
 
-/* From the record as the state service just showed it; counts are for display only. */
+/* Counts are for display only. */
 static void
-answer_from_record(Call *call) {
+answer_unfinished(Call *call, gboolean cancelled) {
   MmJob *job = mm_book_find(call->node->book, call->id.s);
   guint running = mm_roster_running(call->node->roster, call->id.s);
   guint done = 0;
@@ -67,7 +75,7 @@
 
   if (job != NULL)
     done = job->tasks != NULL ? job->done.count : job->recorded.count;
-  if (mm_json_count(call->record, "c", 0) != 0)
+  if (cancelled)
     state = W_CANCELLED;
   else if (running > 0)
     state = W_RUNNING;
@@ -135,7 +143,7 @@
   if (call->cancel && mm_json_count(call->record, "c", 0) == 0)
     write_cancel(call, (MmMark){ mm_json_count(body, W_VERSION, 0) });
   else
-    answer_from_record(call);
+    answer_unfinished(call, mm_json_count(call->record, "c", 0) != 0);
 }
 
 static void
@@ -144,20 +152,42 @@
 
   if (final != NULL)
     finish(call, 200, final, 0);
-  else if (mm_store_in_trouble(call->node->store) && call->tries == 0
-           && mm_time_ms_since(mm_node_now(call->node), call->node->store->last_refused) < 500)
+  else if (call->tries == 0 && refused_just_now(call->node))
     give_up(call);
   else
     mm_store_get(call->node->store, MM_KEY_JOB, call->id.s, record_read, call);
 }
 
+/* The replica holds all that was written when the question came: whatever any node had told of the
+ * job by then shows here. */
+static void
+replica_current(gpointer data, gboolean current) {
+  Call *call = data;
+  const MmJob *job = mm_book_find(call->node->book, call->id.s);
+  json_t *final = mm_book_final(call->node->book, call->id.s);
+
+  if (final != NULL)
+    finish(call, 200, final, 0);
+  else if (!current)
+    give_up(call);
+  else if (job != NULL)
+    answer_unfinished(call, job->cancelled);
+  else
+    mm_store_get(call->node->store, MM_KEY_FINAL, call->id.s, final_read, call);
+}
+
 void
 mm_api_status(MmNode *node, const char *id, MmExchange *exchange) {
-  if (!mm_spec_id_is_valid(id)) {
+  json_t *final = mm_book_final(node->book, id);
+
+  if (final != NULL)
+    mm_exchange_answer(exchange, 200, final, 0);
+  else if (!mm_spec_id_is_valid(id))
     mm_exchange_answer(exchange, 404, mm_json_error("no such job"), 0);
-    return;
-  }
-  lookup(call_new(node, exchange, id));
+  else if (refused_just_now(node))
+    give_up(call_new(node, exchange, id));
+  else
+    mm_replica_when_current(node->replica, replica_current, call_new(node, exchange, id));
 }
 
 void
@@ -224,8 +254,7 @@
     finish(call, 422, mm_json_error(reason), 0);
     return;
   }
-  if (mm_store_in_trouble(node->store)
-      && mm_time_ms_since(mm_node_now(node), node->store->last_refused) < 500) {
+  if (refused_just_now(node)) {
     give_up(call);
     return;
   }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -2,6 +2,7 @@
 
 #include "base/wire.h"
 #include "checkin/checkin.h"
+#include "checkin/register.h"
 #include "checkin/roster.h"
 #include "fleet/fleet.h"
 #include "fleet/types.h"
@@ -32,6 +33,7 @@
   node->book = mm_book_new(node);
   node->types = mm_types_new(node);
   node->roster = mm_roster_new(node);
+  node->reg = mm_register_new(node);
   node->checkin = mm_checkin_new(node);
   node->rank = mm_rank_new(node);
   node->owner = mm_owner_new(node);
@@ -43,15 +45,16 @@
 void
 mm_node_free(MmNode *node) {
   mm_checkin_free(node->checkin);
+  mm_replica_free(node->replica); /* answers those who wait for it */
   mm_links_free(node->links);
   mm_fleet_free(node->fleet);
   mm_owner_free(node->owner);
   mm_rank_free(node->rank);
+  mm_register_free(node->reg);
   mm_roster_free(node->roster);
   mm_types_free(node->types);
   mm_book_free(node->book);
   mm_claims_free(node->claims);
-  mm_replica_free(node->replica);
   mm_store_free(node->store);
   g_rand_free(node->rand);
   g_free(node);
@@ -66,10 +69,12 @@
 void
 mm_node_tick(MmNode *node) {
   mm_claims_tick(node->claims);
+  mm_replica_tick(node->replica);
   mm_links_tick(node->links);
   mm_types_tick(node->types);
   mm_checkin_tick(node->checkin);
   mm_roster_tick(node->roster);
+  mm_register_tick(node->reg);
   mm_owner_tick(node->owner);
   mm_rank_tick(node->rank);
   mm_fleet_tick(node->fleet);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,6 +14,7 @@
 typedef struct MmClaims MmClaims;
 typedef struct MmBook MmBook;
 typedef struct MmRoster MmRoster;
+typedef struct MmRegister MmRegister;
 typedef struct MmCheckin MmCheckin;
 typedef struct MmRank MmRank;
 typedef struct MmOwner MmOwner;
@@ -33,6 +34,7 @@
   MmClaims *claims;
   MmBook *book;
   MmRoster *roster;
+  MmRegister *reg;
   MmCheckin *checkin;
   MmRank *rank;
   MmOwner *owner;
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -2,7 +2,7 @@
 
 #include "base/wire.h"
 #include "checkin/checkin.h"
-#include "checkin/roster.h"
+#include "checkin/register.h"
 #include "fleet/types.h"
 #include "jobs/book.h"
 #include "owner/owner.h"
@@ -12,6 +12,20 @@
 #define WATCH_MS 1500
 #define RETRY_MS 200
 #define PAGE 400
+/* Of the state service's requests, the share that one node's watches, and its reads of the
+ * revision, may take. */
+#define WATCH_SHARE 0.1
+#define READ_SHARE 0.05
+#define CURRENT_MS 1500
+#define WAITERS_MAX 512
+
+typedef struct {
+  MmCurrent call;
+  gpointer data;
+  MmTime deadline;
+  guint64 read;  /* which read of the revision answers for it; 0: none yet */
+  guint64 epoch; /* what the replica must have reached; 0: not known yet */
+} Waiter;
 
 static void load(gpointer data);
 static void watch(gpointer data);
@@ -21,6 +35,7 @@
   MmReplica *replica = g_new0(MmReplica, 1);
 
   replica->node = node;
+  replica->waiters = g_queue_new();
   replica->parts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   replica->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return replica;
@@ -28,6 +43,13 @@
 
 void
 mm_replica_free(MmReplica *replica) {
+  Waiter *waiter;
+
+  while ((waiter = g_queue_pop_head(replica->waiters)) != NULL) {
+    waiter->call(waiter->data, FALSE);
+    g_free(waiter);
+  }
+  g_queue_free(replica->waiters);
   g_hash_table_unref(replica->parts);
   g_hash_table_unref(replica->nodes);
   g_clear_pointer(&replica->seen, g_hash_table_unref);
@@ -79,8 +101,8 @@
     put_part(replica, key + strlen(MM_KEY_PART), value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_NODE)) {
     put_node(replica, key + strlen(MM_KEY_NODE), value);
-  } else if (g_str_has_prefix(key, MM_KEY_MACHINE)) {
-    mm_roster_registered(replica->node->roster, key + strlen(MM_KEY_MACHINE), value, mark);
+  } else if (g_str_has_prefix(key, MM_KEY_PACK)) {
+    mm_register_put(replica->node->reg, key + strlen(MM_KEY_PACK), value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_JOB)) {
     mm_book_put(replica->node->book, key + strlen(MM_KEY_JOB), value, mark);
   }
@@ -95,13 +117,109 @@
       node_gone(replica);
       mm_info("node %s is gone", key + strlen(MM_KEY_NODE));
     }
-  } else if (g_str_has_prefix(key, MM_KEY_MACHINE)) {
-    mm_roster_unregistered(replica->node->roster, key + strlen(MM_KEY_MACHINE));
+  } else if (g_str_has_prefix(key, MM_KEY_PACK)) {
+    mm_register_remove(replica->node->reg, key + strlen(MM_KEY_PACK));
   } else if (g_str_has_prefix(key, MM_KEY_JOB)) {
     mm_book_remove(replica->node->book, key + strlen(MM_KEY_JOB));
   }
 }
 
+/* ---- questions that need a current replica ---- */
+
+static void
+let_go(MmReplica *replica, GList *link, gboolean current) {
+  Waiter *waiter = link->data;
+
+  g_queue_delete_link(replica->waiters, link);
+  waiter->call(waiter->data, current);
+  g_free(waiter);
+}
+
+static void
+answer_waiters(MmReplica *replica) {
+  MmTime now = mm_node_now(replica->node);
+  GList *next;
+
+  for (GList *link = replica->waiters->head; link != NULL; link = next) {
+    const Waiter *waiter = link->data;
+    next = link->next;
+    if (waiter->epoch != 0 && waiter->epoch <= replica->epoch && replica->loaded)
+      let_go(replica, link, TRUE);
+    else if (!mm_time_before(now, waiter->deadline))
+      let_go(replica, link, FALSE);
+  }
+}
+
+static void
+revision_read(gpointer data, int status, json_t *body) {
+  MmReplica *replica = data;
+  guint64 epoch = mm_json_count(body, W_REVISION, 0);
+  GList *next;
+
+  replica->reading = FALSE;
+  for (GList *link = replica->waiters->head; link != NULL; link = next) {
+    Waiter *waiter = link->data;
+    next = link->next;
+    if (waiter->read != replica->reads || waiter->epoch != 0)
+      continue;
+    if (status == 404 && epoch != 0)
+      waiter->epoch = epoch;
+    else if (status == 429)
+      waiter->read = 0; /* one more try */
+    else
+      let_go(replica, link, FALSE);
+  }
+  answer_waiters(replica);
+}
+
+static void
+read_revision(MmReplica *replica) {
+  MmTime now = mm_node_now(replica->node);
+  gint64 every_ms = (gint64)(1000 / (replica->node->settings->state_rps * READ_SHARE));
+  gboolean any = FALSE;
+
+  if (replica->reading || mm_time_before(now, replica->next_read))
+    return;
+  for (GList *link = replica->waiters->head; link != NULL; link = link->next) {
+    Waiter *waiter = link->data;
+    if (waiter->read != 0)
+      continue;
+    waiter->read = replica->reads + 1;
+    any = TRUE;
+  }
+  if (!any)
+    return;
+  replica->reads++;
+  replica->reading = TRUE;
+  replica->next_read = mm_time_add_ms(now, every_ms);
+  /* A key that never is: the answer tells the revision. */
+  mm_store_get(replica->node->store, MM_KEY_NONE, "", revision_read, replica);
+}
+
+void
+mm_replica_when_current(MmReplica *replica, MmCurrent call, gpointer data) {
+  Waiter *waiter;
+
+  if (g_queue_get_length(replica->waiters) >= WAITERS_MAX || !replica->loaded) {
+    call(data, FALSE);
+    return;
+  }
+  waiter = g_new0(Waiter, 1);
+  waiter->call = call;
+  waiter->data = data;
+  waiter->deadline = mm_time_add_ms(mm_node_now(replica->node), CURRENT_MS);
+  g_queue_push_tail(replica->waiters, waiter);
+  read_revision(replica);
+}
+
+void
+mm_replica_tick(MmReplica *replica) {
+  if (g_queue_is_empty(replica->waiters))
+    return;
+  read_revision(replica);
+  answer_waiters(replica);
+}
+
 static void
 changed(MmReplica *replica) {
   mm_owner_replica_changed(replica->node->owner);
@@ -127,12 +245,24 @@
   while (g_hash_table_iter_next(&iter, &key, NULL))
     g_ptr_array_add(gone, g_strconcat(MM_KEY_NODE, key, NULL));
   mm_book_list_keys(replica->node->book, MM_KEY_JOB, gone);
-  mm_roster_list_keys(replica->node->roster, MM_KEY_MACHINE, gone);
+  mm_register_list_keys(replica->node->reg, MM_KEY_PACK, gone);
   for (guint i = 0; i < gone->len; i++)
     if (!g_hash_table_contains(replica->seen, g_ptr_array_index(gone, i)))
       apply_delete(replica, g_ptr_array_index(gone, i));
 }
 
+/* Later pages may show a term that is newer than the part map of the first: until the watch has
+ * come as far as the newest thing met, nothing is answered from here. */
+static void
+check_whole(MmReplica *replica) {
+  if (replica->loaded || replica->epoch < replica->newest_mark)
+    return;
+  replica->loaded = TRUE;
+  mm_info("replica loaded at revision %" G_GUINT64_FORMAT ", term %" G_GUINT64_FORMAT,
+          replica->epoch, replica->term.v);
+  changed(replica);
+}
+
 static void
 page_loaded(gpointer data, int status, json_t *body) {
   MmReplica *replica = data;
@@ -152,6 +282,7 @@
     if (key == NULL)
       continue;
     g_hash_table_add(replica->seen, g_strdup(key));
+    replica->newest_mark = MAX(replica->newest_mark, mm_json_count(item, W_VERSION, 0));
     apply_put(replica, key, mm_json_get(item, W_VALUE),
               (MmMark){ mm_json_count(item, W_VERSION, 0) });
     g_free(replica->after);
@@ -163,10 +294,7 @@
   }
   forget_unmet(replica);
   replica->epoch = replica->loading_epoch;
-  replica->loaded = TRUE;
-  mm_info("replica loaded at revision %" G_GUINT64_FORMAT ", term %" G_GUINT64_FORMAT,
-          replica->epoch, replica->term.v);
-  changed(replica);
+  check_whole(replica);
   watch(replica);
 }
 
@@ -178,6 +306,7 @@
   replica->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_clear_pointer(&replica->after, g_free);
   replica->loading_epoch = 0;
+  replica->loaded = FALSE;
   mm_store_list(replica->node->store, MM_KEY_ROOT, NULL, PAGE, page_loaded, replica);
 }
 
@@ -194,6 +323,7 @@
   json_t *events = mm_json_get(body, W_EVENTS);
   size_t i;
   json_t *event;
+  gint64 pause_ms;
 
   g_free(w);
   if (status == 410) {
@@ -216,9 +346,19 @@
   }
   replica->epoch = MAX(replica->epoch, mm_json_count(body, W_REVISION, 0));
   replica->fresh = mm_time_max(replica->fresh, sent);
-  if (json_array_size(events) > 0)
+  check_whole(replica);
+  if (json_array_size(events) > 0 && replica->loaded)
     changed(replica);
-  watch(replica);
+  answer_waiters(replica);
+  /* Changes that come close together are fetched together. */
+  pause_ms = json_array_size(events) > 0
+                 ? (gint64)(1000 / (replica->node->settings->state_rps * WATCH_SHARE))
+                       - mm_time_ms_since(mm_node_now(replica->node), sent)
+                 : 0;
+  if (pause_ms > 0)
+    replica->node->port.later(replica->node->port.self, (guint)pause_ms, watch, replica);
+  else
+    watch(replica);
 }
 
 static void
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -30,13 +30,29 @@
   GHashTable *nodes; /* label -> MmNodeClaim */
   MmTime node_gone;  /* when a node's claim was last seen to have gone */
   guint64 loading_epoch;
-  GHashTable *seen; /* keys met while loading */
+  guint64 newest_mark; /* of what loading met; the watch must have come as far before it is whole */
+  GHashTable *seen;    /* keys met while loading */
   char *after;
+
+  /* questions that must not be answered from a replica older than they are */
+  GQueue *waiters; /* Waiter */
+  guint64 reads;
+  gboolean reading;
+  MmTime next_read;
 };
 
+/* `current`: the replica shows everything that was written before the question was put; FALSE when
+ * that could not be told in time. */
+typedef void (*MmCurrent)(gpointer data, gboolean current);
+
 MmReplica *mm_replica_new(MmNode *node);
 void mm_replica_free(MmReplica *replica);
 void mm_replica_start(MmReplica *replica);
+void mm_replica_tick(MmReplica *replica);
+/* Calls back once the replica holds all that was written up to now. One read of the revision serves
+ * all who ask within a short while: reading each job's record for each poll took two thirds of the
+ * state service's requests and a tenth of the nodes' time. */
+void mm_replica_when_current(MmReplica *replica, MmCurrent call, gpointer data);
 const MmPart *mm_replica_part(const MmReplica *replica, const char *name);
 /* The live nodes' labels in order; free the container only. */
 GPtrArray *mm_replica_live(const MmReplica *replica);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -123,6 +123,17 @@
   *txn = (MmTxn){ 0 };
 }
 
+void
+mm_store_commit_any(MmStore *store, MmTxn *txn, MmAnswered answered, gpointer data) {
+  if (txn->puts > 0) {
+    mm_store_commit(store, txn, answered, data);
+    return;
+  }
+  json_decref(txn->guards);
+  json_decref(txn->apply);
+  *txn = (MmTxn){ 0 };
+}
+
 gboolean
 mm_store_may_write(MmStore *store, guint puts) {
   MmTime now = mm_node_now(store->node);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -26,8 +26,9 @@
 #define MM_KEY_TERM MM_KEY_ROOT "term"
 #define MM_KEY_NODE MM_KEY_ROOT "n/"
 #define MM_KEY_PART MM_KEY_ROOT "p/"
-#define MM_KEY_MACHINE MM_KEY_ROOT "m/"
+#define MM_KEY_PACK MM_KEY_ROOT "m/"
 #define MM_KEY_JOB MM_KEY_ROOT "j/"
+#define MM_KEY_NONE "mm/none"
 #define MM_KEY_FINAL "mm/f/" /* not watched: final states of jobs */
 
 MmStore *mm_store_new(MmNode *node);
@@ -48,6 +49,8 @@
 /* Sends and consumes the transaction. `answered` may be NULL where the replica shows the outcome.
  */
 void mm_store_commit(MmStore *store, MmTxn *txn, MmAnswered answered, gpointer data);
+/* The same, or nothing at all when it changes nothing. */
+void mm_store_commit_any(MmStore *store, MmTxn *txn, MmAnswered answered, gpointer data);
 void mm_store_request(MmStore *store, const char *method, const char *path, const json_t *body,
                       guint timeout_ms, MmAnswered answered, gpointer data);
 
