Bound an owner's looks at all machines; keep a cut zone's machines

(1) Some 300 tasks wait for room, and each asked every machine for it, several times a second, with every replica's other homes looked up too: claims ended over it, parts changed hands eight times. (2) Once off the register, the zone's machines counted as never come up and all were returned. (3) Taken machines that the cloud no longer lists were waited for through their whole lease at each taking of parts, with nothing started meanwhile. (4) A node back from a cut retried the same failing transaction nine times. Changes: one look serves all tasks of a job for a moment, with a bound a round; free room is kept until something on the machine changes; replicas' homes and probes are bounded; a zone most of whose machines are silent is waited for; the cloud is asked to return what it does not list; after a conflict the watch must show the change first. Ruled out: the state service (14 of 27,000 requests refused).

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -100,6 +100,12 @@
          && need.memory_gb <= have.memory_gb + MM_ROOM_SLACK;
 }
 
+static inline MmRoom
+mm_room_least(MmRoom a, MmRoom b) {
+  return (MmRoom){ MIN(a.cores, b.cores), MIN(a.accelerators, b.accelerators),
+                   MIN(a.memory_gb, b.memory_gb) };
+}
+
 static inline MmRoom
 mm_room_add(MmRoom a, MmRoom b) {
   return (MmRoom){ a.cores + b.cores, a.accelerators + b.accelerators, a.memory_gb + b.memory_gb };
--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -96,6 +96,7 @@
 
 static void
 set_tasks(MmRoster *roster, MmMachine *machine, const GArray *tasks) {
+  machine->free_as = 0;
   count_running(roster, machine, -1);
   g_array_set_size(machine->tasks, 0);
   if (tasks != NULL)
@@ -489,11 +490,15 @@
 /* ---- rooms ---- */
 
 MmRoom
-mm_machine_free(const MmRoster *roster, const MmMachine *machine) {
+mm_machine_free(const MmRoster *roster, MmMachine *machine) {
   MmRoom room = { 0 };
 
   if (machine->type == NULL)
     return room;
+  if (machine->free_as == roster->node->book->generation)
+    return machine->free;
+  machine->free_as = roster->node->book->generation;
+  machine->free = room;
   room = machine->type->room;
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
@@ -511,6 +516,7 @@
     if (state == MM_TASK_ISSUED || state == MM_TASK_RESERVED)
       room = mm_room_sub(room, placed->job->spec.need);
   }
+  machine->free = room;
   return room;
 }
 
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -91,6 +91,8 @@
   MmTime probed;    /* when it was last asked directly for a sign of life, */
   guint unanswered; /* and how often since it last gave one */
   GArray *images;   /* MmCachedImage */
+  MmRoom free;      /* as last worked out, */
+  guint64 free_as;  /* with the book's jobs of that time; 0: to be worked out anew */
   MmTime idle_since;
   guint index; /* place in the order of names */
 
@@ -155,7 +157,7 @@
 
 /* Room left beside everything reported and everything placed by this node's parts. Not more than
  * nothing when a task on it belongs to a job that is not known here. */
-MmRoom mm_machine_free(const MmRoster *roster, const MmMachine *machine);
+MmRoom mm_machine_free(const MmRoster *roster, MmMachine *machine);
 /* The task as the newest report shows it, or NULL. */
 const MmSeenTask *mm_machine_seen(const MmMachine *machine, const MmName *job, guint number,
                                   MmAttempt attempt);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -23,6 +23,14 @@
 #define SILENT_LEAST_S 3.5
 #define PROBES 3
 #define PROBE_MS 900
+/* In half a second; each is a connection, and those to silent machines stay open until they fail.
+ */
+#define PROBES_A_ROUND 16
+#define ZONE_LEAST 4
+/* After so many leases a lost machine is returned, or one of a zone that is cut off. */
+#define LOST_LEASES 2
+#define CUT_LEASES 20
+#define MUTE_LEASES 4
 #define TAKEN_MS 1500
 #define RELEASE_AGAIN_MS 1500
 
@@ -34,6 +42,7 @@
 
   fleet->node = node;
   fleet->listed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+  fleet->zones = g_array_new(FALSE, TRUE, sizeof(MmZoneQuiet));
   fleet->offers = g_array_new(FALSE, TRUE, sizeof(MmOffer));
   return fleet;
 }
@@ -42,6 +51,7 @@
 mm_fleet_free(MmFleet *fleet) {
   g_hash_table_unref(fleet->listed);
   g_array_unref(fleet->offers);
+  g_array_unref(fleet->zones);
   g_free(fleet);
 }
 
@@ -191,27 +201,32 @@
   MmNode *node = fleet->node;
   MmTime now = mm_node_now(node);
 
-  if (mm_time_ms_since(now, machine->probed) < PROBE_MS || machine->addr[0] == '\0')
+  if (fleet->probes == 0 || mm_time_ms_since(now, machine->probed) < PROBE_MS
+      || machine->addr[0] == '\0')
     return;
+  fleet->probes--;
   machine->probed = now;
   machine->unanswered++;
   node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "GET", W_STATUS_PATH, NULL,
                      1500, probe_answered, fleet);
 }
 
+static gint64
+silence_ms(const MmFleet *fleet) {
+  const MmNode *node = fleet->node;
+  double s = node->operators->silent_release_s;
+
+  return (gint64)(1000
+                  * (s > 0 ? s : MAX(node->settings->report_s * SILENT_PERIODS, SILENT_LEAST_S)));
+}
+
 /* A machine that neither reports nor answers while the others do: its lease would prove its tasks
  * gone only at its end, the cloud proves it at once. Not when many are silent together: then the
  * trouble is hardly with the machines. */
 static gboolean
 silent(MmFleet *fleet, MmMachine *machine) {
-  MmNode *node = fleet->node;
-  MmTime now = mm_node_now(node);
-  gint64 patience_ms
-      = (gint64)(1000
-                 * (node->operators->silent_release_s > 0
-                        ? node->operators->silent_release_s
-                        : MAX(node->settings->report_s * SILENT_PERIODS, SILENT_LEAST_S)));
-  guint quiet = 0, all = 0;
+  MmTime now = mm_node_now(fleet->node);
+  gint64 patience_ms = silence_ms(fleet);
 
   /* One that is registered and has not been heard by this life of the node may hold tasks: until it
    * is heard or proved gone, the parts taken anew stand still. */
@@ -225,18 +240,69 @@
     machine->unanswered = 0;
     return FALSE;
   }
+  if (fleet->quiet > MAX(2, fleet->all / 8))
+    return FALSE;
   /* Its node may have crashed and it may be on its way to another: then it answers directly. */
   probe(fleet, machine);
-  if (mm_time_ms_since(now, machine->seen) < patience_ms || machine->unanswered < PROBES)
-    return FALSE;
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    const MmMachine *other = g_ptr_array_index(node->roster->order, i);
-    if (!(other->heard || other->registered) || other->lost)
+  return mm_time_ms_since(now, machine->seen) >= patience_ms && machine->unanswered >= PROBES;
+}
+
+static MmZoneQuiet *
+zone_quiet(MmFleet *fleet, const MmName *zone) {
+  MmZoneQuiet fresh = { .zone = *zone };
+
+  for (guint i = 0; i < fleet->zones->len; i++)
+    if (mm_name_equal(&g_array_index(fleet->zones, MmZoneQuiet, i).zone, zone))
+      return &g_array_index(fleet->zones, MmZoneQuiet, i);
+  g_array_append_val(fleet->zones, fresh);
+  return &g_array_index(fleet->zones, MmZoneQuiet, fleet->zones->len - 1);
+}
+
+static void
+count_quiet(MmFleet *fleet) {
+  const GPtrArray *order = fleet->node->roster->order;
+  MmTime now = mm_node_now(fleet->node);
+  gint64 patience_ms = silence_ms(fleet);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_array_set_size(fleet->zones, 0);
+  fleet->all = fleet->quiet = 0;
+  fleet->probes = PROBES_A_ROUND;
+  for (guint i = 0; i < order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(order, i);
+    gboolean quiet = mm_time_ms_since(now, machine->seen) >= patience_ms;
+    MmZoneQuiet *zone;
+    if (!(machine->heard || machine->registered) || machine->gone)
       continue;
-    all++;
-    quiet += mm_time_ms_since(now, other->seen) >= patience_ms;
+    zone = zone_quiet(fleet, &machine->zone);
+    zone->all++;
+    zone->quiet += quiet;
+    fleet->all += !machine->lost;
+    fleet->quiet += !machine->lost && quiet;
+  }
+  /* Those that run and are not known: lost ones are forgotten once they are off the register. */
+  g_hash_table_iter_init(&iter, fleet->listed);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    const MmListed *listed = value;
+    const MmMachine *machine = mm_roster_find(fleet->node->roster, listed->id.s);
+    MmZoneQuiet *zone;
+    if (!listed->running || listed->releasing
+        || (machine != NULL && (machine->heard || machine->registered)))
+      continue;
+    zone = zone_quiet(fleet, &listed->zone);
+    zone->all++;
+    zone->quiet++;
   }
-  return quiet <= MAX(2, all / 8);
+}
+
+/* A zone most of whose machines are silent is cut off, rather than that they all have ended: they
+ * will be back, and renting as many anew takes longer than most cuts last. */
+static gboolean
+zone_is_cut(MmFleet *fleet, const MmName *name) {
+  const MmZoneQuiet *zone = zone_quiet(fleet, name);
+
+  return zone->quiet >= ZONE_LEAST && 2 * zone->quiet > zone->all;
 }
 
 static gboolean
@@ -254,9 +320,13 @@
   if (machine == NULL || (!machine->heard && !machine->registered))
     /* Never came up, or is up and never reported. */
     return listed->age_s > patience_s
-           && (!listed->running || known_ms > 4000 * (gint64)node->settings->lease_s);
+           && (!listed->running
+               || known_ms > 1000 * (gint64)node->settings->lease_s
+                                 * (zone_is_cut(fleet, &listed->zone) ? CUT_LEASES : MUTE_LEASES));
   if (machine->lost)
-    return mm_time_ms_since(now, machine->seen) > 2000 * (gint64)node->settings->lease_s;
+    return mm_time_ms_since(now, machine->seen)
+           > 1000 * (gint64)node->settings->lease_s
+                 * (zone_is_cut(fleet, &machine->zone) ? CUT_LEASES : LOST_LEASES);
   if (silent(fleet, machine))
     return TRUE;
   /* Idle, with nothing waiting anywhere. */
@@ -271,6 +341,25 @@
   return FALSE;
 }
 
+/* A registered machine that is silent and not on the list has been taken: the cloud, asked to
+ * return it, says at once that it is gone. Waiting out its lease instead kept parts that were taken
+ * anew from starting anything for all that time. */
+static void
+add_unlisted(MmFleet *fleet, GPtrArray *ids, json_t *names) {
+  const GPtrArray *order = fleet->node->roster->order;
+
+  for (guint i = 0; i < order->len && ids->len < RELEASE_MAX; i++) {
+    MmMachine *machine = g_ptr_array_index(order, i);
+    if (!machine->registered || machine->lost || machine->releasing || !fleet->list_known
+        || g_hash_table_contains(fleet->listed, machine->id.s) || !silent(fleet, machine))
+      continue;
+    mm_info("returning machine %s, which the cloud does not list", machine->id.s);
+    machine->releasing = TRUE;
+    g_ptr_array_add(ids, g_strdup(machine->id.s));
+    json_array_append_new(names, json_string(machine->id.s));
+  }
+}
+
 static void
 return_machines(MmFleet *fleet) {
   MmNode *node = fleet->node;
@@ -282,9 +371,11 @@
 
   if (fleet->releasing || mm_time_before(now, fleet->next_release))
     return;
+  count_quiet(fleet);
   names = json_array();
   release = g_new(Release, 1);
   *release = (Release){ fleet, g_ptr_array_new_with_free_func(g_free) };
+  add_unlisted(fleet, release->ids, names);
   g_hash_table_iter_init(&iter, fleet->listed);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     MmListed *listed = value;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -29,11 +29,22 @@
   guint coming; /* on the way, as of the last plan */
 } MmOffer;
 
+/* How many of a zone's machines are silent at the moment. */
+typedef struct {
+  MmName zone;
+  guint all;
+  guint quiet;
+} MmZoneQuiet;
+
 struct MmFleet {
   MmNode *node;
   gboolean active;
   GHashTable *listed; /* id -> MmListed */
   GArray *offers;     /* MmOffer */
+  GArray *zones;      /* MmZoneQuiet, as of this round */
+  guint all;          /* machines not lost, and how many of them are silent */
+  guint quiet;
+  guint probes; /* still to be sent in this round */
   gboolean listing;
   gboolean renting;
   gboolean releasing;
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -27,6 +27,7 @@
   book->node = node;
   book->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
   book->order = g_ptr_array_new();
+  book->generation = 1;
   book->finals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   book->final_order = g_queue_new();
   book->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -78,6 +79,7 @@
     mm_done_set_init(&job->recorded, job->spec.tasks);
     g_hash_table_insert(book->jobs, job->spec.id.s, job);
     g_ptr_array_add(book->order, job);
+    book->generation++;
     g_ptr_array_sort(book->order, older_first);
     mm_rank_note(book->node->rank, &job->spec);
   }
@@ -111,6 +113,7 @@
     return;
   mm_owner_job_removed(book->node->owner, job);
   g_ptr_array_remove(book->order, job);
+  book->generation++;
   g_hash_table_remove(book->jobs, id);
 }
 
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -36,6 +36,16 @@
   MmName avoid;      /* the machine that failed it last */
 } MmTask;
 
+/* Where one more task of the job could run, as last looked at: looking at all machines for each
+ * question took most of an owner's time once hundreds of tasks had lost theirs. */
+typedef struct {
+  MmTime at;
+  MmName best;   /* the machine that would run it soonest */
+  double best_s; /* below 0: none would */
+  double next_s; /* any other machine */
+  guint least_crowd;
+} MmOutlook;
+
 typedef struct {
   MmSpec spec;
   gint64 submitted_ms; /* time of day */
@@ -57,6 +67,7 @@
   guint failed_tasks; /* errors in a row without a success: the job itself may be broken */
   MmTime paused_until;
   gint64 due_ms; /* time of day by which to act for its next aim, see mm_owner_set_due */
+  MmOutlook outlook;
   double seen_s; /* sum of the run times seen, and how many */
   guint seen_n;
   gboolean known_after_claim; /* submitted after the part was taken */
@@ -66,6 +77,7 @@
   MmNode *node;
   GHashTable *jobs;   /* id -> MmJob */
   GPtrArray *order;   /* MmJob, oldest submission first */
+  guint64 generation; /* rises when a job comes or goes */
   GHashTable *finals; /* id -> json text of the final answer; bounded */
   GQueue *final_order;
   GHashTable *ended; /* ids whose records went away here: final, state not read yet; bounded */
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -11,6 +11,8 @@
 #define AVOID_MS 60000
 #define GIVE_UP_AFTER_MS 800
 #define SPREAD_PERIODS 0.7
+#define OUTLOOK_MS 400
+#define OUTLOOK_OLD_MS 2000
 
 MmAttempt
 mm_owner_next_attempt(MmOwner *owner, const MmHeld *held) {
@@ -191,19 +193,54 @@
   return n;
 }
 
+/* The outlook, not older than a moment; of a job that could not be looked at in time, as it was. */
+static const MmOutlook *
+outlook_for(MmOwner *owner, MmJob *job) {
+  MmNode *node = owner->node;
+  MmTime now = mm_node_now(node);
+  MmOutlook *outlook = &job->outlook;
+
+  if (outlook->at.us != 0 && mm_time_ms_since(now, outlook->at) < OUTLOOK_MS)
+    return outlook;
+  if (owner->looks == 0)
+    return outlook->at.us != 0 && mm_time_ms_since(now, outlook->at) < OUTLOOK_OLD_MS ? outlook
+                                                                                      : NULL;
+  owner->looks--;
+  *outlook = (MmOutlook){ .at = now, .best_s = -1, .next_s = -1, .least_crowd = G_MAXUINT };
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    double delay_s = mm_owner_delay_on(owner, job, machine);
+
+    if (delay_s < 0)
+      continue;
+    if (outlook->best_s < 0 || delay_s < outlook->best_s) {
+      outlook->next_s = outlook->best_s;
+      outlook->best_s = delay_s;
+      outlook->best = machine->id;
+    } else if (outlook->next_s < 0 || delay_s < outlook->next_s) {
+      outlook->next_s = delay_s;
+    }
+    if (job->spec.kind == MM_KIND_SERVICE
+        && delay_s <= job->spec.image_gb / machine->type->fetch_gb_per_s + node->settings->report_s)
+      outlook->least_crowd = MIN(outlook->least_crowd, mm_owner_crowd(owner, job, machine));
+  }
+  return outlook;
+}
+
 /* Work in a hurry does not fetch its image where another machine could run it sooner, be it by
  * stopping something there; it does not wait for that for longer than the fetch itself would take.
  * Where a service must fetch anyway it goes to the least crowded machine: that spreads its image
  * for the next ones, leaves beside it work that can be stopped for them, and bounds what a
  * machine's end takes. */
 static gboolean
-better_elsewhere(MmOwner *owner, const MmJob *job, const MmTask *task, const MmMachine *here) {
+better_elsewhere(MmOwner *owner, MmJob *job, const MmTask *task, const MmMachine *here) {
   MmNode *node = owner->node;
   double period_s = node->settings->report_s;
   double fetch_s = mm_owner_fetch_s(job, here);
   double waited_s = (double)mm_time_ms_since(mm_node_now(node), task->since) / 1000.0;
   gboolean spread_out = job->spec.kind == MM_KIND_SERVICE && waited_s < period_s * SPREAD_PERIODS;
-  guint crowd_here = spread_out ? mm_owner_crowd(owner, job, here) : 0;
+  const MmOutlook *outlook;
+  double other_s;
 
   if (fetch_s < 0.5 || waited_s > MIN(fetch_s, period_s * 1.5))
     return FALSE;
@@ -211,55 +248,52 @@
   if (mm_time_before(mm_node_now(node), task->claimed)
       && mm_name_equal(&task->claimed_on, &here->id))
     return FALSE;
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
-    double delay_s = machine == here ? -1 : mm_owner_delay_on(owner, job, machine, NULL);
-    if (delay_s < 0)
-      continue;
-    if (delay_s < fetch_s
-        || (spread_out && delay_s <= fetch_s + period_s
-            && mm_owner_crowd(owner, job, machine) < crowd_here)) {
-      mm_debug("%s waits %.1f s: %s would run it in %.1f s, %s in %.1f s", job->spec.id.s, waited_s,
-               machine->id.s, delay_s, here->id.s, fetch_s);
-      return TRUE;
-    }
-  }
-  return FALSE;
+  outlook = outlook_for(owner, job);
+  if (outlook == NULL)
+    return FALSE;
+  other_s = mm_name_equal(&outlook->best, &here->id) ? outlook->next_s : outlook->best_s;
+  if ((other_s < 0 || other_s >= fetch_s)
+      && !(spread_out && outlook->least_crowd < mm_owner_crowd(owner, job, here)))
+    return FALSE;
+  mm_debug("%s waits %.1f s: another would run it in %.1f s, %s in %.1f s", job->spec.id.s,
+           waited_s, other_s, here->id.s, fetch_s);
+  return TRUE;
 }
 
 /* A machine with accelerators is given up only to a task that has waited a little and that nothing
  * else could run, be it by stopping something. */
 static gboolean
-leaves_enough(MmOwner *owner, const MmJob *job, const MmTask *task, const MmMachine *here,
-              MmRoom room) {
+leaves_enough(MmOwner *owner, MmJob *job, const MmTask *task, const MmAsk *ask) {
   MmNode *node = owner->node;
-  MmLeaves leaves = mm_rank_leaves(node->rank, job, here, room);
+  MmLeaves leaves = mm_rank_leaves(node->rank, job, ask->machine, ask->room);
+  const MmOutlook *outlook;
 
   if (leaves < MM_WOULD_TAKE)
     return TRUE;
   if (leaves == MM_MAY_NOT || mm_time_ms_since(mm_node_now(node), task->since) < GIVE_UP_AFTER_MS
-      || !mm_rank_may_give_up(node->rank, here))
+      || !mm_rank_may_give_up(node->rank, ask->machine))
     return FALSE;
-  for (guint i = 0; i < node->roster->order->len; i++)
-    if (mm_owner_delay_on(owner, job, g_ptr_array_index(node->roster->order, i), NULL) >= 0)
-      return FALSE;
-  return TRUE;
+  outlook = outlook_for(owner, job);
+  return outlook != NULL && outlook->best_s < 0;
 }
 
+/* What holds for all tasks of the job alike. */
 static gboolean
-task_may_start(MmOwner *owner, MmHeld *held, MmJob *job, guint number, const MmAsk *ask) {
+job_may_start(MmOwner *owner, const MmJob *job, const MmAsk *ask) {
+  return mm_room_fits(job->spec.need, ask->room) && mm_owner_place_allowed(job, ask->machine)
+         && mm_owner_quota_allows(owner, job->held, job, 1);
+}
+
+static gboolean
+task_may_start(MmOwner *owner, MmJob *job, guint number, const MmAsk *ask) {
   const MmTask *task = &job->tasks[number];
   MmTime now = mm_node_now(owner->node);
-  MmRoom free = mm_machine_free(owner->node->roster, ask->machine);
-  MmRoom room = { MIN(free.cores, ask->room.cores), MIN(free.accelerators, ask->room.accelerators),
-                  MIN(free.memory_gb, ask->room.memory_gb) };
 
   return task->state == MM_TASK_IDLE && !mm_time_before(now, task->not_before)
          && !(mm_name_equal(&task->avoid, &ask->machine->id)
               && mm_time_ms_since(now, task->since) < AVOID_MS)
-         && mm_room_fits(job->spec.need, room) && mm_owner_place_allowed(job, ask->machine)
-         && leaves_enough(owner, job, task, ask->machine, room)
-         && mm_owner_quota_allows(owner, held, job, 1);
+         && leaves_enough(owner, job, task, ask)
+         && !(mm_owner_goes_first(owner, job) && better_elsewhere(owner, job, task, ask->machine));
 }
 
 static void
@@ -278,17 +312,10 @@
 
 static gboolean
 try_task(MmOwner *owner, MmJob *job, guint number, const MmAsk *ask, MmApproval *approval) {
-  MmHeld *held;
-
-  if (job == NULL || !mm_owner_open(owner, job) || number >= job->spec.tasks || mm_job_is_gang(job))
-    return FALSE;
-  held = mm_owner_held(owner, job);
-  if (!task_may_start(owner, held, job, number, ask))
+  if (job == NULL || !mm_owner_open(owner, job) || number >= job->spec.tasks || mm_job_is_gang(job)
+      || !job_may_start(owner, job, ask) || !task_may_start(owner, job, number, ask))
     return FALSE;
-  if (mm_owner_goes_first(owner, job)
-      && better_elsewhere(owner, job, &job->tasks[number], ask->machine))
-    return FALSE;
-  approve(owner, held, job, number, ask, approval);
+  approve(owner, job->held, job, number, ask, approval);
   return TRUE;
 }
 
@@ -297,11 +324,15 @@
 try_job(MmOwner *owner, MmJob *job, const MmAsk *ask, MmApproval *approval) {
   guint tries = 8;
 
+  if (!job_may_start(owner, job, ask))
+    return FALSE;
   for (guint i = job->first_idle; i < job->spec.tasks && tries > 0; i++) {
     if (job->tasks[i].state != MM_TASK_IDLE)
       continue;
-    if (try_task(owner, job, i, ask, approval))
+    if (task_may_start(owner, job, i, ask)) {
+      approve(owner, job->held, job, i, ask, approval);
       return TRUE;
+    }
     tries--;
   }
   return FALSE;
@@ -361,8 +392,8 @@
 }
 
 /* In an order as old as the last slow tick at most. */
-static const GPtrArray *
-pressing_jobs(MmOwner *owner) {
+const GPtrArray *
+mm_owner_pressing(MmOwner *owner) {
   MmBook *book = owner->node->book;
 
   if (!owner->pressing_stale)
@@ -379,7 +410,7 @@
 }
 
 gboolean
-mm_owner_ask(MmOwner *owner, const MmAsk *ask, MmApproval *approval) {
+mm_owner_ask(MmOwner *owner, MmAsk *ask, MmApproval *approval) {
   MmBook *book = owner->node->book;
   g_autoptr(GPtrArray) jobs = NULL;
   const GPtrArray *pressing;
@@ -390,7 +421,8 @@
     return FALSE;
   if (mm_owner_reserved(owner, ask, approval))
     return TRUE;
-  pressing = pressing_jobs(owner);
+  ask->room = mm_room_least(ask->room, mm_machine_free(owner->node->roster, ask->machine));
+  pressing = mm_owner_pressing(owner);
   jobs = g_ptr_array_sized_new(pressing->len);
   for (guint i = 0; i < pressing->len; i++) {
     MmJob *job = g_ptr_array_index(pressing, i);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -9,6 +9,8 @@
 #define WRITE_EVERY_MS 1000
 #define WRITE_DELAY_MS 300
 #define SLOW_TICK_MS 200
+/* At all machines, in a slow tick. */
+#define LOOKS_A_ROUND 12
 #define ECHO_EVERY_MS 3000
 #define ECHOES_A_ROUND 4
 #define STOP_EVERY_MS 2000
@@ -58,6 +60,8 @@
 
 static void
 unlist(MmMachine *machine, const MmJob *job, guint number) {
+  if (machine != NULL)
+    machine->free_as = 0;
   for (guint i = 0; machine != NULL && i < machine->placed->len; i++) {
     const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
     if (placed->job == job && placed->number == number) {
@@ -110,6 +114,7 @@
   if (task->attempt.v != attempt.v)
     task->stopping = FALSE;
   task->attempt = attempt;
+  machine->free_as = 0;
   set_state(owner, job, number, (guint8)state);
 }
 
@@ -888,6 +893,7 @@
     mm_owner_set_due(owner, g_ptr_array_index(owner->node->book->order, i));
   sum_up(owner);
   owner->pressing_stale = TRUE;
+  owner->looks = LOOKS_A_ROUND;
   ask_echoes(owner);
   repeat_stops(owner);
   mm_owner_plan_gangs(owner);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -40,6 +40,8 @@
   guint solo;          /* so many of the next writes carry one job only */
   GPtrArray *pressing; /* MmJob of the parts held here, most pressing first */
   gboolean pressing_stale;
+  guint looks;      /* at all machines, that are left until the next slow tick */
+  guint next_clear; /* where the next round of clearing room goes on */
   MmTime next_slow;
   MmTime next_move;
 };
@@ -78,7 +80,8 @@
 guint mm_owner_unfinished(const MmOwner *owner);
 
 /* approve.c */
-gboolean mm_owner_ask(MmOwner *owner, const MmAsk *ask, MmApproval *approval);
+/* Lowers the request's room to what is free as seen here. */
+gboolean mm_owner_ask(MmOwner *owner, MmAsk *ask, MmApproval *approval);
 void mm_owner_peer_ask(MmOwner *owner, guint peer, const Mm__Ask *message);
 MmHeld *mm_owner_held(const MmOwner *owner, const MmJob *job);
 /* Whether the job's tasks may be given out at all at the moment. */
@@ -105,6 +108,8 @@
 /* The smallest grace that lets the job save. */
 double mm_owner_grace_s(const MmJob *job);
 
+const GPtrArray *mm_owner_pressing(MmOwner *owner);
+
 /* gang.c */
 void mm_owner_plan_gangs(MmOwner *owner);
 gboolean mm_owner_reserved(MmOwner *owner, const MmAsk *ask, MmApproval *approval);
@@ -115,9 +120,9 @@
 
 /* preempt.c */
 void mm_owner_preempt(MmOwner *owner);
-/* Seconds until the machine could run a task of the job that is given to it now, its image
- * included; below 0 when that can't be. `victims` (may be NULL) gets what would have to stop. */
-double mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine, GArray **victims);
+/* Seconds until the machine could run a task of the job that is given to it now, its image and what
+ * must be stopped for it included; below 0 when that can't be. */
+double mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine);
 double mm_owner_fetch_s(const MmJob *job, const MmMachine *machine);
 /* Tasks on the machine that outrank or equal the job: they cannot be stopped for it. */
 guint mm_owner_crowd(const MmOwner *owner, const MmJob *job, const MmMachine *machine);
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -2,9 +2,12 @@
  */
 #include "owner/owner.h"
 
+#include <stdlib.h>
+
 #include "parts/claims.h"
 
 #define TASKS_A_ROUND 16
+#define CLEARS_A_ROUND 8
 /* How long it takes until a stopped task's room can be given out, as seen: the command, the
  * worker's report half a second after its last at the earliest, the answer. */
 #define STOP_S 0.5
@@ -13,6 +16,9 @@
 #define CROWD_S 0.25
 #define MOVE_AFTER_MS 1500
 #define MOVE_EVERY_MS 1500
+/* Each is a look at all machines: without a bound, replicas that found no place took 200 ms of
+ * processor time a try. */
+#define MOVE_HOMES 4
 #define MOVE_FETCH_S 5
 
 typedef struct {
@@ -20,38 +26,40 @@
   const MmJob *job;
 } Victim;
 
-static gint
-cheapest_first(gconstpointer a, gconstpointer b) {
+/* More tasks than these are not stopped on one machine for another. */
+#define VICTIMS_MAX 32
+
+static int
+cheapest_first(const void *a, const void *b) {
   const Victim *x = a, *y = b;
 
   if (x->job->spec.priority != y->job->spec.priority)
     return x->job->spec.priority < y->job->spec.priority ? -1 : 1;
-  return (gint)y->seen->number - (gint)x->seen->number;
+  return (int)y->seen->number - (int)x->seen->number;
 }
 
-/* The tasks to stop on the machine so that the job's task fits; NULL when that is not to be had. */
-static GArray *
-victims_on(MmOwner *owner, const MmJob *job, const MmMachine *machine, MmRoom room) {
-  g_autoptr(GArray) able = g_array_new(FALSE, FALSE, sizeof(Victim));
-  GArray *chosen = g_array_new(FALSE, FALSE, sizeof(Victim));
+/* The tasks to stop on the machine so that the job's task fits: how many, or -1 when that is not to
+ * be had. */
+static gint
+victims_on(MmOwner *owner, const MmJob *job, const MmMachine *machine, MmRoom room,
+           Victim chosen[VICTIMS_MAX]) {
+  guint able = 0, n = 0;
 
-  for (guint i = 0; i < machine->tasks->len && !mm_room_fits(job->spec.need, room); i++) {
+  if (mm_room_fits(job->spec.need, room))
+    return 0;
+  for (guint i = 0; i < machine->tasks->len && able < VICTIMS_MAX; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    const MmJob *other = mm_book_find(owner->node->book, seen->job.s);
-    if (other != NULL && seen->state != MM_SEEN_ENDED && seen->state != MM_SEEN_SAVING
-        && other->spec.priority < job->spec.priority)
-      g_array_append_vals(able, &(Victim){ seen, other }, 1);
-  }
-  g_array_sort(able, cheapest_first);
-  for (guint i = 0; i < able->len && !mm_room_fits(job->spec.need, room); i++) {
-    const Victim *victim = &g_array_index(able, Victim, i);
-    room = mm_room_add(room, victim->job->spec.need);
-    g_array_append_val(chosen, *victim);
+    const MmJob *other;
+    if (seen->state == MM_SEEN_ENDED || seen->state == MM_SEEN_SAVING)
+      continue;
+    other = mm_book_find(owner->node->book, seen->job.s);
+    if (other != NULL && other->spec.priority < job->spec.priority)
+      chosen[able++] = (Victim){ seen, other };
   }
-  if (mm_room_fits(job->spec.need, room))
-    return chosen;
-  g_array_unref(chosen);
-  return NULL;
+  qsort(chosen, able, sizeof *chosen, cheapest_first);
+  while (n < able && !mm_room_fits(job->spec.need, room))
+    room = mm_room_add(room, chosen[n++].job->spec.need);
+  return mm_room_fits(job->spec.need, room) ? (gint)n : -1;
 }
 
 double
@@ -61,33 +69,39 @@
   return job->spec.image_gb / machine->type->fetch_gb_per_s;
 }
 
-double
-mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine, GArray **victims) {
+static double
+delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine, Victim victims[VICTIMS_MAX],
+         gint *n_victims) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
   gint64 period_ms = (gint64)(node->settings->report_s * 1000);
   gint64 silent_ms = mm_time_ms_since(now, machine->reported);
-  MmRoom room = mm_machine_free(node->roster, machine);
-  g_autoptr(GArray) stopping = NULL;
-  double delay_s;
+  MmRoom room;
 
-  if (!mm_machine_usable(node->roster, machine) || !mm_owner_place_allowed(job, machine)
-      || mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE || machine->addr[0] == '\0'
-      || silent_ms > 2 * period_ms || mm_time_before(now, machine->full_until))
+  if (silent_ms > 2 * period_ms || machine->addr[0] == '\0'
+      || !mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->full_until)
+      || !mm_owner_place_allowed(job, machine))
+    return -1;
+  room = mm_machine_free(node->roster, machine);
+  if (mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE)
     return -1;
   if (mm_time_before(now, machine->clearing))
     room = mm_room_sub(room, machine->promised);
-  stopping = victims_on(owner, job, machine, room);
-  if (stopping == NULL)
+  *n_victims = victims_on(owner, job, machine, room, victims);
+  if (*n_victims < 0)
     return -1;
   /* Room that is there is given at the next report; a stop makes the worker report at once. */
-  if (stopping->len == 0)
-    delay_s = (double)MAX(period_ms - silent_ms, 0) / 1000.0;
-  else
-    delay_s = STOP_S + STOP_EACH_S * stopping->len;
-  if (victims != NULL)
-    *victims = g_steal_pointer(&stopping);
-  return delay_s + mm_owner_fetch_s(job, machine);
+  return (*n_victims == 0 ? (double)MAX(period_ms - silent_ms, 0) / 1000.0
+                          : STOP_S + STOP_EACH_S * *n_victims)
+         + mm_owner_fetch_s(job, machine);
+}
+
+double
+mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine) {
+  Victim victims[VICTIMS_MAX];
+  gint n;
+
+  return delay_on(owner, job, machine, victims, &n);
 }
 
 /* Keeps the room on the machine for the task until its worker's next reports. */
@@ -110,13 +124,13 @@
 clear_room(MmOwner *owner, const MmJob *job, MmTask *task) {
   MmNode *node = owner->node;
   MmMachine *best = NULL;
-  g_autoptr(GArray) best_victims = NULL;
+  Victim victims[VICTIMS_MAX];
   double best_s = 0;
+  gint n = 0;
 
   for (guint i = 0; i < node->roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(node->roster->order, i);
-    g_autoptr(GArray) victims = NULL;
-    double delay_s = mm_owner_delay_on(owner, job, machine, &victims);
+    double delay_s = delay_on(owner, job, machine, victims, &n);
 
     if (delay_s < 0)
       continue;
@@ -124,15 +138,13 @@
       delay_s += CROWD_S * mm_owner_crowd(owner, job, machine);
     if (best != NULL && delay_s >= best_s)
       continue;
-    g_clear_pointer(&best_victims, g_array_unref);
     best = machine;
-    best_victims = g_steal_pointer(&victims);
     best_s = delay_s;
   }
-  if (best == NULL)
+  if (best == NULL || delay_on(owner, job, best, victims, &n) < 0)
     return FALSE;
-  for (guint i = 0; i < best_victims->len; i++) {
-    const Victim *victim = &g_array_index(best_victims, Victim, i);
+  for (gint i = 0; i < n; i++) {
+    const Victim *victim = &victims[i];
     mm_info("stopping %s/%u on %s for %s", victim->job->spec.id.s, victim->seen->number, best->id.s,
             job->spec.id.s);
     mm_owner_stop(owner, best, &victim->job->spec.id, victim->seen->number, victim->seen->attempt,
@@ -152,7 +164,7 @@
     double delay_s;
     if (machine == from || mm_owner_fetch_s(job, machine) > most_fetch_s)
       continue;
-    delay_s = mm_owner_delay_on(owner, job, machine, NULL);
+    delay_s = mm_owner_delay_on(owner, job, machine);
     if (delay_s >= 0 && delay_s <= owner->node->settings->report_s + STOP_S + most_fetch_s)
       return machine;
   }
@@ -165,6 +177,7 @@
 static gboolean
 move_replica(MmOwner *owner, const MmJob *job, MmTask *task) {
   MmNode *node = owner->node;
+  guint homes = MOVE_HOMES, from;
   MmTime now = mm_node_now(node);
   /* A replica may fetch its image for it once the wait has outgrown that. */
   double fetch_s = mm_time_ms_since(now, task->since) > MOVE_FETCH_S * 1000 ? MOVE_FETCH_S : 0;
@@ -172,8 +185,13 @@
   if (job->spec.kind != MM_KIND_SERVICE || mm_time_before(now, owner->next_move)
       || mm_time_ms_since(now, task->since) < MOVE_AFTER_MS)
     return FALSE;
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  owner->next_move = mm_time_add_ms(now, MOVE_EVERY_MS);
+  from = node->roster->order->len > 0
+             ? (guint)g_rand_int_range(node->rand, 0, (gint32)node->roster->order->len)
+             : 0;
+  for (guint i = 0; i < node->roster->order->len && homes > 0; i++) {
+    MmMachine *machine
+        = g_ptr_array_index(node->roster->order, (from + i) % node->roster->order->len);
     MmRoom room = mm_machine_free(node->roster, machine);
 
     if (!mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->clearing)
@@ -190,6 +208,8 @@
           || other->spec.priority > job->spec.priority || moved->state != MM_TASK_RUNNING
           || moved->stopping || !mm_room_fits(job->spec.need, mm_room_add(room, other->spec.need)))
         continue;
+      if (homes-- == 0)
+        return FALSE;
       home = new_home(owner, other, machine, fetch_s);
       if (home == NULL)
         continue;
@@ -198,7 +218,6 @@
       promise(owner, job, task, machine);
       moved->avoid = machine->id;
       mm_owner_stop_task(owner, other, placed->number);
-      owner->next_move = mm_time_add_ms(now, MOVE_EVERY_MS);
       return TRUE;
     }
   }
@@ -236,17 +255,23 @@
   return tries;
 }
 
+/* A few jobs a round, most pressing first, each round going on where the last one stopped: each
+ * costs a look at all machines. */
 void
 mm_owner_preempt(MmOwner *owner) {
-  MmNode *node = owner->node;
-  guint left = TASKS_A_ROUND;
+  const GPtrArray *jobs = mm_owner_pressing(owner);
+  guint left = TASKS_A_ROUND, clears = CLEARS_A_ROUND, n = 0;
 
-  for (guint i = 0; i < node->book->order->len && left > 0; i++) {
-    MmJob *job = g_ptr_array_index(node->book->order, i);
+  for (; n < jobs->len && left > 0 && clears > 0; n++) {
+    MmJob *job = g_ptr_array_index(jobs, (owner->next_clear + n) % jobs->len);
+    guint tries;
 
-    if (job->tasks != NULL && job->idle > 0 && job->spec.priority >= MM_URGENT
-        && !mm_job_is_gang(job) && mm_owner_open(owner, job)
-        && mm_owner_quota_allows(owner, mm_owner_held(owner, job), job, 1))
-      left -= clear_for_job(owner, job, left);
+    if (job->idle == 0 || job->spec.priority < MM_URGENT || !mm_owner_open(owner, job)
+        || !mm_owner_quota_allows(owner, job->held, job, 1))
+      continue;
+    tries = clear_for_job(owner, job, MIN(left, clears));
+    left -= tries;
+    clears -= tries;
   }
+  owner->next_clear = left > 0 && clears > 0 ? 0 : owner->next_clear + n;
 }
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -14,6 +14,7 @@
 #define START_PATIENCE_MS 1000
 #define UNEVEN_PATIENCE_MS 10000
 #define PARTS_EVERY_MS 100
+#define CONFLICT_MS 2000
 
 MmClaims *
 mm_claims_new(MmNode *node) {
@@ -192,8 +193,12 @@
   claims->moving = FALSE;
   if (status != 200)
     claims->next_parts = mm_time_add_ms(mm_node_now(claims->node), 200);
-  if (status == 409)
+  if (status == 409) {
+    /* Each try costs writes that others need: first the watch must show what has changed. */
     mm_debug("the part map had changed meanwhile");
+    claims->stale_epoch = claims->node->replica->epoch;
+    claims->next_parts = mm_time_add_ms(mm_node_now(claims->node), CONFLICT_MS);
+  }
 }
 
 /* Whose the part is to take: a life of the holder that has ended, or nobody's. */
@@ -275,10 +280,13 @@
   guint me = G_MAXUINT, fewest = G_MAXUINT;
   gint64 loaded_ms;
 
-  if (claims->moving || mm_time_before(now, claims->next_parts)
+  if (claims->moving
+      || (mm_time_before(now, claims->next_parts)
+          && (claims->stale_epoch == 0 || replica->epoch <= claims->stale_epoch))
       || mm_store_in_trouble(claims->node->store))
     return;
   claims->next_parts = mm_time_add_ms(now, PARTS_EVERY_MS);
+  claims->stale_epoch = 0;
   live = mm_replica_live(replica);
   held = g_new0(guint, live->len);
   wanted = g_ptr_array_new();
