--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -14,6 +14,7 @@
   gboolean moving;        /* a transaction about parts is under way */
   MmTime next;            /* when to renew, or to ask again */
   MmTime next_parts;      /* when to look at the part map again */
+  guint64 stale_epoch;    /* the replica's when a transaction on parts failed; 0: none has */
   MmTime uneven;          /* since when the map has been uneven */
   GPtrArray *names;       /* all part names, in a fixed order */
   GHashTable *free_since; /* part name -> MmTime */
