Starving jobs first; gangs before younger single tasks

Change: a job that waited 90 s (operators' setting `starve-s`) with nothing begun goes before all others, its team's limit is kept free for it, and the little it has is not stopped for others; while a gang waits longer than the wait bound, younger accelerated work leaves it the places.

--- a/src/config/operators.c
+++ b/src/config/operators.c
@@ -26,6 +26,8 @@
           "a machine booting this many times the nominal boot time is returned"),
   SETTING(preempt_after_s, "s", 0.1, 0, 86400,
           "how long urgent work waits for free room before it may preempt"),
+  SETTING(starve_s, "s", 90, 1, 86400,
+          "a job that waited longer with none of its tasks begun goes before all others"),
   SETTING(rent, "0 or 1", 1, 0, 1, "whether machines are rented when work waits"),
   { NULL },
 };
--- a/src/config/operators.h
+++ b/src/config/operators.h
@@ -15,6 +15,7 @@
   double silent_release_s;  /* a listed machine this long silent is returned (0: by its lease) */
   double boot_patience;     /* times the nominal boot time until a machine counts as stuck */
   double preempt_after_s;   /* how long urgent work waits for room before it may preempt */
+  double starve_s;          /* a job that waited longer with nothing begun goes before all others */
   double rent;              /* 1: rent machines when work waits, 0: never */
 } MmOperators;
 
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -30,9 +30,17 @@
          && !mm_time_before(mm_node_now(owner->node), job->paused_until);
 }
 
+gboolean
+mm_owner_yields(const MmOwner *owner, const MmJob *job) {
+  const MmJob *to = owner->yield;
+
+  return to != NULL && to != job && job->spec.need.accelerators > 0
+         && job->spec.priority <= to->spec.priority && job->submitted_ms > to->submitted_ms;
+}
+
 gboolean
 mm_owner_goes_first(const MmOwner *owner, const MmJob *job) {
-  return job->spec.priority >= MM_URGENT
+  return job->aged || job->spec.priority >= MM_URGENT
          || mm_job_waited_s(owner->node, job) > owner->node->operators->wait_bound_s;
 }
 
@@ -107,6 +115,10 @@
 mm_owner_compare_pressing(gconstpointer a, gconstpointer b) {
   const MmJob *x = *(MmJob *const *)a, *y = *(MmJob *const *)b;
 
+  if (x->aged != y->aged)
+    return x->aged ? -1 : 1;
+  if (x->aged && x->submitted_ms != y->submitted_ms)
+    return x->submitted_ms < y->submitted_ms ? -1 : 1;
   if (x->spec.priority != y->spec.priority)
     return x->spec.priority > y->spec.priority ? -1 : 1;
   if (x->due_ms != y->due_ms)
@@ -169,6 +181,9 @@
   if (held->unheard_any)
     return FALSE;
   used = mm_room_add(held->used, held->unheard_room);
+  /* Else small jobs take what is left of the limit one by one, and a large one never begins. */
+  if (!mm_name_is_empty(&held->owed_to) && !mm_name_equal(&held->owed_to, &job->spec.id))
+    used = mm_room_add(used, held->owed);
   used.cores += tasks * job->spec.need.cores;
   used.accelerators += tasks * job->spec.need.accelerators;
   return (limit.cores <= 0 || used.cores <= limit.cores + MM_ROOM_SLACK)
@@ -280,7 +295,8 @@
 /* What holds for all tasks of the job alike. */
 static gboolean
 job_may_start(MmOwner *owner, const MmJob *job, const MmAsk *ask) {
-  return mm_room_fits(job->spec.need, ask->room) && mm_owner_place_allowed(job, ask->machine)
+  return mm_room_fits(job->spec.need, ask->room) && !mm_owner_yields(owner, job)
+         && mm_owner_place_allowed(job, ask->machine)
          && mm_owner_quota_allows(owner, job->held, job, 1);
 }
 
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -97,7 +97,7 @@
 plan(MmOwner *owner, MmHeld *held, MmJob *job) {
   MmNode *node = owner->node;
 
-  if (!mm_owner_quota_allows(owner, held, job, job->spec.tasks))
+  if (mm_owner_yields(owner, job) || !mm_owner_quota_allows(owner, held, job, job->spec.tasks))
     return;
   if (!job->spec.one_zone) {
     reserve(owner, held, job, NULL);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -11,6 +11,7 @@
 #define SLOW_TICK_MS 200
 /* At all machines, in a slow tick. */
 #define LOOKS_A_ROUND 12
+#define YIELD_MOST_MS 240000
 #define ECHO_EVERY_MS 3000
 #define ECHOES_A_ROUND 4
 #define STOP_EVERY_MS 2000
@@ -273,6 +274,8 @@
 
 void
 mm_owner_job_removed(MmOwner *owner, MmJob *job) {
+  if (owner->yield == job)
+    owner->yield = NULL;
   drop_job(owner, job);
 }
 
@@ -760,6 +763,7 @@
 
   waiting->job = job->spec.id;
   waiting->first = mm_owner_goes_first(owner, job);
+  waiting->aged = job->aged;
   waiting->ranges = g_array_new(FALSE, FALSE, sizeof(guint));
   while (job->first_idle < job->spec.tasks && job->tasks[job->first_idle].state != MM_TASK_IDLE)
     job->first_idle++;
@@ -815,7 +819,7 @@
     MmJob *job = g_ptr_array_index(book->order, i);
     /* What its team's limit keeps from starting need not be asked for, nor machines rented. */
     if (job->tasks != NULL && job->idle > 0 && mm_owner_open(owner, job)
-        && mm_owner_quota_allows(owner, job->held, job, 1))
+        && mm_owner_quota_allows(owner, job->held, job, mm_job_is_gang(job) ? job->spec.tasks : 1))
       g_ptr_array_add(jobs, job);
   }
   g_ptr_array_sort(jobs, mm_owner_compare_pressing);
@@ -846,12 +850,21 @@
   gpointer value;
 
   g_hash_table_iter_init(&iter, owner->held);
-  while (g_hash_table_iter_next(&iter, NULL, &value))
-    ((MmHeld *)value)->used = (MmRoom){ 0 };
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    MmHeld *held = value;
+    held->used = held->owed = (MmRoom){ 0 };
+    held->owed_to = mm_name(NULL);
+  }
   for (guint i = 0; i < book->order->len; i++) {
     const MmJob *job = g_ptr_array_index(book->order, i);
-    MmHeld *held = job->live > 0 ? mm_owner_held(owner, job) : NULL;
-    if (held == NULL)
+    MmHeld *held = job->tasks != NULL ? job->held : NULL;
+    if (held != NULL && job->aged && mm_name_is_empty(&held->owed_to)
+        && mm_owner_open(owner, job)) {
+      guint tasks = mm_job_is_gang(job) ? job->spec.tasks : 1;
+      held->owed_to = job->spec.id;
+      held->owed = (MmRoom){ tasks * job->spec.need.cores, tasks * job->spec.need.accelerators, 0 };
+    }
+    if (held == NULL || job->live == 0)
       continue;
     held->used.cores += job->live * job->spec.need.cores;
     held->used.accelerators += job->live * job->spec.need.accelerators;
@@ -909,6 +922,34 @@
   }
 }
 
+/* A gang needs several places at once: while one waits, younger work for the same kind of place
+ * does not take them singly. Two-task gangs once waited eight minutes beside single tasks. Not for
+ * ever, should the gang find no place for another reason. */
+static void
+find_yield(MmOwner *owner) {
+  MmNode *node = owner->node;
+  MmBook *book = node->book;
+  gint64 now_ms = mm_node_wall_ms(node);
+  gint64 bound_ms = (gint64)(node->operators->wait_bound_s * 1000);
+
+  owner->yield = NULL;
+  for (guint v = 0; v < node->rank->n_views; v++) {
+    const GPtrArray *list = node->rank->views[v].waiting;
+    for (guint i = 0; i < list->len; i++) {
+      const MmWaiting *waiting = g_ptr_array_index(list, i);
+      const MmJob *job = mm_book_find(book, waiting->job.s);
+      gint64 waited_ms;
+      if (job == NULL || job->cancelled || !mm_job_is_gang(job) || job->spec.need.accelerators <= 0
+          || (job->tasks != NULL && job->idle == 0))
+        continue;
+      waited_ms = now_ms - job->submitted_ms;
+      if (waited_ms > bound_ms && waited_ms < YIELD_MOST_MS
+          && (owner->yield == NULL || job->submitted_ms < owner->yield->submitted_ms))
+        owner->yield = job;
+    }
+  }
+}
+
 void
 mm_owner_tick(MmOwner *owner) {
   MmTime now = mm_node_now(owner->node);
@@ -919,8 +960,14 @@
   if (mm_time_before(now, owner->next_slow))
     return;
   owner->next_slow = mm_time_add_ms(now, SLOW_TICK_MS);
-  for (guint i = 0; i < owner->node->book->order->len; i++)
-    mm_owner_set_due(owner, g_ptr_array_index(owner->node->book->order, i));
+  for (guint i = 0; i < owner->node->book->order->len; i++) {
+    MmJob *job = g_ptr_array_index(owner->node->book->order, i);
+    mm_owner_set_due(owner, job);
+    if (job->tasks != NULL)
+      job->aged = job->live == 0 && job->done.count == 0 && !job->cancelled
+                  && mm_job_waited_s(owner->node, job) > owner->node->operators->starve_s;
+  }
+  find_yield(owner);
   sum_up(owner);
   owner->pressing_stale = TRUE;
   owner->looks = LOOKS_A_ROUND;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -19,6 +19,8 @@
   MmTime taken;
   const MmTeamSettings *team;
   MmRoom used;          /* by tasks that are or may be on machines */
+  MmName owed_to;       /* the oldest job that starves, */
+  MmRoom owed;          /* and what it needs of the team's limit to begin */
   MmRoom unheard_room;  /* what unheard machines might hold beside them */
   gboolean unheard_any; /* one of them is of an unknown type: that may be anything */
   gboolean unheard_changed;
@@ -40,8 +42,9 @@
   guint solo;          /* so many of the next writes carry one job only */
   GPtrArray *pressing; /* MmJob of the parts held here, most pressing first */
   gboolean pressing_stale;
-  guint looks;      /* at all machines, that are left until the next slow tick */
-  guint next_clear; /* where the next round of clearing room goes on */
+  const MmJob *yield; /* the oldest gang that waits for accelerators, anywhere */
+  guint looks;        /* at all machines, that are left until the next slow tick */
+  guint next_clear;   /* where the next round of clearing room goes on */
   MmTime next_slow;
   MmTime next_move;
 };
@@ -88,10 +91,13 @@
 MmHeld *mm_owner_held(const MmOwner *owner, const MmJob *job);
 /* Whether the job's tasks may be given out at all at the moment. */
 gboolean mm_owner_open(const MmOwner *owner, const MmJob *job);
+/* Whether the job leaves its places to an older gang for now. */
+gboolean mm_owner_yields(const MmOwner *owner, const MmJob *job);
 gboolean mm_owner_goes_first(const MmOwner *owner, const MmJob *job);
 /* Sets by when the job must be given machines for the first of its aims that it can still meet. */
 void mm_owner_set_due(MmOwner *owner, MmJob *job);
-/* The order of pressing: priority, then what is due first; jobs past all their aims come last. */
+/* The order of pressing: jobs that starve, the oldest first; then priority, then what is due first.
+ * Jobs past all their aims come last, until they starve. */
 gint mm_owner_compare_pressing(gconstpointer a, gconstpointer b);
 /* The rules that bind a task to places: type, zone, kind of machine, the job's other tasks. */
 gboolean mm_owner_place_allowed(const MmJob *job, const MmMachine *machine);
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -28,6 +28,7 @@
 
 /* More tasks than these are not stopped on one machine for another. */
 #define VICTIMS_MAX 32
+#define SPARED_TASKS 2
 
 static int
 cheapest_first(const void *a, const void *b) {
@@ -38,6 +39,13 @@
   return (int)y->seen->number - (int)x->seen->number;
 }
 
+/* A job that has hardly begun after a long wait keeps the little it has. */
+static gboolean
+is_spared(const MmOwner *owner, const MmJob *job) {
+  return mm_job_waited_s(owner->node, job) > owner->node->operators->starve_s
+         && mm_roster_running(owner->node->roster, job->spec.id.s) <= SPARED_TASKS;
+}
+
 /* The tasks to stop on the machine so that the job's task fits: how many, or -1 when that is not to
  * be had. */
 static gint
@@ -53,7 +61,7 @@
     if (seen->state == MM_SEEN_ENDED || seen->state == MM_SEEN_SAVING)
       continue;
     other = mm_book_find(owner->node->book, seen->job.s);
-    if (other != NULL && other->spec.priority < job->spec.priority)
+    if (other != NULL && other->spec.priority < job->spec.priority && !is_spared(owner, other))
       chosen[able++] = (Victim){ seen, other };
   }
   qsort(chosen, able, sizeof *chosen, cheapest_first);
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -74,6 +74,7 @@
     items[i].ranges = (guint32 *)waiting->ranges->data;
     items[i].n_ranges = waiting->ranges->len;
     items[i].first = waiting->first;
+    items[i].aged = waiting->aged;
     list[i] = &items[i];
   }
   for (guint i = 0; i < own->reserved->len; i++)
@@ -117,8 +118,12 @@
   for (size_t i = 0; i < backlog->n_waiting; i++) {
     const Mm__Waiting *item = backlog->waiting[i];
     MmWaiting *waiting = g_new0(MmWaiting, 1);
+    MmJob *job = mm_book_find(rank->node->book, item->job);
     waiting->job = mm_name(item->job);
     waiting->first = item->first;
+    waiting->aged = item->aged;
+    if (job != NULL && job->tasks == NULL)
+      job->aged = item->aged;
     waiting->ranges = g_array_new(FALSE, FALSE, sizeof(guint));
     g_array_append_vals(waiting->ranges, item->ranges, (guint)(item->n_ranges & ~(size_t)1));
     g_ptr_array_add(view->waiting, waiting);
--- a/src/rank/rank.h
+++ b/src/rank/rank.h
@@ -12,6 +12,7 @@
   MmName job;
   GArray *ranges; /* guint pairs: first number, length */
   gboolean first; /* goes first to any fitting machine */
+  gboolean aged;  /* goes before all others */
 } MmWaiting;
 
 typedef struct {
--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -65,11 +65,58 @@
   world_free(world);
 }
 
+/* More than there is room for, in small jobs that come without pause: the largest array, a gang and
+ * a wide service of each of two teams all the same begin within four minutes. */
+static void
+test_nobody_starves(void) {
+  World *world = world_new(2);
+  WorldJob *big[6];
+
+  world->capacity = 0;
+  world->team_cores = 60;
+  for (guint i = 0; i < 12; i++)
+    world_add_machine(world, "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
+  for (guint i = 0; i < 4; i++)
+    world_add_machine(world, "big", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 3);
+  for (guint second = 0; second < 300; second++) {
+    g_autofree char *team = g_strdup_printf("team-%u", second % 2);
+    world_submit(world,
+                 json_pack("{s:s, s:i, s:s}", W_TEAM, team, W_TASKS, 6, W_PRIORITY, "urgent"), 15);
+    if (second % 3 == 0)
+      world_submit(world,
+                   json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", W_TEAM, team, W_KIND, W_KIND_GANG,
+                             W_TASKS, 1, W_ACCELERATORS, 2.0, W_CORES, 6.0, W_PRIORITY, "urgent"),
+                   20);
+    for (guint i = 0; i < 6 && second == 30; i++) {
+      g_autofree char *its = g_strdup_printf("team-%u", i % 2);
+      json_t *job
+          = i < 2   ? json_pack("{s:s, s:i, s:s}", W_TEAM, its, W_TASKS, 120, W_PRIORITY, "low")
+            : i < 4 ? json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", W_TEAM, its, W_KIND, W_KIND_GANG,
+                                W_TASKS, 2, W_ACCELERATORS, 2.0, W_CORES, 6.0, W_PRIORITY, "urgent")
+                    : json_pack("{s:s, s:s, s:i, s:b}", W_TEAM, its, W_KIND, W_KIND_SERVICE,
+                                W_TASKS, 12, W_SPREAD, 1);
+      big[i] = world_submit(world, job, 20);
+    }
+    world_run(world, 1);
+    g_assert_cmpuint(world->broken->len, ==, 0);
+  }
+  for (guint i = 0; i < 6; i++) {
+    g_test_message("job %u of 6 began after %.0f s", i,
+                   (double)(big[i]->began_us - big[i]->submitted_us) / G_USEC_PER_SEC);
+    g_assert_cmpint(big[i]->began_us, !=, 0);
+    g_assert_cmpint(big[i]->began_us - big[i]->submitted_us, <, 240 * (gint64)G_USEC_PER_SEC);
+  }
+  world_free(world);
+}
+
 int
 main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   if (g_getenv("LOG_LEVEL") != NULL)
     mm_log_setup();
   g_test_add_func("/large/steady", test_steady);
+  g_test_add_func("/large/nobody-starves", test_nobody_starves);
   return g_test_run();
 }
