Revert "Try: keep room free for what comes while a machine boots"

What came was already covered by the machines that were up (150 of 600 places free before the burst at 150 s), and from then on every machine that the cloud has was rented or booting. Ruled out with it: renting too late as a cause. What is short there is capacity.

--- a/src/config/operators.c
+++ b/src/config/operators.c
@@ -28,10 +28,6 @@
           "how long urgent work waits for free room before it may preempt"),
   SETTING(starve_s, "s", 90, 1, 86400,
           "a job that waited longer with none of its tasks begun goes before all others"),
-  SETTING(
-      spare, "times", 1, 0, 10,
-      "how much room is kept for work in a hurry that has not come yet: times what came while a "
-      "machine boots"),
   SETTING(rent, "0 or 1", 1, 0, 1, "whether machines are rented when work waits"),
   { NULL },
 };
--- a/src/config/operators.h
+++ b/src/config/operators.h
@@ -16,7 +16,6 @@
   double boot_patience;     /* times the nominal boot time until a machine counts as stuck */
   double preempt_after_s;   /* how long urgent work waits for room before it may preempt */
   double starve_s;          /* a job that waited longer with nothing begun goes before all others */
-  double spare;             /* times what comes while a machine boots that is kept free for it */
   double rent;              /* 1: rent machines when work waits, 0: never */
 } MmOperators;
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -4,7 +4,6 @@
 
 #include "base/wire.h"
 #include "checkin/register.h"
-#include "fleet/spare.h"
 #include "owner/owner.h"
 #include "peers/links.h"
 #include "parts/claims.h"
@@ -15,8 +14,6 @@
 #define PLAN_EVERY_MS 500
 #define LIST_PAGE 500
 #define RENT_MAX 50
-#define SPARE_EVERY_MS 2000
-#define CLASSES_MAX 64
 #define RELEASE_MAX 100
 #define REFUSED_MS 8000
 #define REFUSED_MOST_MS 30000
@@ -45,7 +42,6 @@
 
   fleet->node = node;
   fleet->listed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-  fleet->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, mm_demand_destroy);
   fleet->zones = g_array_new(FALSE, TRUE, sizeof(MmZoneQuiet));
   fleet->offers = g_array_new(FALSE, TRUE, sizeof(MmOffer));
   return fleet;
@@ -56,7 +52,6 @@
   g_hash_table_unref(fleet->listed);
   g_array_unref(fleet->offers);
   g_array_unref(fleet->zones);
-  g_hash_table_unref(fleet->demands);
   g_free(fleet);
 }
 
@@ -310,32 +305,6 @@
   return zone->quiet >= ZONE_LEAST && 2 * zone->quiet > zone->all;
 }
 
-static guint slots(MmFleet *fleet, const MmJob *job, const MmType *type);
-
-/* Whether enough is kept free without the machine; it then counts as returned. */
-static gboolean
-is_spare_enough(MmFleet *fleet, const MmMachine *machine) {
-  GHashTableIter iter;
-  gpointer value;
-
-  if (fleet->next_spare.us == 0)
-    return FALSE;
-  g_hash_table_iter_init(&iter, fleet->demands);
-  while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    const MmDemand *demand = value;
-    if (mm_rank_allows(&demand->like, machine)
-        && demand->surplus < (gint)slots(fleet, &demand->like, machine->type))
-      return FALSE;
-  }
-  g_hash_table_iter_init(&iter, fleet->demands);
-  while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    MmDemand *demand = value;
-    if (mm_rank_allows(&demand->like, machine))
-      demand->surplus -= (gint)slots(fleet, &demand->like, machine->type);
-  }
-  return TRUE;
-}
-
 static gboolean
 useless(MmFleet *fleet, MmListed *listed) {
   MmNode *node = fleet->node;
@@ -367,7 +336,7 @@
     for (guint v = 0; v < node->rank->n_views; v++)
       if (node->rank->views[v].unfinished > 0)
         return FALSE;
-    return is_spare_enough(fleet, machine);
+    return TRUE;
   }
   return FALSE;
 }
@@ -597,63 +566,6 @@
       g_array_remove_index(options, i - 1);
 }
 
-/* Rents for one class what is short of the room to be kept free; TRUE when something was asked for.
- */
-static gboolean
-rent_spare(MmFleet *fleet, MmDemand *demand) {
-  MmTime now = mm_node_now(fleet->node);
-  g_autoptr(GArray) options = NULL;
-
-  demand->surplus = (gint)mm_demand_room(fleet, demand) - (gint)mm_demand_target(fleet, demand);
-  options = options_for(fleet, &demand->like);
-  for (guint i = 0; i < options->len; i++) {
-    const Option *option = &g_array_index(options, Option, i);
-    demand->surplus
-        += (gint)(offer_for(fleet, &option->type->name, &option->zone, option->spot)->coming
-                  * option->slots);
-  }
-  for (guint i = 0; i < options->len && demand->surplus < 0; i++) {
-    const Option *option = &g_array_index(options, Option, i);
-    MmOffer *offer = offer_for(fleet, &option->type->name, &option->zone, option->spot);
-    if (mm_time_before(now, offer->until)
-        || (demand->like.spec.need.accelerators <= 0 && option->type->room.accelerators > 0))
-      continue;
-    rent(fleet, option->type, &option->zone, option->spot,
-         ((guint)-demand->surplus + option->slots - 1) / option->slots);
-    return TRUE;
-  }
-  return FALSE;
-}
-
-/* Room for what has not come yet, once everything that waits is provided for. */
-static void
-plan_spare(MmFleet *fleet) {
-  MmTime now = mm_node_now(fleet->node);
-  GHashTableIter iter;
-  gpointer value;
-
-  if (mm_time_before(now, fleet->next_spare))
-    return;
-  fleet->next_spare = mm_time_add_ms(now, SPARE_EVERY_MS);
-  g_hash_table_iter_init(&iter, fleet->demands);
-  while (g_hash_table_iter_next(&iter, NULL, &value))
-    if (rent_spare(fleet, value))
-      return;
-}
-
-void
-mm_fleet_note_job(MmFleet *fleet, const MmJob *job) {
-  MmDemand *demand = g_hash_table_lookup(fleet->demands, job->spec.job_class.s);
-
-  if (demand == NULL && g_hash_table_size(fleet->demands) >= CLASSES_MAX)
-    return;
-  if (demand == NULL) {
-    demand = mm_demand_new();
-    g_hash_table_insert(fleet->demands, g_strdup(job->spec.job_class.s), demand);
-  }
-  mm_demand_note(demand, job);
-}
-
 /* Waiting tasks of all owners against what is free and what is coming; the first kind of machine
  * that is short is rented, cheapest slot first. One request at a time. */
 static void
@@ -698,7 +610,6 @@
       }
     }
   }
-  plan_spare(fleet);
 }
 
 void
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -39,12 +39,10 @@
 struct MmFleet {
   MmNode *node;
   gboolean active;
-  GHashTable *listed;  /* id -> MmListed */
-  GHashTable *demands; /* class -> MmDemand */
-  MmTime next_spare;
-  GArray *offers; /* MmOffer */
-  GArray *zones;  /* MmZoneQuiet, as of this round */
-  guint all;      /* machines not lost, and how many of them are silent */
+  GHashTable *listed; /* id -> MmListed */
+  GArray *offers;     /* MmOffer */
+  GArray *zones;      /* MmZoneQuiet, as of this round */
+  guint all;          /* machines not lost, and how many of them are silent */
   guint quiet;
   guint probes; /* still to be sent in this round */
   gboolean listing;
@@ -60,5 +58,3 @@
 MmFleet *mm_fleet_new(MmNode *node);
 void mm_fleet_free(MmFleet *fleet);
 void mm_fleet_tick(MmFleet *fleet);
-/* A job has come to be known. */
-void mm_fleet_note_job(MmFleet *fleet, const MmJob *job);
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -1,7 +1,6 @@
 #include "jobs/book.h"
 
 #include "base/wire.h"
-#include "fleet/fleet.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
 #include "rank/rank.h"
@@ -83,7 +82,6 @@
     book->generation++;
     g_ptr_array_sort(book->order, older_first);
     mm_rank_note(book->node->rank, &job->spec);
-    mm_fleet_note_job(book->node->fleet, job);
   }
   job->mark = mark;
   if (!mm_done_set_parse(&job->recorded, mm_json_string(value, "d")))
