Work within its team's guarantee reclaims what other teams run above theirs

Change: each node sums up, once a second, which jobs lie within their team's guarantee and what each team runs; such a job goes before others of its priority, and after 1.5 s may stop tasks of equal or lower priority, no services, of a team that stays at its guarantee without them.

--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -238,12 +238,17 @@
   g_free(s);
 }
 
+gint
+mm_settings_team_index(const MmSettings *settings, const MmName *name) {
+  for (guint i = 0; i < settings->teams->len; i++)
+    if (mm_name_equal(&g_array_index(settings->teams, MmTeamSettings, i).name, name))
+      return (gint)i;
+  return -1;
+}
+
 const MmTeamSettings *
 mm_settings_team(const MmSettings *settings, const MmName *name) {
-  for (guint i = 0; i < settings->teams->len; i++) {
-    const MmTeamSettings *team = &g_array_index(settings->teams, MmTeamSettings, i);
-    if (mm_name_equal(&team->name, name))
-      return team;
-  }
-  return NULL;
+  gint i = mm_settings_team_index(settings, name);
+
+  return i >= 0 ? &g_array_index(settings->teams, MmTeamSettings, i) : NULL;
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -58,4 +58,6 @@
 void mm_settings_free(MmSettings *settings);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(MmSettings, mm_settings_free)
 
+/* -1: no such team. */
+gint mm_settings_team_index(const MmSettings *settings, const MmName *name);
 const MmTeamSettings *mm_settings_team(const MmSettings *settings, const MmName *name);
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -76,6 +76,7 @@
     }
     job->submitted_ms = (gint64)mm_json_count(value, "at", 0);
     job->part = mm_claims_part_of_team(&job->spec.team);
+    job->team = mm_settings_team_index(book->node->settings, &job->spec.team);
     mm_done_set_init(&job->recorded, job->spec.tasks);
     g_hash_table_insert(book->jobs, job->spec.id.s, job);
     g_ptr_array_add(book->order, job);
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -12,6 +12,8 @@
 #define GIVE_UP_AFTER_MS 800
 #define SPREAD_PERIODS 0.7
 #define OUTLOOK_MS 400
+/* Work within its team's guarantee should start within seconds. */
+#define WITHIN_S 1
 #define OUTLOOK_OLD_MS 2000
 
 MmAttempt
@@ -41,7 +43,8 @@
 gboolean
 mm_owner_goes_first(const MmOwner *owner, const MmJob *job) {
   return job->aged || job->spec.priority >= MM_URGENT
-         || mm_job_waited_s(owner->node, job) > owner->node->operators->wait_bound_s;
+         || mm_job_waited_s(owner->node, job)
+                > (job->within ? WITHIN_S : owner->node->operators->wait_bound_s);
 }
 
 /* When the last task must have started for the aim, in seconds from the job's submission. */
@@ -121,6 +124,8 @@
     return x->submitted_ms < y->submitted_ms ? -1 : 1;
   if (x->spec.priority != y->spec.priority)
     return x->spec.priority > y->spec.priority ? -1 : 1;
+  if (x->within != y->within)
+    return x->within ? -1 : 1;
   if (x->due_ms != y->due_ms)
     return x->due_ms < y->due_ms ? -1 : 1;
   if (x->submitted_ms != y->submitted_ms)
--- /dev/null
+++ b/src/owner/guarantee.c
@@ -0,0 +1,65 @@
+/* Teams' guarantees: which jobs lie within them, and which teams run more than theirs, so that work
+ * of these may be stopped for work of those. Every node works it out from what it knows; nothing
+ * safety-critical hangs on it. */
+#include "owner/owner.h"
+
+#define EVERY_MS 1000
+
+static gboolean
+fits(const MmRoom *guaranteed, const MmRoom *sum, const MmSpec *spec) {
+  /* An amount of 0 is no guarantee at all. */
+  if (spec->need.accelerators > 0 && sum->accelerators > guaranteed->accelerators + MM_ROOM_SLACK)
+    return FALSE;
+  if (guaranteed->cores <= 0)
+    return spec->need.accelerators > 0;
+  return sum->cores <= guaranteed->cores + MM_ROOM_SLACK;
+}
+
+void
+mm_owner_count_guarantees(MmOwner *owner) {
+  MmNode *node = owner->node;
+  const GArray *teams = node->settings->teams;
+  MmTime now = mm_node_now(node);
+  g_autofree MmRoom *sums = NULL;
+
+  if (mm_time_before(now, owner->next_guarantees))
+    return;
+  owner->next_guarantees = mm_time_add_ms(now, EVERY_MS);
+  sums = g_new0(MmRoom, teams->len);
+  memset(owner->team_used, 0, teams->len * sizeof *owner->team_used);
+  for (guint i = 0; i < node->book->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->book->order, i);
+    const MmTeamSettings *team;
+    job->within = FALSE;
+    if (job->team < 0 || job->cancelled)
+      continue;
+    team = &g_array_index(teams, MmTeamSettings, job->team);
+    sums[job->team].cores += job->spec.tasks * job->spec.need.cores;
+    sums[job->team].accelerators += job->spec.tasks * job->spec.need.accelerators;
+    job->within = fits(&team->guaranteed, &sums[job->team], &job->spec);
+  }
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    for (guint k = 0; k < machine->tasks->len; k++) {
+      const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, k);
+      const MmJob *job
+          = seen->state != MM_SEEN_ENDED ? mm_book_find(node->book, seen->job.s) : NULL;
+      if (job != NULL && job->team >= 0)
+        owner->team_used[job->team] = mm_room_add(owner->team_used[job->team], job->spec.need);
+    }
+  }
+}
+
+gboolean
+mm_owner_may_reclaim(const MmOwner *owner, const MmJob *job, const MmJob *from) {
+  const MmTeamSettings *team;
+  MmRoom left;
+
+  if (!job->within || from->team < 0 || from->team == job->team || from->within
+      || from->spec.kind == MM_KIND_SERVICE || from->spec.priority > job->spec.priority)
+    return FALSE;
+  team = &g_array_index(owner->node->settings->teams, MmTeamSettings, from->team);
+  left = mm_room_sub(owner->team_used[from->team], from->spec.need);
+  return left.cores >= team->guaranteed.cores - MM_ROOM_SLACK
+         && left.accelerators >= team->guaranteed.accelerators - MM_ROOM_SLACK;
+}
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -34,6 +34,7 @@
 
   owner->node = node;
   owner->pressing = g_ptr_array_new();
+  owner->team_used = g_new0(MmRoom, node->settings->teams->len);
   owner->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
   owner->guesses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return owner;
@@ -42,6 +43,7 @@
 void
 mm_owner_free(MmOwner *owner) {
   g_ptr_array_unref(owner->pressing);
+  g_free(owner->team_used);
   g_hash_table_unref(owner->held);
   g_hash_table_unref(owner->guesses);
   g_free(owner);
@@ -968,6 +970,7 @@
                   && mm_job_waited_s(owner->node, job) > owner->node->operators->starve_s;
   }
   find_yield(owner);
+  mm_owner_count_guarantees(owner);
   sum_up(owner);
   owner->pressing_stale = TRUE;
   owner->looks = LOOKS_A_ROUND;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -42,6 +42,8 @@
   guint solo;          /* so many of the next writes carry one job only */
   GPtrArray *pressing; /* MmJob of the parts held here, most pressing first */
   gboolean pressing_stale;
+  MmRoom *team_used; /* by the settings' teams, on all machines, as seen a moment ago */
+  MmTime next_guarantees;
   const MmJob *yield; /* the oldest gang that waits for accelerators, anywhere */
   guint looks;        /* at all machines, that are left until the next slow tick */
   guint next_clear;   /* where the next round of clearing room goes on */
@@ -126,6 +128,12 @@
   return job->spec.kind == MM_KIND_GANG && job->spec.tasks > 1;
 }
 
+/* guarantee.c */
+void mm_owner_count_guarantees(MmOwner *owner);
+/* Whether a task of `from` may be stopped to give the job, of another team, what that is
+ * guaranteed. */
+gboolean mm_owner_may_reclaim(const MmOwner *owner, const MmJob *job, const MmJob *from);
+
 /* preempt.c */
 void mm_owner_preempt(MmOwner *owner);
 /* Seconds until the machine could run a task of the job that is given to it now, its image and what
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -15,6 +15,7 @@
 /* What a service would wait longer to be less crowded, for each task beside it. */
 #define CROWD_S 0.25
 #define MOVE_AFTER_MS 1500
+#define RECLAIM_AFTER_MS 1500
 #define MOVE_EVERY_MS 1500
 /* Each is a look at all machines: without a bound, replicas that found no place took 200 ms of
  * processor time a try. */
@@ -61,7 +62,9 @@
     if (seen->state == MM_SEEN_ENDED || seen->state == MM_SEEN_SAVING)
       continue;
     other = mm_book_find(owner->node->book, seen->job.s);
-    if (other != NULL && other->spec.priority < job->spec.priority && !is_spared(owner, other))
+    if (other != NULL
+        && (other->spec.priority < job->spec.priority || mm_owner_may_reclaim(owner, job, other))
+        && !is_spared(owner, other))
       chosen[able++] = (Victim){ seen, other };
   }
   qsort(chosen, able, sizeof *chosen, cheapest_first);
@@ -155,6 +158,9 @@
     const Victim *victim = &victims[i];
     mm_info("stopping %s/%u on %s for %s", victim->job->spec.id.s, victim->seen->number, best->id.s,
             job->spec.id.s);
+    if (victim->job->team >= 0)
+      owner->team_used[victim->job->team]
+          = mm_room_sub(owner->team_used[victim->job->team], victim->job->spec.need);
     mm_owner_stop(owner, best, &victim->job->spec.id, victim->seen->number, victim->seen->attempt,
                   mm_owner_grace_s(victim->job));
   }
@@ -239,7 +245,9 @@
 clear_for_job(MmOwner *owner, MmJob *job, guint most) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
-  gint64 bound_ms = (gint64)(node->operators->preempt_after_s * 1000);
+  gint64 bound_ms = job->spec.priority >= MM_URGENT
+                        ? (gint64)(node->operators->preempt_after_s * 1000)
+                        : RECLAIM_AFTER_MS;
   gboolean bound_to_zones = job->spec.spread || job->spec.one_zone;
   guint tries = 0;
 
@@ -274,8 +282,8 @@
     MmJob *job = g_ptr_array_index(jobs, (owner->next_clear + n) % jobs->len);
     guint tries;
 
-    if (job->idle == 0 || job->spec.priority < MM_URGENT || !mm_owner_open(owner, job)
-        || !mm_owner_quota_allows(owner, job->held, job, 1))
+    if (job->idle == 0 || (job->spec.priority < MM_URGENT && !job->within)
+        || !mm_owner_open(owner, job) || !mm_owner_quota_allows(owner, job->held, job, 1))
       continue;
     tries = clear_for_job(owner, job, MIN(left, clears));
     left -= tries;
