--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -53,9 +53,10 @@
 }
 
 static gboolean
-refused_just_now(const MmNode *node) {
-  return mm_store_in_trouble(node->store)
-         && mm_time_ms_since(mm_node_now(node), node->store->last_refused) < REFUSED_MS;
+is_refused_now(const MmNode *node) {
+  return mm_store_is_silent(node->store)
+         || (mm_store_in_trouble(node->store)
+             && mm_time_ms_since(mm_node_now(node), node->store->last_refused) < REFUSED_MS);
 }
 
 /* The final answer of this request: come again later. */
@@ -251,7 +252,7 @@
 
   if (final != NULL)
     finish(call, 200, final, 0);
-  else if (call->tries == 0 && refused_just_now(call->node))
+  else if (call->tries == 0 && is_refused_now(call->node))
     give_up(call);
   else
     mm_store_get(call->node->store, MM_KEY_JOB, call->id.s, record_read, call);
@@ -283,7 +284,7 @@
     mm_exchange_answer(exchange, 200, final, 0);
   else if (!mm_spec_id_is_valid(id))
     mm_exchange_answer(exchange, 404, mm_json_error("no such job"), 0);
-  else if (refused_just_now(node))
+  else if (is_refused_now(node))
     give_up(call_new(node, exchange, id));
   else
     mm_replica_when_current(node->replica, replica_current, call_new(node, exchange, id));
@@ -353,7 +354,7 @@
     finish(call, 422, mm_json_error(reason), 0);
     return;
   }
-  if (refused_just_now(node)) {
+  if (is_refused_now(node)) {
     give_up(call);
     return;
   }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -83,14 +83,16 @@
   mm_fleet_tick(node->fleet);
 }
 
-/* A node that alone is refused by the state service sends its users elsewhere. In an outage for
- * all, being unhealthy would help nobody. */
+/* A node that alone is refused by the state service, or has no answer from it, sends its users
+ * elsewhere. In an outage for all, being unhealthy would help nobody. */
 static gboolean
 healthy(const MmNode *node) {
   MmTime now = mm_node_now(node);
 
   if (!node->replica->loaded || !mm_types_known(node->types))
     return FALSE;
+  if (mm_store_is_silent(node->store))
+    return FALSE;
   return !mm_store_in_trouble(node->store)
          || mm_time_ms_since(now, node->store->last_served) < TROUBLE_ALONE_MS
          || mm_time_ms_since(now, mm_links_last_refused(node->links)) < TROUBLE_ALONE_MS
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -3,6 +3,8 @@
 #include "base/wire.h"
 
 #define REQUEST_TIMEOUT_MS 2000
+/* Two renewals of a claim. */
+#define SILENT_MS 1500
 /* Shares are by node, yet rarely do all nodes write at once; the state service's own 429 is the
  * last word. Claims and users' words are not held back by this budget. */
 #define WRITE_SHARE 0.4
@@ -36,8 +38,11 @@
     if (!mm_store_in_trouble(call->store))
       call->store->refused_since = now;
     call->store->last_refused = now;
-  } else if (status != 0 && status != 429)
+  } else if (status == 0) {
+    call->store->last_unanswered = now;
+  } else if (status != 429) {
     call->store->last_served = mm_time_max(call->store->last_served, call->sent);
+  }
   if (status == 429)
     mm_info("the state service says 429");
   if (call->answered != NULL)
@@ -150,6 +155,12 @@
   return TRUE;
 }
 
+gboolean
+mm_store_is_silent(const MmStore *store) {
+  return store->last_unanswered.us > store->last_served.us
+         && mm_time_ms_since(mm_node_now(store->node), store->last_served) > SILENT_MS;
+}
+
 gboolean
 mm_store_in_trouble(const MmStore *store) {
   return store->last_refused.us > store->last_served.us;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -5,10 +5,11 @@
 
 struct MmStore {
   MmNode *node;
-  MmTime last_refused;  /* last 503 */
-  MmTime refused_since; /* first 503 since the last request that was served */
-  MmTime last_served;   /* when the last request that was served had been sent */
-  double write_tokens;  /* what this node may still write in work that can wait */
+  MmTime last_refused;    /* last 503 */
+  MmTime refused_since;   /* first 503 since the last request that was served */
+  MmTime last_unanswered; /* last request that got no answer in time */
+  MmTime last_served;     /* when the last request that was served had been sent */
+  double write_tokens;    /* what this node may still write in work that can wait */
   MmTime tokens_at;
   guint64 writes;
   guint64 requests;
@@ -59,3 +60,6 @@
 gboolean mm_store_may_write(MmStore *store, guint puts);
 /* Whether the state service refuses us at the moment. */
 gboolean mm_store_in_trouble(const MmStore *store);
+/* Whether it has answered us nothing at all for a while: more likely we are cut off from it than
+ * that it is down. */
+gboolean mm_store_is_silent(const MmStore *store);
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -209,6 +209,44 @@
   world_free(world);
 }
 
+static void
+note_status(gpointer data, int status, json_t *body) {
+  *(int *)data = status;
+}
+
+/* A node that has lost the state service and the other nodes answers its users at once, sends its
+ * workers on when its claim can have ended, and is back by itself. */
+static void
+test_cut_node_answers(void) {
+  World *world = world_new(7);
+  int submitted = -1, health = -1, polled = -1;
+  json_t *body = json_pack("{s:s}", W_JOB_ID, "run-000001");
+
+  for (guint i = 0; i < 6; i++)
+    world_add_machine(world, "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 8);
+  world_submit(world, json_pack("{s:i}", W_TASKS, 4), 5);
+  world_run(world, 2);
+  json_object_update(body, ((WorldJob *)g_ptr_array_index(world->jobs, 0))->body);
+  json_object_set_new(body, W_JOB_ID, json_string("run-000001"));
+  world_cut_node(world, 1, 20, FALSE);
+  world_run(world, 4);
+  g_assert_false(mm_claims_may_answer(world->nodes[1].node->claims));
+  world_ask_node(world, 1, NULL, "POST", W_JOBS_PATH, body, 100000, note_status, &submitted);
+  world_ask_node(world, 1, NULL, "GET", W_JOBS_PATH "/run-000001", NULL, 100000, note_status,
+                 &polled);
+  world_ask_node(world, 1, NULL, "GET", "/healthz", NULL, 100000, note_status, &health);
+  world_run(world, 0.2);
+  g_assert_cmpint(submitted, ==, 503);
+  g_assert_cmpint(polled, ==, 503);
+  g_assert_cmpint(health, ==, 503);
+  world_run(world, 25);
+  g_assert_true(mm_claims_may_answer(world->nodes[1].node->claims));
+  no_rule_broken(world);
+  world_free(world);
+}
+
 /* An outage for all, in which two nodes find each other refused: claims hold throughout. */
 static void
 test_outage_holds_claims(void) {
@@ -242,6 +280,7 @@
   g_test_add_func("/world/restart-without-cloud", test_restart_without_cloud);
   g_test_add_func("/world/two-refused-alone", test_two_refused_alone);
   g_test_add_func("/world/outage-holds-claims", test_outage_holds_claims);
+  g_test_add_func("/world/cut-node-answers", test_cut_node_answers);
   /* Day 31: a gang split by a lost machine waited without end. */
   g_test_add_data_func("/world/day-31-split-gang", GUINT_TO_POINTER(31), a_day);
   for (guint seed = 1; seed <= days; seed++) {
