Clear room for several tasks of a spread service at once

Cause: a service bound to zones had room cleared for one replica at a time, two seconds each, after a zone was lost. Claims now count for its zones, so several are cleared for together.

--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -133,8 +133,10 @@
   return strcmp(x->spec.id.s, y->spec.id.s);
 }
 
-gboolean
-mm_owner_place_allowed(const MmJob *job, const MmMachine *machine) {
+/* `claims_at` zero: only tasks that are or may be on machines count. */
+static gboolean
+place_allowed(const MmRoster *roster, const MmJob *job, const MmMachine *machine,
+              MmTime claims_at) {
   guint here = 0;
 
   if (!mm_rank_allows(job, machine))
@@ -143,10 +145,13 @@
     return TRUE;
   for (guint i = 0; i < job->spec.tasks; i++) {
     const MmTask *task = &job->tasks[i];
+    const MmMachine *at = task->machine;
     gboolean same;
-    if (task->machine == NULL)
+    if (at == NULL && claims_at.us != 0 && mm_time_before(claims_at, task->claimed))
+      at = mm_roster_find(roster, task->claimed_on.s);
+    if (at == NULL)
       continue;
-    same = mm_name_equal(&task->machine->zone, &machine->zone);
+    same = mm_name_equal(&at->zone, &machine->zone);
     here += same;
     if (job->spec.one_zone && !same)
       return FALSE;
@@ -154,6 +159,16 @@
   return !job->spec.spread || here < mm_spec_zone_limit(&job->spec);
 }
 
+gboolean
+mm_owner_place_allowed(const MmJob *job, const MmMachine *machine) {
+  return place_allowed(NULL, job, machine, (MmTime){ 0 });
+}
+
+gboolean
+mm_owner_place_hoped(const MmOwner *owner, const MmJob *job, const MmMachine *machine) {
+  return place_allowed(owner->node->roster, job, machine, mm_node_now(owner->node));
+}
+
 static void
 sum_unheard(MmOwner *owner, MmHeld *held) {
   GHashTableIter iter;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -104,6 +104,8 @@
 gint mm_owner_compare_pressing(gconstpointer a, gconstpointer b);
 /* The rules that bind a task to places: type, zone, kind of machine, the job's other tasks. */
 gboolean mm_owner_place_allowed(const MmJob *job, const MmMachine *machine);
+/* The same, counting also places that are being cleared for the job's waiting tasks. */
+gboolean mm_owner_place_hoped(const MmOwner *owner, const MmJob *job, const MmMachine *machine);
 gboolean mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks);
 MmAttempt mm_owner_next_attempt(MmOwner *owner, const MmHeld *held);
 
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -92,7 +92,7 @@
   owner->looked++;
   if (silent_ms > 2 * period_ms || machine->addr[0] == '\0'
       || !mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->full_until)
-      || !mm_owner_place_allowed(job, machine))
+      || !mm_owner_place_hoped(owner, job, machine))
     return -1;
   room = mm_machine_free(node->roster, machine);
   if (mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE)
@@ -210,7 +210,7 @@
     MmRoom room = mm_machine_free(node->roster, machine);
 
     if (!mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->clearing)
-        || !mm_owner_place_allowed(job, machine)
+        || !mm_owner_place_hoped(owner, job, machine)
         || mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE)
       continue;
     for (guint k = 0; k < machine->placed->len; k++) {
@@ -239,9 +239,9 @@
   return FALSE;
 }
 
-/* Clears room for the job's waiting tasks, each claimed once a report period. A job that is bound
- * to zones has one task cleared for at a time: where the first goes decides where the next may go.
- */
+/* Clears room for the job's waiting tasks, each claimed once a report period. Claims count for the
+ * job's zones: clearing for one task at a time instead made a wide service that had lost a zone
+ * wait two seconds for each of its replicas. */
 static guint
 clear_for_job(MmOwner *owner, MmJob *job, guint most) {
   MmNode *node = owner->node;
@@ -249,25 +249,18 @@
   gint64 bound_ms = job->spec.priority >= MM_URGENT
                         ? (gint64)(node->operators->preempt_after_s * 1000)
                         : RECLAIM_AFTER_MS;
-  gboolean bound_to_zones = job->spec.spread || job->spec.one_zone;
   guint tries = 0;
 
   for (guint i = job->first_idle; i < job->spec.tasks && tries < most; i++) {
     MmTask *task = &job->tasks[i];
     if (task->state != MM_TASK_IDLE)
       continue;
-    if (mm_time_before(now, task->claimed)) {
-      if (bound_to_zones)
-        break;
-      continue;
-    }
-    if (mm_time_before(now, task->not_before) || mm_time_ms_since(now, task->since) < bound_ms)
+    if (mm_time_before(now, task->claimed) || mm_time_before(now, task->not_before)
+        || mm_time_ms_since(now, task->since) < bound_ms)
       continue;
     tries++;
     if (!clear_room(owner, job, task) && !move_replica(owner, job, task))
       break;
-    if (bound_to_zones)
-      break;
   }
   return tries;
 }
