--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -8,14 +8,14 @@
 
 #define WRITE_EVERY_MS 1000
 #define WRITE_DELAY_MS 300
-#define SLOW_TICK_MS 200
+#define SLOW_TICK_MS 100
 /* At all machines, in a slow tick. */
-#define LOOKS_A_ROUND 12
+#define LOOKS_A_ROUND 8
 #define OWED_TASKS 4
 #define YIELD_MOST_MS 240000
 #define YIELD_JOBS 3
 #define ECHO_EVERY_MS 3000
-#define ECHOES_A_ROUND 4
+#define ECHOES_A_ROUND 2
 #define STOP_EVERY_MS 2000
 #define BACKLOG_JOBS 64
 #define BACKLOG_TASKS 512
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -7,7 +7,7 @@
 #include "parts/claims.h"
 
 #define TASKS_A_ROUND 16
-#define CLEARS_A_ROUND 8
+#define CLEARS_A_ROUND 6
 /* How long it takes until a stopped task's room can be given out, as seen: the command, the
  * worker's report half a second after its last at the earliest, the answer. */
 #define STOP_S 0.5
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -4,7 +4,7 @@
 #include "peers/links.h"
 #include "rank/modulo.h"
 
-#define TELL_EVERY_MS 100
+#define TELL_EVERY_MS 50
 #define GIVE_UP_EVERY_MS 100
 #define TELL_AGAIN_MS 1000
 #define RANKED_MAX 512
