--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -15,7 +15,7 @@
 /* What a service would wait longer to be less crowded, for each task beside it. */
 #define CROWD_S 0.25
 #define MOVE_AFTER_MS 1500
-#define RECLAIM_AFTER_MS 1500
+#define RECLAIM_AFTER_MS 2800
 #define MOVE_EVERY_MS 1500
 /* Each is a look at all machines: without a bound, replicas that found no place took 200 ms of
  * processor time a try. */
