--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -1,6 +1,7 @@
 /* The owner's answers on the ordinary path, and its arithmetic of limits. */
 #include "base/wire.h"
 #include "owner/owner.h"
+#include "store/replica.h"
 #include "world/world.h"
 
 typedef struct {
@@ -115,6 +116,136 @@
   world_free(s.world);
 }
 
+/* A report of a machine with one task of the setting's job on it. */
+static MmReport
+report_with(const Setting *s, guint machine, guint64 session, guint64 seq, guint64 attempt) {
+  MmReport report = { .machine = s->machines[machine]->id,
+                      .type = s->machines[machine]->type_name,
+                      .zone = s->machines[machine]->zone,
+                      .stamp = { session, seq },
+                      .token = s->machines[machine]->token,
+                      .tasks = g_array_new(FALSE, TRUE, sizeof(MmSeenTask)) };
+  MmSeenTask seen = { .job = s->job->spec.id, .attempt = { attempt }, .state = MM_SEEN_RUNNING };
+
+  if (attempt != 0)
+    g_array_append_val(report.tasks, seen);
+  return report;
+}
+
+static MmMachine *
+take(const Setting *s, MmReport report) {
+  MmNode *node = s->owner->node;
+  MmMachine *machine = mm_roster_take(node->roster, &report, mm_node_now(node), MM_HOST_SELF);
+
+  mm_report_clear(&report);
+  return machine;
+}
+
+/* Of two attempts at a task that show, the newer was approved when the older was gone: whichever
+ * report comes first, it stands. A late report once kept a task where it no longer was, and when
+ * that machine was lost the task was given out a third time. */
+static void
+test_newer_attempt_stands(void) {
+  for (guint newer_first = 0; newer_first < 2; newer_first++) {
+    Setting s = set_up(2);
+    guint64 seq = MAX(s.machines[0]->stamp.seq, s.machines[1]->stamp.seq) + 1;
+    guint first = newer_first ? 1 : 0;
+
+    take(&s, report_with(&s, first, 1, seq, first == 1 ? 200 : 100));
+    take(&s, report_with(&s, 1 - first, 1, seq, first == 1 ? 100 : 200));
+    g_assert_true(s.job->tasks[0].machine == s.machines[1]);
+    g_assert_cmpuint(s.job->tasks[0].attempt.v, ==, 200);
+    g_assert_cmpuint(s.job->live, ==, 1);
+    world_free(s.world);
+  }
+}
+
+static gboolean
+is_late(const Setting *s, MmReport report) {
+  gboolean late = mm_roster_is_late(s->owner->node->roster, &report);
+
+  mm_report_clear(&report);
+  return late;
+}
+
+/* What a copy is, and that it lengthens no belief in a lease. */
+static void
+test_late_copies(void) {
+  Setting s = set_up(2);
+  MmMachine *machine = s.machines[0];
+  guint64 seq = machine->stamp.seq + 10;
+  MmTime answered;
+
+  take(&s, report_with(&s, 0, 1, seq, 100));
+  answered = machine->answered;
+  world_run(s.world, 1);
+  g_assert_true(is_late(&s, report_with(&s, 0, 1, seq, 100)));
+  g_assert_true(is_late(&s, report_with(&s, 0, 1, seq - 1, 0)));
+  g_assert_false(is_late(&s, report_with(&s, 0, 1, seq + 1, 0)));
+  g_assert_false(is_late(&s, report_with(&s, 0, 2, 1, 0)));
+  /* Should one come by a peer all the same, it denies nothing and proves no life. */
+  g_assert_null(take(&s, report_with(&s, 0, 1, seq - 1, 0)));
+  g_assert_cmpint(machine->answered.us, ==, answered.us);
+  g_assert_true(s.job->tasks[0].machine == machine);
+  /* A report that a direct answer has overtaken is none. */
+  machine->stamp.seq = seq + 5;
+  g_assert_false(is_late(&s, report_with(&s, 0, 1, seq + 2, 0)));
+  /* Nothing brings back what has been proved gone. */
+  mm_roster_gone(s.owner->node->roster, machine->id.s);
+  g_assert_true(is_late(&s, report_with(&s, 0, 9, 1, 100)));
+  g_assert_null(take(&s, report_with(&s, 0, 9, 1, 100)));
+  world_free(s.world);
+}
+
+/* A machine of which nothing is known proves itself by a term of this life of the node. */
+static void
+test_unproved(void) {
+  Setting s = set_up(2);
+  const MmRoster *roster = s.owner->node->roster;
+  MmReport report = report_with(&s, 0, 3, 70, 100);
+
+  s.owner->node->replica->first_term.v = 7; /* as if it had started among others */
+  report.machine = mm_name("m-000999");
+  report.token.v = s.owner->node->replica->first_term.v - 1;
+  g_assert_true(mm_roster_is_unproved(roster, &report));
+  report.token = s.owner->node->replica->first_term;
+  g_assert_false(mm_roster_is_unproved(roster, &report));
+  /* One on the register may hold tasks: whatever it shows counts. */
+  report.machine = s.machines[0]->id;
+  report.stamp.session = s.machines[0]->registered_session;
+  report.token.v = 0;
+  s.machines[0]->heard = FALSE;
+  g_assert_false(mm_roster_is_unproved(roster, &report));
+  mm_report_clear(&report);
+  world_free(s.world);
+}
+
+/* Who may stop whose tasks for a guarantee of four cores. */
+static void
+test_reclaim(void) {
+  Setting s = set_up(2);
+  MmJob *job = s.job;
+  MmJob from = *job;
+
+  job->within = TRUE;
+  from.team = 1;
+  from.within = FALSE;
+  s.owner->team_used[1] = (MmRoom){ 6, 0, 0 };
+  g_assert_true(mm_owner_may_reclaim(s.owner, job, &from));
+  s.owner->team_used[1].cores = 5; /* would fall below its own guarantee */
+  g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
+  s.owner->team_used[1].cores = 6;
+  from.within = TRUE;
+  g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
+  from.within = FALSE;
+  from.spec.priority = MM_URGENT;
+  g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
+  from.spec.priority = job->spec.priority;
+  job->within = FALSE;
+  g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
+  world_free(s.world);
+}
+
 int
 main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
@@ -122,5 +253,9 @@
   g_test_add_func("/owner/pull-takes-kept", test_pull_takes_kept);
   g_test_add_func("/owner/limit", test_limit);
   g_test_add_func("/owner/old-ask", test_old_ask);
+  g_test_add_func("/owner/newer-attempt-stands", test_newer_attempt_stands);
+  g_test_add_func("/owner/late-copies", test_late_copies);
+  g_test_add_func("/owner/unproved", test_unproved);
+  g_test_add_func("/owner/reclaim", test_reclaim);
   return g_test_run();
 }
