A guarantee is one more aim in the order of what is due, not before it

Cause: work within a guarantee went before all other work of its priority, also with hours to its deadline and its five seconds long over; tallies outside one missed their deadlines for it. Change: the settings' guarantee aim counts like the others, for jobs within their team's guarantee, while it can still be met. Stopping other teams' work for it is as before.

--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -137,6 +137,8 @@
       aim.kind = MM_AIM_FINISHED;
     else if (g_strcmp0(kind, "deadline") == 0)
       aim.kind = MM_AIM_DEADLINE;
+    else if (g_strcmp0(kind, "guarantee") == 0)
+      aim.kind = MM_AIM_GUARANTEE;
     g_array_append_val(s->aims, aim);
   }
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -15,7 +15,13 @@
   MmRoom limit;      /* 0: none */
 } MmTeamSettings;
 
-typedef enum { MM_AIM_WAIT, MM_AIM_FINISHED, MM_AIM_DEADLINE, MM_AIM_OTHER } MmAimKind;
+typedef enum {
+  MM_AIM_WAIT,
+  MM_AIM_FINISHED,
+  MM_AIM_DEADLINE,
+  MM_AIM_GUARANTEE,
+  MM_AIM_OTHER
+} MmAimKind;
 
 typedef struct {
   MmAimKind kind;
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -52,6 +52,7 @@
 aim_at(const MmJob *job, const MmAim *aim, double run_s) {
   switch (aim->kind) {
   case MM_AIM_WAIT:
+  case MM_AIM_GUARANTEE:
     return aim->within_s;
   case MM_AIM_FINISHED:
     return aim->within_s - run_s;
@@ -101,11 +102,12 @@
     const MmAim *aim = &g_array_index(settings->aims, MmAim, i);
     double at_s;
     gint64 at_ms;
-    if (!mm_name_equal(&aim->job_class, &job->spec.job_class))
+    if (aim->kind == MM_AIM_GUARANTEE ? !job->within
+                                      : !mm_name_equal(&aim->job_class, &job->spec.job_class))
       continue;
     at_s = aim_at(job, aim, run_s);
     at_ms = job->submitted_ms + (gint64)(at_s * 1000);
-    any = any || at_s >= 0;
+    any = any || (at_s >= 0 && aim->kind != MM_AIM_GUARANTEE);
     if (at_s >= 0 && at_ms >= now_ms && at_ms < job->due_ms)
       job->due_ms = at_ms;
   }
@@ -124,8 +126,6 @@
     return x->submitted_ms < y->submitted_ms ? -1 : 1;
   if (x->spec.priority != y->spec.priority)
     return x->spec.priority > y->spec.priority ? -1 : 1;
-  if (x->within != y->within)
-    return x->within ? -1 : 1;
   if (x->due_ms != y->due_ms)
     return x->due_ms < y->due_ms ? -1 : 1;
   if (x->submitted_ms != y->submitted_ms)
