--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -67,10 +67,11 @@
   MmTime dirty;
   guint failed_tasks; /* errors in a row without a success: the job itself may be broken */
   MmTime paused_until;
-  gint team;       /* index among the settings' teams; -1: none of them */
-  gboolean within; /* fits its team's guarantee together with the team's older unfinished jobs */
-  gboolean aged;   /* waited past all patience with nothing begun */
-  gint64 due_ms;   /* time of day by which to act for its next aim, see mm_owner_set_due */
+  gint team;         /* index among the settings' teams; -1: none of them */
+  gboolean within;   /* fits its team's guarantee together with the team's older unfinished jobs */
+  gboolean favoured; /* the same, where no aim of the settings gives guarantees a time */
+  gboolean aged;     /* waited past all patience with nothing begun */
+  gint64 due_ms;     /* time of day by which to act for its next aim, see mm_owner_set_due */
   MmOutlook outlook;
   double seen_s; /* sum of the run times seen, and how many */
   guint seen_n;
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -126,6 +126,8 @@
     return x->submitted_ms < y->submitted_ms ? -1 : 1;
   if (x->spec.priority != y->spec.priority)
     return x->spec.priority > y->spec.priority ? -1 : 1;
+  if (x->favoured != y->favoured)
+    return x->favoured ? -1 : 1;
   if (x->due_ms != y->due_ms)
     return x->due_ms < y->due_ms ? -1 : 1;
   if (x->submitted_ms != y->submitted_ms)
--- a/src/owner/guarantee.c
+++ b/src/owner/guarantee.c
@@ -21,22 +21,26 @@
   const GArray *teams = node->settings->teams;
   MmTime now = mm_node_now(node);
   g_autofree MmRoom *sums = NULL;
+  gboolean timed = FALSE;
 
   if (mm_time_before(now, owner->next_guarantees))
     return;
   owner->next_guarantees = mm_time_add_ms(now, EVERY_MS);
+  for (guint i = 0; i < node->settings->aims->len; i++)
+    timed = timed || g_array_index(node->settings->aims, MmAim, i).kind == MM_AIM_GUARANTEE;
   sums = g_new0(MmRoom, teams->len);
   memset(owner->team_used, 0, teams->len * sizeof *owner->team_used);
   for (guint i = 0; i < node->book->order->len; i++) {
     MmJob *job = g_ptr_array_index(node->book->order, i);
     const MmTeamSettings *team;
-    job->within = FALSE;
+    job->within = job->favoured = FALSE;
     if (job->team < 0 || job->cancelled)
       continue;
     team = &g_array_index(teams, MmTeamSettings, job->team);
     sums[job->team].cores += job->spec.tasks * job->spec.need.cores;
     sums[job->team].accelerators += job->spec.tasks * job->spec.need.accelerators;
     job->within = fits(&team->guaranteed, &sums[job->team], &job->spec);
+    job->favoured = job->within && !timed;
   }
   for (guint i = 0; i < node->roster->order->len; i++) {
     const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
