Turn polls, then submissions away when a node falls behind

Cause looked for: nothing told overload apart; a node behind with its work took every poll and submission in, and leases and health checks waited with them. Change: the lateness of ticks says how far behind a node is; from 0.6 s on polls, from 1.5 s on submissions get 503 with Retry-After at once. Reports, cancellations and health checks are taken. Test: the order, bad input among it, and that it recovers by itself.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -16,6 +16,11 @@
 #include "store/store.h"
 
 #define TROUBLE_ALONE_MS 2000
+/* Overload is shed in this order: status polls, then submissions. Workers' leases, cancellations
+ * and health checks are never turned away for it. */
+#define SHED_POLLS_MS 600
+#define SHED_SUBMISSIONS_MS 1500
+#define SHED_RETRY_S 3
 
 MmNode *
 mm_node_new(const MmSettings *settings, const MmOperators *operators, const MmPort *port,
@@ -68,8 +73,27 @@
   mm_node_tick(node);
 }
 
+/* The worst of late, halved with each tick that is on time. */
+static void
+measure_lag(MmNode *node) {
+  MmTime now = mm_node_now(node);
+  gint64 late_ms = node->ticked.us != 0 ? mm_time_ms_since(now, node->ticked) - MM_NODE_TICK_MS : 0;
+
+  node->ticked = now;
+  node->lag_ms = MAX(late_ms, node->lag_ms / 2);
+}
+
+static gboolean
+shed(const MmNode *node, gint64 bound_ms, MmExchange *exchange) {
+  if (node->lag_ms < bound_ms)
+    return FALSE;
+  mm_exchange_answer(exchange, 503, mm_json_error("too busy"), SHED_RETRY_S);
+  return TRUE;
+}
+
 void
 mm_node_tick(MmNode *node) {
+  measure_lag(node);
   mm_claims_tick(node->claims);
   mm_replica_tick(node->replica);
   mm_api_tick(node->api);
@@ -109,10 +133,10 @@
   const char *slash = strchr(rest, '/');
 
   if (slash == NULL) {
-    if (strcmp(method, "GET") == 0)
-      mm_api_status(node, rest, exchange);
-    else
+    if (strcmp(method, "GET") != 0)
       wrong_method(exchange);
+    else if (!shed(node, SHED_POLLS_MS, exchange))
+      mm_api_status(node, rest, exchange);
   } else if (strcmp(slash + 1, W_CANCEL_WORD) == 0) {
     g_autofree char *id = g_strndup(rest, (gsize)(slash - rest));
     if (strcmp(method, "POST") == 0)
@@ -133,10 +157,10 @@
     else
       wrong_method(exchange);
   } else if (strcmp(path, W_JOBS_PATH) == 0) {
-    if (strcmp(method, "POST") == 0)
-      mm_api_submit(node, body, exchange);
-    else
+    if (strcmp(method, "POST") != 0)
       wrong_method(exchange);
+    else if (!shed(node, SHED_SUBMISSIONS_MS, exchange))
+      mm_api_submit(node, body, exchange);
   } else if (g_str_has_prefix(path, W_JOBS_PATH "/")) {
     handle_job(node, method, path + strlen(W_JOBS_PATH "/"), exchange);
   } else if (strcmp(path, "/healthz") == 0) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,8 @@
   MmPort port;
   GRand *rand;
   MmTime started;
+  MmTime ticked;
+  gint64 lag_ms; /* how late ticks are, the worst of late: what waits to be done */
 
   MmStore *store;
   MmReplica *replica;
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -247,6 +247,46 @@
   world_free(world);
 }
 
+static int
+status_of(World *world, const char *method, const char *path, json_t *body) {
+  int status = -1;
+
+  world_ask_node(world, 0, NULL, method, path, body, 4000000, note_status, &status);
+  world_run(world, 2);
+  return status;
+}
+
+static int
+status_late(World *world, gint64 lag_ms, const char *method, const char *path, json_t *body) {
+  int status = -1;
+
+  world_ask_node(world, 0, NULL, method, path, body, 4000000, note_status, &status);
+  /* It comes within 6 ms, and a tick on time would halve the lag. */
+  world->nodes[0].node->lag_ms = lag_ms;
+  world_run(world, 2);
+  return status;
+}
+
+/* A node that falls behind turns polls away first, then submissions, never bad input's right answer
+ * for long, nor health checks; on time again, it takes everything. */
+static void
+test_sheds_in_order(void) {
+  World *world = world_new(8);
+  const char *poll = W_JOBS_PATH "/run-555555";
+
+  world_add_machine(world, "small", "a", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 8);
+  g_assert_cmpint(status_of(world, "GET", poll, NULL), ==, 404);
+  g_assert_cmpint(status_late(world, 1400, "GET", poll, NULL), ==, 503);
+  g_assert_cmpint(status_late(world, 1400, "POST", W_JOBS_PATH, json_object()), ==, 400);
+  g_assert_cmpint(status_late(world, 100000, "POST", W_JOBS_PATH, json_object()), ==, 503);
+  g_assert_cmpint(status_late(world, 100000, "GET", "/healthz", NULL), ==, 200);
+  world_run(world, 2);
+  g_assert_cmpint(status_of(world, "GET", poll, NULL), ==, 404);
+  world_free(world);
+}
+
 /* An outage for all, in which two nodes find each other refused: claims hold throughout. */
 static void
 test_outage_holds_claims(void) {
@@ -281,6 +321,7 @@
   g_test_add_func("/world/two-refused-alone", test_two_refused_alone);
   g_test_add_func("/world/outage-holds-claims", test_outage_holds_claims);
   g_test_add_func("/world/cut-node-answers", test_cut_node_answers);
+  g_test_add_func("/world/sheds-in-order", test_sheds_in_order);
   /* Day 31: a gang split by a lost machine waited without end. */
   g_test_add_data_func("/world/day-31-split-gang", GUINT_TO_POINTER(31), a_day);
   for (guint seed = 1; seed <= days; seed++) {
