Count machines as answered until a peer is heard of again after a gap

Why its proof failed is not yet known; the order of the relays on a new link is the suspect. Change: the proof no longer rests on that order alone. After 3 s without a pong, or in a peer's new life, every machine counts as answered until the first pong. It costs one lease after such a gap, where the cloud does not prove the loss sooner.

--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -620,7 +620,8 @@
 
   for (guint i = 0; i < roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(roster->order, i);
-    MmTime answered = mm_time_max(machine->answered, node->replica->node_gone);
+    MmTime answered
+        = mm_time_max(mm_time_max(machine->answered, node->replica->node_gone), node->links->gap);
     if (machine->lost || mm_time_ms_since(settled, answered) < lease_ms)
       continue;
     mm_info("machine %s is lost: its lease has run out", machine->id.s);
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -11,6 +11,7 @@
 /* How long reports that show nothing new may wait to be told together. */
 #define BEATS_EVERY_MS 200
 #define BEATS_MAX 1024
+#define GAP_MS 3000
 
 MmLinks *
 mm_links_new(MmNode *node) {
@@ -441,6 +442,10 @@
     peer->machines = frame->pong->machines;
     if (peer->claim != frame->pong->claim)
       peer->settled.us = 0;
+    /* What it answered while it was not heard of is not taken on its word alone: machines count as
+     * answered until now. After 25 s without links a node once gave up a dozen that lived. */
+    if (mm_time_ms_since(mm_node_now(links->node), peer->settled) > GAP_MS)
+      links->gap = mm_node_now(links->node);
     peer->claim = frame->pong->claim;
     peer->settled = mm_time_max(peer->settled, (MmTime){ (gint64)frame->pong->at_us });
     break;
