Tests: one piece of code each for broken rules, running tasks and late nodes

The check that no rule was broken stood in two test files, counting a job's running tasks in two, and a request to a node that falls behind had a twin for one that does not. The first two are the world's now; the third takes the lateness as a lower bound, so that the check that a node recovers by itself still rests on the node alone. Assertions are the same; no source outside tests/ changed.

--- a/tests/test-broken.c
+++ b/tests/test-broken.c
@@ -111,18 +111,8 @@
   later = world_submit(world, json_pack("{s:i}", W_TASKS, 3), 2);
   world_run(world, 90);
   g_assert_cmpuint(world->broken->len, ==, 0);
-  over = later->told == TOLD_DONE;
-  for (guint i = 0; i < service->spec.tasks && over; i++) {
-    gboolean on = FALSE;
-    for (guint m = 0; m < world->machines->len; m++) {
-      const WorldMachine *machine = g_ptr_array_index(world->machines, m);
-      for (guint k = 0; k < machine->tasks->len && machine != deaf; k++) {
-        const WorldTask *task = g_ptr_array_index(machine->tasks, k);
-        on = on || (task->job == service && task->number == i && task->state == MM_SEEN_RUNNING);
-      }
-    }
-    over = on;
-  }
+  /* No task runs twice, as the rules' check has shown: so many are all of them. */
+  over = later->told == TOLD_DONE && world_running(world, service, deaf) == service->spec.tasks;
   world_free(world);
   return over;
 }
--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -45,13 +45,6 @@
                run_s);
 }
 
-static void
-no_rule_broken(const World *world) {
-  for (guint i = 0; i < world->broken->len; i++)
-    g_test_message("%s", (char *)g_ptr_array_index(world->broken, i));
-  g_assert_cmpuint(world->broken->len, ==, 0);
-}
-
 /* Services on half of the machines, then arrays that more than fill the rest. */
 static void
 load(World *world, guint machines, guint seconds) {
@@ -66,7 +59,7 @@
     if (second % 10 == 0)
       submit_service(world, sizes[second / 10 % 4]);
     world_run(world, 1);
-    no_rule_broken(world);
+    world_assert_rules(world);
   }
 }
 
@@ -134,21 +127,12 @@
   before = up_in_zone(world, "c");
   world_cut_zone(world, 2, 60, FALSE);
   world_run(world, 58);
-  no_rule_broken(world);
+  world_assert_rules(world);
   g_assert_cmpuint(up_in_zone(world, "c") + 4, >=, before);
   for (guint i = 0; i < world->jobs->len; i++) {
     const WorldJob *job = g_ptr_array_index(world->jobs, i);
-    guint on = 0;
-    if (job->spec.kind != MM_KIND_SERVICE || job->told != ACCEPTED)
-      continue;
-    for (guint m = 0; m < world->machines->len; m++) {
-      const WorldMachine *machine = g_ptr_array_index(world->machines, m);
-      for (guint k = 0; k < machine->tasks->len; k++) {
-        const WorldTask *task = g_ptr_array_index(machine->tasks, k);
-        on += task->job == job && task->state == MM_SEEN_RUNNING;
-      }
-    }
-    g_assert_cmpuint(on, ==, job->spec.tasks);
+    if (job->spec.kind == MM_KIND_SERVICE && job->told == ACCEPTED)
+      g_assert_cmpuint(world_running(world, job, NULL), ==, job->spec.tasks);
   }
   starts = world->starts;
   load(world, 60, 25);
@@ -167,7 +151,7 @@
   before = world->directs;
   world_kill_node(world, 0, 3);
   world_run(world, 6);
-  no_rule_broken(world);
+  world_assert_rules(world);
   g_test_message("%" G_GUINT64_FORMAT " direct commands", world->directs - before);
   g_assert_cmpuint(world->directs - before, <, 150);
   world_free(world);
@@ -199,7 +183,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value))
       g_assert_true(((MmHeld *)value)->ready);
   }
-  no_rule_broken(world);
+  world_assert_rules(world);
   world_free(world);
 }
 
@@ -215,7 +199,7 @@
   before = world->conflicts;
   world_run(world, 8);
   g_assert_cmpuint(world->conflicts - before, <=, 6);
-  no_rule_broken(world);
+  world_assert_rules(world);
   world_free(world);
 }
 
@@ -241,7 +225,7 @@
   g_assert_cmpint(job->told, ==, TOLD_CANCELLED);
   g_assert_false(mm_claims_valid(world->nodes[owner].node->claims));
   world_run(world, 45);
-  no_rule_broken(world);
+  world_assert_rules(world);
   world_free(world);
 }
 
@@ -280,7 +264,7 @@
       big[i] = world_submit(world, job, 20);
     }
     world_run(world, 1);
-    g_assert_cmpuint(world->broken->len, ==, 0);
+    world_assert_rules(world);
   }
   for (guint i = 0; i < 6; i++) {
     g_test_message("job %u of 6 began after %.0f s", i,
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -3,13 +3,6 @@
 #include "parts/claims.h"
 #include "world/world.h"
 
-static void
-no_rule_broken(World *world) {
-  for (guint i = 0; i < world->broken->len; i++)
-    g_test_message("%s", (char *)g_ptr_array_index(world->broken, i));
-  g_assert_cmpuint(world->broken->len, ==, 0);
-}
-
 static json_t *
 random_job(World *world) {
   static const char *const kinds[] = { W_KIND_ARRAY, W_KIND_ARRAY, W_KIND_SERVICE, W_KIND_GANG };
@@ -135,7 +128,7 @@
       some_trouble(world);
     mm_debug("second %u", second);
     world_run(world, 1);
-    no_rule_broken(world);
+    world_assert_rules(world);
   }
   started_half = world->starts;
   /* Troubles over: what is left gets done. */
@@ -146,7 +139,7 @@
       world_cancel(job);
   }
   world_run(world, 240);
-  no_rule_broken(world);
+  world_assert_rules(world);
   g_assert_cmpuint(started_half, >, 20);
   for (guint i = 0; i < world->jobs->len; i++) {
     const WorldJob *job = g_ptr_array_index(world->jobs, i);
@@ -179,7 +172,7 @@
   world_run(world, 3);
   job = world_submit(world, json_pack("{s:i}", W_TASKS, 4), 2);
   world_run(world, 25);
-  no_rule_broken(world);
+  world_assert_rules(world);
   g_assert_cmpint(job->told, ==, TOLD_DONE);
   world_free(world);
 }
@@ -199,12 +192,12 @@
   world_run(world, 10);
   world->nodes[0].refused_until_us = world->nodes[1].refused_until_us = world->now_us + 30 * second;
   world_run(world, 8);
-  no_rule_broken(world);
+  world_assert_rules(world);
   g_assert_false(mm_claims_may_answer(world->nodes[0].node->claims));
   g_assert_false(mm_claims_may_answer(world->nodes[1].node->claims));
   g_assert_true(mm_claims_may_answer(world->nodes[2].node->claims));
   world_run(world, 40);
-  no_rule_broken(world);
+  world_assert_rules(world);
   g_assert_true(mm_claims_may_answer(world->nodes[0].node->claims));
   world_free(world);
 }
@@ -243,26 +236,18 @@
   g_assert_cmpint(health, ==, 503);
   world_run(world, 25);
   g_assert_true(mm_claims_may_answer(world->nodes[1].node->claims));
-  no_rule_broken(world);
+  world_assert_rules(world);
   world_free(world);
 }
 
-static int
-status_of(World *world, const char *method, const char *path, json_t *body) {
-  int status = -1;
-
-  world_ask_node(world, 0, NULL, method, path, body, 4000000, note_status, &status);
-  world_run(world, 2);
-  return status;
-}
-
+/* Of a request to a node that is at least so late. */
 static int
 status_late(World *world, gint64 lag_ms, const char *method, const char *path, json_t *body) {
   int status = -1;
 
   world_ask_node(world, 0, NULL, method, path, body, 4000000, note_status, &status);
   /* It comes within 6 ms, and a tick on time would halve the lag. */
-  world->nodes[0].node->lag_ms = lag_ms;
+  world->nodes[0].node->lag_ms = MAX(world->nodes[0].node->lag_ms, lag_ms);
   world_run(world, 2);
   return status;
 }
@@ -277,13 +262,13 @@
   world_add_machine(world, "small", "a", FALSE, 0.1);
   world_start(world);
   world_run(world, 8);
-  g_assert_cmpint(status_of(world, "GET", poll, NULL), ==, 404);
+  g_assert_cmpint(status_late(world, 0, "GET", poll, NULL), ==, 404);
   g_assert_cmpint(status_late(world, 1400, "GET", poll, NULL), ==, 503);
   g_assert_cmpint(status_late(world, 1400, "POST", W_JOBS_PATH, json_object()), ==, 400);
   g_assert_cmpint(status_late(world, 100000, "POST", W_JOBS_PATH, json_object()), ==, 503);
   g_assert_cmpint(status_late(world, 100000, "GET", "/healthz", NULL), ==, 200);
   world_run(world, 2);
-  g_assert_cmpint(status_of(world, "GET", poll, NULL), ==, 404);
+  g_assert_cmpint(status_late(world, 0, "GET", poll, NULL), ==, 404);
   world_free(world);
 }
 
@@ -303,7 +288,7 @@
       g_assert_true(mm_claims_may_answer(world->nodes[n].node->claims));
   }
   world_run(world, 10);
-  no_rule_broken(world);
+  world_assert_rules(world);
   world_free(world);
 }
 
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -67,3 +67,24 @@
     if (cores[i] > world->team_cores + 1e-6)
       world_break(world, "quota: team-%u uses %g cores", i, cores[i]);
 }
+
+void
+world_assert_rules(const World *world) {
+  for (guint i = 0; i < world->broken->len; i++)
+    g_test_message("%s", (char *)g_ptr_array_index(world->broken, i));
+  g_assert_cmpuint(world->broken->len, ==, 0);
+}
+
+guint
+world_running(const World *world, const WorldJob *job, const WorldMachine *except) {
+  guint n = 0;
+
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    for (guint k = 0; k < machine->tasks->len && machine != except; k++) {
+      const WorldTask *task = g_ptr_array_index(machine->tasks, k);
+      n += task->job == job && task->state == MM_SEEN_RUNNING;
+    }
+  }
+  return n;
+}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -207,6 +207,10 @@
 /* rules.c */
 void world_check_start(World *world, const WorldMachine *machine, const WorldTask *task);
 void world_check_all(World *world);
+/* Fails the test, and says which, when a rule was broken. */
+void world_assert_rules(const World *world);
+/* How many tasks of the job run, on other machines than `except` (may be NULL). */
+guint world_running(const World *world, const WorldJob *job, const WorldMachine *except);
 static inline gboolean
 world_task_is_on(const WorldTask *task) {
   return task->state == MM_SEEN_WAITING || task->state == MM_SEEN_RUNNING
