Tell on a new link whom this node answered; refusals are as old as they may be

Found beside it: a refusal by the state service counted from when it was read, which a node that stood still, or a held pong, makes too young for the proof of an outage. Ruled out: lost frames, the order of pong and relays on one link, claims, the register. Change: what a new link is told hangs on whom this node answered within two leases; direct answers make nobody a host; refusals count from the request, or from the ping. The guard of 3 s is taken back, it only hid this. New tests fail on the old code.

--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -355,7 +355,7 @@
     return;
   }
   machine->answered = mm_node_now(node);
-  mm_machine_answer(node->roster, machine, node->replica->term);
+  mm_machine_answer_here(node->roster, machine);
   mm_links_tell_unproved(node->links, &machine->id);
   mm_exchange_answer(
       exchange, 200,
@@ -415,11 +415,13 @@
   machine = mm_roster_take(node->roster, &report, mm_node_now(node), MM_HOST_SELF);
   if (machine == NULL) {
     /* Overtaken by a direct answer: it renews the lease if the worker still waits, so the peers
-     * must know of it. */
+     * must know of it, whatever stamp they know. */
     machine = mm_roster_find(node->roster, report.machine.s);
-    machine->reported = mm_node_now(node);
+    if (!report.unanswered)
+      mm_links_tell_unproved(node->links, &machine->id);
+  } else {
+    mm_links_tell_report(node->links, machine, !report.unanswered);
   }
-  mm_links_tell_report(node->links, machine, !report.unanswered);
   if (report.unanswered) {
     /* It shows no sign of having had any answer. Were it answered on, nobody could ever prove its
      * lease over, and parts that were taken meanwhile would wait for its echo without end. */
@@ -427,7 +429,7 @@
     mm_exchange_answer(exchange, 503, mm_json_error("earlier answers were not taken"), 0);
     return;
   }
-  mm_machine_answer(node->roster, machine, node->replica->term);
+  mm_machine_answer_here(node->roster, machine);
   session = g_new0(Session, 1);
   session->checkin = checkin;
   session->exchange = exchange;
--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -128,7 +128,7 @@
   machine->kept = g_array_new(FALSE, TRUE, sizeof(MmTaskRef));
   machine->queued = g_array_new(FALSE, TRUE, sizeof(MmCommand));
   machine->placed = g_ptr_array_new_with_free_func(g_free);
-  machine->host = MM_HOST_SELF;
+  machine->host = MM_HOST_NONE;
   /* Nothing is known of its past: it may have been answered a moment ago. */
   machine->answered = mm_node_now(roster->node);
   machine->idle_since = machine->seen = machine->answered;
@@ -400,6 +400,12 @@
   machine->untaken++;
 }
 
+void
+mm_machine_answer_here(const MmRoster *roster, MmMachine *machine) {
+  machine->answered_here = mm_node_now(roster->node);
+  mm_machine_answer(roster, machine, roster->node->replica->term);
+}
+
 /* No more work for a while, longer each time: its reports must not make it a target for one start
  * after another. */
 static void
@@ -438,7 +444,7 @@
 mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host) {
   MmMachine *machine;
   gboolean live = FALSE;
-  gboolean same;
+  gboolean same, newest_report;
 
   if (is_past(roster, report->machine.s, report->stamp.session))
     return NULL;
@@ -451,13 +457,20 @@
   /* A report that a direct answer has overtaken may still be waited for. One that is not newer than
    * the newest report is a copy: an answer to it reaches nobody, and the lease of that report
    * counts from when it was first sent. */
-  if (!report->direct && mm_stamp_newer(report->stamp, machine->report_stamp)) {
+  newest_report = !report->direct && mm_stamp_newer(report->stamp, machine->report_stamp);
+  if (newest_report) {
     machine->report_stamp = report->stamp;
     if (!report->unanswered)
       machine->answered = mm_time_max(machine->answered, heard_at);
   }
-  if (machine->heard && !mm_stamp_newer(report->stamp, machine->stamp))
+  if (machine->heard && !mm_stamp_newer(report->stamp, machine->stamp)) {
+    if (newest_report) {
+      machine->untold = machine->untold || machine->host != host;
+      machine->host = host;
+      machine->reported = mm_time_max(machine->reported, heard_at);
+    }
     return NULL;
+  }
   same = shows_the_same(machine, report, host);
   machine->untold = machine->untold || !same;
   if (machine->lost)
@@ -620,8 +633,7 @@
 
   for (guint i = 0; i < roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(roster->order, i);
-    MmTime answered
-        = mm_time_max(mm_time_max(machine->answered, node->replica->node_gone), node->links->gap);
+    MmTime answered = mm_time_max(machine->answered, node->replica->node_gone);
     if (machine->lost || mm_time_ms_since(settled, answered) < lease_ms)
       continue;
     mm_info("machine %s is lost: its lease has run out", machine->id.s);
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -63,6 +63,7 @@
 } MmTaskRef;
 
 #define MM_HOST_SELF -1
+#define MM_HOST_NONE -2 /* no report to any node is known, at most direct answers */
 
 struct MmMachine {
   MmName id;
@@ -87,8 +88,9 @@
   gboolean unsettled;         /* the owner must look at the same tasks again */
   gboolean live;              /* that shows a task which has not ended */
   gboolean untold;            /* something here is new to the peers */
-  gint host;                  /* the node that heard it last: a peer's index or MM_HOST_SELF */
+  gint host;                  /* the node that heard it last: a peer's index or MM_HOST_... */
   MmTime answered;            /* it may have been answered up to here, as far as this node knows */
+  MmTime answered_here;       /* when this node itself answered it last */
   MmTime seen;                /* newest report of any kind */
   MmTime reported;            /* newest report made to a node */
   gboolean registered;        /* in the state service, as the replica shows */
@@ -164,6 +166,8 @@
 MmMachine *mm_roster_note_unproved(MmRoster *roster, const MmReport *report);
 /* A machine whose reports come but that shows no sign of having had any of several answers. */
 gboolean mm_machine_is_deaf(const MmRoster *roster, const MmMachine *machine);
+/* An answer of this node's is about to go to the machine. */
+void mm_machine_answer_here(const MmRoster *roster, MmMachine *machine);
 /* An answer with this term is about to go to the machine, or has gone from a peer. */
 void mm_machine_answer(const MmRoster *roster, MmMachine *machine, MmTerm term);
 /* A start given to it was not carried out; or one was. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -559,7 +559,7 @@
   if (machine->host == MM_HOST_SELF)
     for (guint i = 0; i < commands->len; i++)
       mm_machine_queue(machine, machine->stamp.session, &g_array_index(commands, MmCommand, i));
-  else
+  else if (machine->host >= 0)
     mm_links_tell_commands(owner->node->links, (guint)machine->host, machine, commands);
 }
 
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -11,7 +11,6 @@
 /* How long reports that show nothing new may wait to be told together. */
 #define BEATS_EVERY_MS 200
 #define BEATS_MAX 1024
-#define GAP_MS 3000
 
 MmLinks *
 mm_links_new(MmNode *node) {
@@ -240,21 +239,46 @@
   mm_links_send(links, peer, &frame);
 }
 
+/* Everything this node has answered within a lease comes before its first pong on a link: what was
+ * lost with an earlier link is told again, so that `settled` can be trusted. That must not hang on
+ * who is believed to host a machine: once a node that was back, with its links refused, passed
+ * direct answers on as reports of its own; the node that did answer those machines took it for
+ * their host and did not tell of them, and they were given up while they lived. */
+static void
+tell_answered(MmLinks *links, guint peer) {
+  MmNode *node = links->node;
+  const GPtrArray *order = node->roster->order;
+  MmTime now = mm_node_now(node);
+  gint64 lease_ms = (gint64)(node->settings->lease_s * 2000);
+  g_autoptr(GPtrArray) others = g_ptr_array_new();
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Beats beats = MM__BEATS__INIT;
+
+  for (guint i = 0; i < order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(order, i);
+    if (machine->heard && machine->host == MM_HOST_SELF && !machine->lost)
+      send_report(links, peer, machine, TRUE);
+    else if (machine->answered_here.us != 0
+             && mm_time_ms_since(now, machine->answered_here) < lease_ms)
+      g_ptr_array_add(others, machine->id.s);
+  }
+  if (others->len == 0)
+    return;
+  beats.unproved = (char **)others->pdata;
+  beats.n_unproved = others->len;
+  frame.body_case = MM__FRAME__BODY_BEATS;
+  frame.beats = &beats;
+  mm_links_send(links, peer, &frame);
+}
+
 void
 mm_links_up(MmLinks *links, guint peer) {
-  MmRoster *roster = links->node->roster;
   const MmBook *book = links->node->book;
 
   links->peers[peer].up = TRUE;
   mm_debug("link to %s stands", links->peers[peer].label.s);
   send_hello(links, peer);
-  /* Everything this node has heard comes before its first pong on this link: what was lost with an
-   * earlier link is told again, so that `settled` can be trusted. */
-  for (guint i = 0; i < roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(roster->order, i);
-    if (machine->heard && machine->host == MM_HOST_SELF && !machine->lost)
-      send_report(links, peer, machine, TRUE);
-  }
+  tell_answered(links, peer);
   for (guint i = 0; i < book->order->len; i++) {
     const MmJob *job = g_ptr_array_index(book->order, i);
     if (job->cancelled)
@@ -321,16 +345,21 @@
 }
 
 /* A refusal is taken as old as it may be, a service as young: both make a proof of an outage
- * harder. Of a service the last word counts: an earlier one may have been long on its way. */
+ * harder. Of a service the last word counts: an earlier one may have been long on its way. A
+ * refusal counts from when our ping went out, since the pong may have been held back, or have lain
+ * unread while this node stood still; a ping of theirs says nothing of its age. */
 static void
-note_store(MmLinks *links, guint peer, guint32 refused_ms, guint32 served_ms) {
-  MmTime now = mm_node_now(links->node);
+note_served(MmLinks *links, guint peer, guint32 served_ms) {
+  if (served_ms > 0)
+    links->peers[peer].served = mm_time_add_ms(mm_node_now(links->node), 1 - (gint64)served_ms);
+}
+
+static void
+note_refused(MmLinks *links, guint peer, MmTime asked, guint32 refused_ms) {
   MmPeer *p = &links->peers[peer];
 
   if (refused_ms > 0)
-    p->refused = mm_time_max(p->refused, mm_time_add_ms(now, -(gint64)refused_ms - 20));
-  if (served_ms > 0)
-    p->served = mm_time_add_ms(now, 1 - (gint64)served_ms);
+    p->refused = mm_time_max(p->refused, mm_time_add_ms(asked, -(gint64)refused_ms));
 }
 
 static void
@@ -432,20 +461,17 @@
   case MM__FRAME__BODY_HELLO:
     break; /* the edge has used it to tell whose link this is */
   case MM__FRAME__BODY_PING:
-    note_store(links, index, frame->ping->outage_ms, frame->ping->served_ms);
+    note_served(links, index, frame->ping->served_ms);
     answer_ping(links, index, frame->ping);
     break;
   case MM__FRAME__BODY_PONG:
-    note_store(links, index, frame->pong->outage_ms, frame->pong->served_ms);
+    note_served(links, index, frame->pong->served_ms);
+    note_refused(links, index, (MmTime){ (gint64)frame->pong->at_us }, frame->pong->outage_ms);
     peer->ponged = mm_node_now(links->node);
     peer->answering = frame->pong->answering;
     peer->machines = frame->pong->machines;
     if (peer->claim != frame->pong->claim)
       peer->settled.us = 0;
-    /* What it answered while it was not heard of is not taken on its word alone: machines count as
-     * answered until now. After 25 s without links a node once gave up a dozen that lived. */
-    if (mm_time_ms_since(mm_node_now(links->node), peer->settled) > GAP_MS)
-      links->gap = mm_node_now(links->node);
     peer->claim = frame->pong->claim;
     peer->settled = mm_time_max(peer->settled, (MmTime){ (gint64)frame->pong->at_us });
     break;
@@ -495,7 +521,6 @@
     return;
   links->next_ping = mm_time_add_ms(now, (gint64)(links->node->operators->peer_ping_s * 1000));
   ping.at_us = (guint64)now.us;
-  ping.outage_ms = age_ms(links, links->node->store->last_refused);
   ping.served_ms = age_ms(links, links->node->store->last_served);
   frame.body_case = MM__FRAME__BODY_PING;
   frame.ping = &ping;
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -28,7 +28,6 @@
   MmPeer *peers;
   guint n_peers;
   MmTime next_ping;
-  MmTime gap;       /* when a peer was last heard of again after a while, or in a new life */
   GArray *unproved; /* MmName: answered, but their reports are not believed yet */
   GArray *beats;    /* MmBeat not yet told; before any pong they are */
   MmTime beat_told;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -32,14 +32,15 @@
 static void
 call_answered(gpointer data, int status, json_t *body) {
   Call *call = data;
-  MmTime now = mm_node_now(call->store->node);
 
+  /* A refusal is as old as its request: the answer may have lain unread while this node stood
+   * still, and a proof of an outage hangs on its age. */
   if (status == 503) {
     if (!mm_store_in_trouble(call->store))
-      call->store->refused_since = now;
-    call->store->last_refused = now;
+      call->store->refused_since = call->sent;
+    call->store->last_refused = mm_time_max(call->store->last_refused, call->sent);
   } else if (status == 0) {
-    call->store->last_unanswered = now;
+    call->store->last_unanswered = mm_node_now(call->store->node);
   } else if (status != 429) {
     call->store->last_served = mm_time_max(call->store->last_served, call->sent);
   }
--- /dev/null
+++ b/tests/test-links.c
@@ -0,0 +1,119 @@
+/* What nodes tell one another must carry the proofs that hang on it, however links come and go and
+ * however late anything is read. */
+#include "peers/links.h"
+#include "store/store.h"
+#include "world/world.h"
+
+static World *
+two_machines(guint32 seed) {
+  World *world = world_new(seed);
+
+  for (guint i = 0; i < 2; i++)
+    world_add_machine(world, "small", "a", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 8);
+  return world;
+}
+
+/* The node that takes itself for the host of the machine. */
+static guint
+host_of(World *world, const char *id) {
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    const MmMachine *machine = mm_roster_find(world->nodes[i].node->roster, id);
+    if (machine != NULL && machine->host == MM_HOST_SELF)
+      return i;
+  }
+  g_assert_not_reached();
+}
+
+static MmReport
+report_of(const MmMachine *machine, gboolean direct) {
+  return (MmReport){ .machine = machine->id,
+                     .type = machine->type_name,
+                     .zone = machine->zone,
+                     .stamp = { machine->stamp.session, machine->stamp.seq + 100 },
+                     .token = machine->token,
+                     .direct = direct,
+                     .tasks = g_array_new(FALSE, TRUE, sizeof(MmSeenTask)) };
+}
+
+/* Links are refused; a node is back meanwhile and hears a machine by a direct answer only, which
+ * makes it nobody's host. The node that does answer the machine takes another for its host, and
+ * tells of its answers all the same when the links are back. Once it did not, and a dozen living
+ * machines were given up. */
+static void
+test_tells_whom_it_answered(void) {
+  World *world = two_machines(3);
+  const char *id = ((WorldMachine *)g_ptr_array_index(world->machines, 0))->id;
+  guint host = host_of(world, id), back = (host + 1) % WORLD_NODES;
+  MmNode *node;
+  MmMachine *machine;
+  MmReport report;
+  MmTime loaded;
+
+  world_refuse_links(world, 12);
+  world_kill_node(world, back, 0.2);
+  world_run(world, 1);
+  node = world->nodes[back].node;
+  machine = mm_roster_find(node->roster, id);
+  g_assert_nonnull(machine);
+  loaded = machine->answered;
+  world_run(world, 8);
+  /* From now on it reports to nobody. */
+  for (guint i = 0; i < world->machines->len; i++)
+    ((WorldMachine *)g_ptr_array_index(world->machines, i))->hung_until_us = G_MAXINT64;
+  world_run(world, 0.1);
+  g_assert_cmpint(host_of(world, id), ==, host);
+  report = report_of(machine, TRUE);
+  mm_roster_take(node->roster, &report, mm_node_now(node), MM_HOST_SELF);
+  mm_report_clear(&report);
+  g_assert_cmpint(machine->host, ==, MM_HOST_NONE);
+  /* What an earlier version passed on: the direct answer as a report to the node that was back. */
+  report = report_of(machine, FALSE);
+  mm_roster_take(world->nodes[host].node->roster, &report, (MmTime){ 1 }, 0);
+  mm_report_clear(&report);
+  g_assert_cmpint(mm_roster_find(world->nodes[host].node->roster, id)->host, ==, 0);
+  g_assert_cmpint(machine->answered.us, ==, loaded.us);
+  world_run(world, 4);
+  g_assert_true(node->links->peers[0].up && node->links->peers[1].up);
+  g_assert_cmpint(machine->answered.us, >, loaded.us + 6 * G_USEC_PER_SEC);
+  world_free(world);
+}
+
+/* A refusal of another node is as old as our question for it, and one of our own as old as our
+ * request: pongs are held back on their way, and both lie unread while a node stands still. A proof
+ * of an outage hangs on their age. */
+static void
+test_old_refusals(void) {
+  World *world = two_machines(4);
+  MmNode *node = world->nodes[0].node;
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Pong pong = MM__PONG__INIT;
+  MmTime asked = mm_time_add_ms(mm_node_now(node), -5000);
+
+  pong.at_us = (guint64)asked.us;
+  pong.outage_ms = 1;
+  frame.body_case = MM__FRAME__BODY_PONG;
+  frame.pong = &pong;
+  g_assert_cmpint(mm_links_last_refused(node->links).us, ==, 0);
+  mm_links_frame(node->links, 0, &frame);
+  g_assert_cmpint(mm_links_last_refused(node->links).us, >, 0);
+  g_assert_cmpint(mm_links_last_refused(node->links).us, <=, asked.us);
+
+  world->nodes[0].refused_until_us = world->now_us + G_USEC_PER_SEC;
+  world_run(world, 0.9);
+  mm_store_get(node->store, MM_KEY_NONE, "", NULL, NULL);
+  world_freeze_node(world, 0, 5);
+  world_run(world, 5.02);
+  g_assert_cmpint(node->store->last_refused.us, >, 0);
+  g_assert_cmpint(mm_time_ms_since(mm_node_now(node), node->store->last_refused), >=, 4900);
+  world_free(world);
+}
+
+int
+main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  g_test_add_func("/links/tells-whom-it-answered", test_tells_whom_it_answered);
+  g_test_add_func("/links/old-refusals", test_old_refusals);
+  return g_test_run();
+}
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -39,7 +39,7 @@
   guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
   double back_s = world_uniform(world, 0, 1) < 0.3 ? 0.2 : 3;
   gint64 second = G_USEC_PER_SEC;
-  guint which = (guint)g_rand_int_range(world->rand, 0, 14);
+  guint which = (guint)g_rand_int_range(world->rand, 0, 17);
 
   mm_debug("world: trouble %u, machine %s, node %u", which, machine != NULL ? machine->id : "none",
            node);
@@ -88,6 +88,13 @@
     else
       world_cut_zone(world, node, world_uniform(world, 1, 30), g_rand_boolean(world->rand));
     break;
+  case 13:
+    world_refuse_links(world, world_uniform(world, 2, 25));
+    break;
+  case 14:
+  case 15:
+    world_freeze_node(world, node, world_uniform(world, 0.2, 4 * world->lease_s));
+    break;
   case 12:
     if (machine != NULL)
       world_restart_machine(world, machine, world_uniform(world, 0.1, 0.8));
@@ -110,6 +117,7 @@
 
   /* On two days of three, late copies of requests come as well. */
   world->copies = GPOINTER_TO_UINT(data) % 3 == 0 ? 0 : 0.02;
+  world->stalls = GPOINTER_TO_UINT(data) % 2 == 0 ? 0 : 0.01;
   for (guint i = 0; i < 9; i++)
     world_add_machine(world, i % 4 == 3 ? "big" : "small",
                       i % 3 == 0   ? "a"
@@ -171,7 +179,7 @@
     world_kill_node(world, i, 0.5);
   world_run(world, 3);
   job = world_submit(world, json_pack("{s:i}", W_TASKS, 4), 2);
-  world_run(world, 25);
+  world_run(world, 60);
   world_assert_rules(world);
   g_assert_cmpint(job->told, ==, TOLD_DONE);
   world_free(world);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -115,11 +115,23 @@
   g_rc_box_release_full(call, call_clear);
 }
 
+/* What comes to a node that stands still waits until it goes on, in the order in which it came.
+ */
+static gboolean
+frozen(const WorldNode *self, guint life, WorldCall call, gpointer data) {
+  if (self->node == NULL || self->life != life || self->world->now_us >= self->frozen_until_us)
+    return FALSE;
+  world_at(self->world, self->frozen_until_us, call, data);
+  return TRUE;
+}
+
 /* The one answer; what comes later is dropped. */
 static void
 call_answer(gpointer data) {
   Call *call = data;
 
+  if (frozen(&call->world->nodes[call->node], call->life, call_answer, call))
+    return;
   if (!call->over) {
     call->over = TRUE;
     call->answered(call->data, call->status, call->body);
@@ -131,6 +143,8 @@
 call_timeout(gpointer data) {
   Call *call = data;
 
+  if (frozen(&call->world->nodes[call->node], call->life, call_timeout, call))
+    return;
   if (!call->over) {
     call->over = TRUE;
     call->answered(call->data, 0, NULL);
@@ -320,6 +334,8 @@
   WorldNode *from = &parcel->world->nodes[parcel->from];
   WorldNode *to = &parcel->world->nodes[parcel->to];
 
+  if (frozen(to, parcel->to_life, parcel_arrives, parcel))
+    return;
   if (to->node != NULL && to->life == parcel->to_life && from->life == parcel->from_life) {
     Mm__Frame *frame;
     frame = mm__frame__unpack(NULL, parcel->length, parcel->bytes);
@@ -338,7 +354,8 @@
   Parcel *parcel;
 
   if (self->node == NULL || world->nodes[to].node == NULL || world->now_us < self->cut_until_us
-      || world->now_us < world->nodes[to].cut_until_us)
+      || world->now_us < world->nodes[to].cut_until_us
+      || world->now_us < world->links_refused_until_us)
     return;
   world->frames++;
   parcel = g_new(Parcel, 1);
@@ -366,6 +383,8 @@
 later_due(gpointer data) {
   Later *later = data;
 
+  if (frozen(later->self, later->life, later_due, later))
+    return;
   if (later->self->node != NULL && later->self->life == later->life)
     later->call(later->data);
   g_free(later);
@@ -451,6 +470,9 @@
   /* An answer to a machine that is cut off is held back; the worker drops what comes after 4 s. */
   if (visit->from != NULL && world->now_us < visit->from->cut_until_us)
     at = visit->from->cut_until_us + world_delay(world);
+  /* It had judged that it may answer, and stood still before the answer went out. */
+  if (world->stalls > 0 && world_uniform(world, 0, 1) < world->stalls)
+    at += (gint64)(world_uniform(world, 0.1, 3.9) * G_USEC_PER_SEC);
   if (world->nodes[visit->node].life != visit->life)
     visit->status = 0;
   if (visit->from == NULL
@@ -467,6 +489,8 @@
   gboolean user_at_cut_zone = visit->from == NULL && visit->node == visit->world->cut_zone
                               && visit->world->now_us < visit->world->zone_cut_until_us;
 
+  if (frozen(node, node->life, visit_arrives, visit))
+    return;
   if (node->node == NULL || user_at_cut_zone
       || (visit->from != NULL && world_is_apart(visit->world, visit->node, visit->from))) {
     visit_release(visit);
@@ -575,6 +599,8 @@
     g_free(later);
     return;
   }
+  if (frozen(later->self, later->life, tick, later))
+    return;
   if (later->self->world->ignore_echo)
     forget_unheard(later->self->node->owner);
   if (later->self->world->believe_copies)
@@ -594,17 +620,27 @@
 
   if (from->node != NULL && to->node != NULL && from->life == parcel->from_life
       && to->life == parcel->to_life && parcel->world->now_us >= from->cut_until_us
-      && parcel->world->now_us >= to->cut_until_us)
+      && parcel->world->now_us >= to->cut_until_us
+      && parcel->world->now_us >= parcel->world->links_refused_until_us)
     mm_links_up(from->node->links, peer_index(parcel->from, parcel->to));
   g_free(parcel);
 }
 
+static void
+link_up_thawed(gpointer data) {
+  Parcel *parcel = data;
+
+  if (!frozen(&parcel->world->nodes[parcel->from], parcel->from_life, link_up_thawed, parcel))
+    link_up(parcel);
+}
+
 static void
 link_nodes(World *world, guint from, guint to) {
   Parcel *parcel = g_new0(Parcel, 1);
 
   *parcel = (Parcel){ world, from, to, world->nodes[from].life, world->nodes[to].life, NULL, 0 };
-  world_at(world, world->now_us + 100000, link_up, parcel);
+  /* Which side comes first is left to chance. */
+  world_at(world, world->now_us + 100000 + world_delay(world) * 20, link_up_thawed, parcel);
 }
 
 static void
@@ -658,6 +694,35 @@
   world_at(world, self->cut_until_us + 1000, cut_over, self);
 }
 
+static void
+links_allowed(gpointer data) {
+  World *world = data;
+
+  for (guint i = 0; i < WORLD_NODES; i++)
+    for (guint k = 0; k < WORLD_NODES; k++)
+      if (i != k && world->nodes[i].node != NULL && world->nodes[k].node != NULL)
+        link_nodes(world, i, k);
+}
+
+void
+world_refuse_links(World *world, double seconds) {
+  if (world->now_us < world->links_refused_until_us)
+    return;
+  world->links_refused_until_us = world->now_us + (gint64)(seconds * G_USEC_PER_SEC);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    for (guint k = 0; k < WORLD_NODES - 1 && world->nodes[i].node != NULL; k++)
+      mm_links_down(world->nodes[i].node->links, k);
+  world_at(world, world->links_refused_until_us + 1000, links_allowed, world);
+}
+
+void
+world_freeze_node(World *world, guint index, double seconds) {
+  WorldNode *self = &world->nodes[index];
+
+  if (self->node != NULL && world->now_us >= self->frozen_until_us)
+    self->frozen_until_us = world->now_us + (gint64)(seconds * G_USEC_PER_SEC);
+}
+
 static const char *const zone_names[] = { "a", "b", "c" };
 
 gboolean
@@ -686,6 +751,7 @@
   g_ptr_array_add(world->zombies, self->node);
   self->node = NULL;
   self->life++;
+  self->frozen_until_us = 0;
   for (guint i = 0; i < WORLD_NODES; i++)
     if (i != index && world->nodes[i].node != NULL)
       mm_links_down(world->nodes[i].node->links, peer_index(i, index));
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -19,8 +19,9 @@
   guint life;
   gint64 down_until_us;
   gint64 refused_until_us; /* the state service refuses this node alone */
-  gint64 cut_until_us; /* neither the state service, the cloud nor the other nodes are reached */
-  gboolean cut_holds;  /* what is sent meanwhile is held and delivered late, else it is lost */
+  gint64 cut_until_us;    /* neither the state service, the cloud nor the other nodes are reached */
+  gboolean cut_holds;     /* what is sent meanwhile is held and delivered late, else it is lost */
+  gint64 frozen_until_us; /* it stands still, while its clocks run on and its sockets fill */
   double clock_rate;
 } WorldNode;
 
@@ -129,6 +130,9 @@
   GPtrArray *jobs;
   guint next_job;
 
+  gint64 links_refused_until_us; /* nodes refuse each other's connections */
+  double stalls;                 /* share of answers that a node stands still before sending */
+
   guint cut_zone; /* of the node with this index */
   gint64 zone_cut_until_us;
   double copies;  /* share of requests of which a late copy comes */
@@ -165,6 +169,10 @@
 void world_cut_zone(World *world, guint index, double seconds, gboolean holds);
 /* Whether a cut lies between the node and the machine. */
 gboolean world_is_apart(const World *world, guint index, const WorldMachine *machine);
+/* The links between all nodes end, and new ones are refused. */
+void world_refuse_links(World *world, double seconds);
+/* The node stands still; what reaches it meanwhile waits, in order. */
+void world_freeze_node(World *world, guint index, double seconds);
 void world_kill_node(World *world, guint index, double down_s);
 void world_break(World *world, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
