Jobs wait only for machines they may use; silent idle machines are returned

Logs: one or two spot machines that had been taken, idle, stood on the register; the fleet returned silent machines only if tasks showed on them, so each taking waited for a whole lease, and each further end of a node lengthened it. Change: a job is open once every machine is heard that its type, zone and kind ever allowed it on; idle silent machines on the register are returned like others.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -228,9 +228,10 @@
   MmTime now = mm_node_now(fleet->node);
   gint64 patience_ms = silence_ms(fleet);
 
-  /* One that is registered and has not been heard by this life of the node may hold tasks: until it
-   * is heard or proved gone, the parts taken anew stand still. */
-  if (machine->heard ? machine->tasks->len == 0 : !machine->registered)
+  /* One that is registered may have been started on, whatever it showed last: until it is heard or
+   * proved gone, the parts taken anew stand still. Idle ones that were taken once cost each of them
+   * a whole lease. */
+  if (!machine->registered && (!machine->heard || machine->tasks->len == 0))
     return FALSE;
   /* Its notice has run out: the cloud is asked to say at once that it is gone. */
   if (machine->warned && mm_time_ms_since(now, machine->taken) > TAKEN_MS
--- a/src/jobs/spec.c
+++ b/src/jobs/spec.c
@@ -190,6 +190,13 @@
   return spec->n_types == 0;
 }
 
+gboolean
+mm_spec_allows(const MmSpec *spec, const MmName *type, const MmName *zone, gboolean spot) {
+  return mm_spec_allows_type(spec, type)
+         && (mm_name_is_empty(&spec->zone) || mm_name_equal(&spec->zone, zone))
+         && (spec->spot || !spot);
+}
+
 guint
 mm_spec_zone_limit(const MmSpec *spec) {
   return spec->spread ? (spec->tasks + 1) / 2 : spec->tasks;
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -40,5 +40,7 @@
 /* Whether this is an id in the form that users' ids always have. */
 gboolean mm_spec_id_is_valid(const char *id);
 gboolean mm_spec_allows_type(const MmSpec *spec, const MmName *type);
+/* Whether a machine of this kind may ever hold one of the job's tasks. */
+gboolean mm_spec_allows(const MmSpec *spec, const MmName *type, const MmName *zone, gboolean spot);
 /* How many of the job's tasks one zone may hold. */
 guint mm_spec_zone_limit(const MmSpec *spec);
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -23,12 +23,34 @@
   return (MmAttempt){ held->term.v << 24 | (++owner->sequence & 0xffffff) };
 }
 
+/* Earlier holders kept to the same rules of place, and what a machine is never changes: on a
+ * machine that the job may not use, there is none of its tasks, heard or not. So services need not
+ * wait for a spot machine that was taken, nor gangs for one without accelerators. */
+static gboolean
+may_be_unheard(const MmHeld *held, const MmJob *job) {
+  for (guint i = 0; i < held->unheard_kinds->len; i++) {
+    const MmMachineKind *kind = &g_array_index(held->unheard_kinds, MmMachineKind, i);
+    if (mm_name_is_empty(&kind->type)
+        || mm_spec_allows(&job->spec, &kind->type, &kind->zone, kind->spot))
+      return TRUE;
+  }
+  return FALSE;
+}
+
 gboolean
-mm_owner_open(const MmOwner *owner, const MmJob *job) {
-  const MmHeld *held = mm_owner_held(owner, job);
+mm_owner_knows(MmOwner *owner, const MmJob *job) {
+  MmHeld *held = mm_owner_held(owner, job);
 
-  return held != NULL && job->tasks != NULL && !job->cancelled
-         && (held->ready || job->known_after_claim)
+  if (held->ready || job->known_after_claim)
+    return TRUE;
+  mm_owner_sum_unheard(owner, held);
+  return !may_be_unheard(held, job);
+}
+
+gboolean
+mm_owner_open(MmOwner *owner, const MmJob *job) {
+  return mm_owner_held(owner, job) != NULL && job->tasks != NULL && !job->cancelled
+         && mm_owner_knows(owner, job)
          && !mm_time_before(mm_node_now(owner->node), job->paused_until);
 }
 
@@ -172,21 +194,44 @@
 }
 
 static void
-sum_unheard(MmOwner *owner, MmHeld *held) {
+add_kind(MmHeld *held, const MmMachine *machine) {
+  /* Of one that is not known, everything may be true. */
+  MmMachineKind kind = machine != NULL
+                           ? (MmMachineKind){ machine->type_name, machine->zone, machine->spot }
+                           : (MmMachineKind){ 0 };
+
+  for (guint i = 0; i < held->unheard_kinds->len; i++) {
+    const MmMachineKind *known = &g_array_index(held->unheard_kinds, MmMachineKind, i);
+    if (mm_name_equal(&known->type, &kind.type) && mm_name_equal(&known->zone, &kind.zone)
+        && known->spot == kind.spot)
+      return;
+  }
+  g_array_append_val(held->unheard_kinds, kind);
+}
+
+void
+mm_owner_sum_unheard(MmOwner *owner, MmHeld *held) {
   GHashTableIter iter;
   gpointer id;
+  guint kinds = held->unheard_kinds->len;
 
+  if (!held->unheard_changed)
+    return;
   held->unheard_changed = FALSE;
+  g_array_set_size(held->unheard_kinds, 0);
   held->unheard_any = FALSE;
   held->unheard_room = (MmRoom){ 0 };
   g_hash_table_iter_init(&iter, held->unheard);
   while (g_hash_table_iter_next(&iter, &id, NULL)) {
     const MmMachine *machine = mm_roster_find(owner->node->roster, id);
+    add_kind(held, machine);
     if (machine == NULL || machine->type == NULL)
       held->unheard_any = held->unheard_changed = TRUE; /* its type may become known */
     else
       held->unheard_room = mm_room_add(held->unheard_room, machine->type->room);
   }
+  if (held->unheard_kinds->len < kinds)
+    mm_rank_changed(owner->node->rank);
 }
 
 /* What the team's tasks take or might take: all that may be on a machine, stops under way included,
@@ -198,8 +243,7 @@
 
   if (limit.cores <= 0 && limit.accelerators <= 0)
     return TRUE;
-  if (held->unheard_changed)
-    sum_unheard(owner, held);
+  mm_owner_sum_unheard(owner, held);
   if (held->unheard_any)
     return FALSE;
   used = mm_room_add(held->used, held->unheard_room);
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -140,9 +140,9 @@
     /* Some members are gone while others live, or a place did not ask in time: all or none. */
     if (late || (started > 0 && job->idle > 0))
       release_gang(owner, job);
-    else if (held->ready && !paused && job->live == 0 && job->idle < job->spec.tasks)
+    else if (!paused && job->live == 0 && job->idle < job->spec.tasks)
       run_again(owner, job);
-    else if (held->ready && !paused && job->idle == job->spec.tasks)
+    else if (!paused && job->idle == job->spec.tasks)
       plan(owner, held, job);
   }
 }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -26,6 +26,7 @@
   MmHeld *held = data;
 
   g_hash_table_unref(held->unheard);
+  g_array_unref(held->unheard_kinds);
   g_free(held->name);
   g_free(held);
 }
@@ -217,6 +218,7 @@
   held->team = team;
   held->taken = mm_node_now(node);
   held->unheard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  held->unheard_kinds = g_array_new(FALSE, TRUE, sizeof(MmMachineKind));
   g_hash_table_insert(owner->held, held->name, held);
   for (guint i = 0; i < node->book->order->len; i++) {
     MmJob *job = g_ptr_array_index(node->book->order, i);
@@ -670,9 +672,9 @@
 }
 
 static gboolean
-wants_final(const MmHeld *held, const MmJob *job) {
+wants_final(MmOwner *owner, const MmJob *job) {
   if (job->cancelled)
-    return held->ready && job->live == 0;
+    return mm_owner_knows(owner, job) && job->live == 0;
   return job->spec.kind != MM_KIND_SERVICE && job->done.count == job->spec.tasks;
 }
 
@@ -735,7 +737,7 @@
 
     if (held == NULL || job->writing)
       continue;
-    final = wants_final(held, job);
+    final = wants_final(owner, job);
     if (txn.puts + 2 > ops || json_array_size(txn.guards) + 2 > guards
         || (owner->solo > 0 && txn.puts > 0))
       break;
@@ -860,6 +862,7 @@
     MmHeld *held = value;
     held->used = held->owed = (MmRoom){ 0 };
     held->owed_to = NULL;
+    mm_owner_sum_unheard(owner, held);
   }
   for (guint i = 0; i < book->order->len; i++) {
     const MmJob *job = g_ptr_array_index(book->order, i);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -24,10 +24,17 @@
   MmRoom unheard_room;  /* what unheard machines might hold beside them */
   gboolean unheard_any; /* one of them is of an unknown type: that may be anything */
   gboolean unheard_changed;
-  GHashTable *unheard; /* ids of machines that may hold tasks that are not known of */
+  GArray *unheard_kinds; /* MmMachineKind: each kind of machine that some of them are of */
+  GHashTable *unheard;   /* ids of machines that may hold tasks that are not known of */
   gboolean ready;
 };
 
+typedef struct {
+  MmName type;
+  MmName zone;
+  gboolean spot;
+} MmMachineKind;
+
 typedef struct {
   double seen_s;
   double guessed_s;
@@ -92,8 +99,13 @@
 gboolean mm_owner_ask(MmOwner *owner, MmAsk *ask, MmApproval *approval);
 void mm_owner_peer_ask(MmOwner *owner, guint peer, const Mm__Ask *message);
 MmHeld *mm_owner_held(const MmOwner *owner, const MmJob *job);
+/* Whether all is known that earlier holders of its part may have started of the job: every machine
+ * has been heard that it was ever allowed on. */
+gboolean mm_owner_knows(MmOwner *owner, const MmJob *job);
+/* Takes up which machines are still to be heard, if that has changed. */
+void mm_owner_sum_unheard(MmOwner *owner, MmHeld *held);
 /* Whether the job's tasks may be given out at all at the moment. */
-gboolean mm_owner_open(const MmOwner *owner, const MmJob *job);
+gboolean mm_owner_open(MmOwner *owner, const MmJob *job);
 /* Whether the job leaves its places to a gang that presses more. */
 gboolean mm_owner_yields(const MmOwner *owner, const MmJob *job);
 gboolean mm_owner_goes_first(const MmOwner *owner, const MmJob *job);
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -160,9 +160,7 @@
 /* Where the job's own words allow it at all. */
 gboolean
 mm_rank_allows(const MmJob *job, const MmMachine *machine) {
-  return mm_spec_allows_type(&job->spec, &machine->type_name)
-         && (mm_name_is_empty(&job->spec.zone) || mm_name_equal(&job->spec.zone, &machine->zone))
-         && (job->spec.spot || !machine->spot);
+  return mm_spec_allows(&job->spec, &machine->type_name, &machine->zone, machine->spot);
 }
 
 void
