Tests: restore two expectations, share the linking of nodes, say only what is asserted

Nodes are linked with all others in one place; a node that stands still holds up its own new links in link_up itself; a comment claimed a bound on memory that the test of 1,900 machines does not assert.

--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -167,24 +167,27 @@
 static void
 test_few_are_asked(void) {
   World *world = grown_world(3, 210);
-  guint64 before, most = 0;
+  guint64 before, first, most = 0;
   guint tenths = 0;
 
   load(world, 210, 15);
   world_kill_node(world, 0, 30);
-  while (world->nodes[1].node->replica->nodes != NULL
-         && g_hash_table_size(world->nodes[1].node->replica->nodes) == WORLD_NODES)
+  while (g_hash_table_size(world->nodes[1].node->replica->nodes) == WORLD_NODES)
     world_run(world, 0.1);
+  first = world->directs;
   for (; tenths < 70 && (tenths < 3 || !all_ready(world)); tenths++) {
     before = world->directs;
     world_run(world, 0.1);
     most = MAX(most, world->directs - before);
   }
   world_assert_rules(world);
-  g_test_message("%" G_GUINT64_FORMAT " direct commands in a tenth, ready after %u tenths", most,
-                 tenths);
+  g_test_message("%" G_GUINT64_FORMAT " direct commands, %" G_GUINT64_FORMAT
+                 " in a tenth, ready after %u tenths",
+                 world->directs - first, most, tenths);
   /* Four a node in a tenth of a second, and the stops of that time. */
   g_assert_cmpuint(most, <=, 16);
+  /* Not one for each machine, all in all. */
+  g_assert_cmpuint(world->directs - first, <, world->nodes[1].node->roster->order->len);
   g_assert_cmpuint(tenths, <, 70);
   world_free(world);
 }
@@ -355,7 +358,7 @@
 
 /* Half as many machines again as the largest fleet: many die at once, all nodes end within a
  * second, twice, copies of requests come late, and a zone is away and back. The rules hold and work
- * goes on; what a node keeps of a machine stays small. */
+ * goes on. */
 static void
 test_far_larger(void) {
   World *world = world_new(13);
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -89,6 +89,10 @@
     else
       world_cut_zone(world, node, world_uniform(world, 1, 30), g_rand_boolean(world->rand));
     break;
+  case 12:
+    if (machine != NULL)
+      world_restart_machine(world, machine, world_uniform(world, 0.1, 0.8));
+    break;
   case 13:
     world_refuse_links(world, world_uniform(world, 2, 25));
     break;
@@ -96,10 +100,6 @@
   case 15:
     world_freeze_node(world, node, world_uniform(world, 0.2, 4 * world->lease_s));
     break;
-  case 12:
-    if (machine != NULL)
-      world_restart_machine(world, machine, world_uniform(world, 0.1, 0.8));
-    break;
   default:
     if (machine != NULL && machine->spot && machine->warned_us == 0) {
       machine->warned_us = world->now_us;
@@ -171,8 +171,9 @@
   World *world = world_new(9);
   WorldJob *job;
 
+  /* None is faulty: how often tasks fail is not what is asked here. */
   for (guint i = 0; i < 3; i++)
-    world_add_machine(world, "small", "a", FALSE, 0.1);
+    world_add_machine(world, "small", "a", FALSE, 0.1)->faulty = 0;
   world_start(world);
   world_run(world, 10);
   world->cloud_down_until_us = world->now_us + 600 * (gint64)G_USEC_PER_SEC;
@@ -180,7 +181,7 @@
     world_kill_node(world, i, 0.5);
   world_run(world, 3);
   job = world_submit(world, json_pack("{s:i}", W_TASKS, 4), 2);
-  world_run(world, 60);
+  world_run(world, 25);
   world_assert_rules(world);
   g_assert_cmpint(job->told, ==, TOLD_DONE);
   world_free(world);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -618,6 +618,8 @@
   Parcel *parcel = data;
   WorldNode *from = &parcel->world->nodes[parcel->from], *to = &parcel->world->nodes[parcel->to];
 
+  if (frozen(from, parcel->from_life, link_up, parcel))
+    return;
   if (from->node != NULL && to->node != NULL && from->life == parcel->from_life
       && to->life == parcel->to_life && parcel->world->now_us >= from->cut_until_us
       && parcel->world->now_us >= to->cut_until_us
@@ -626,21 +628,26 @@
   g_free(parcel);
 }
 
-static void
-link_up_thawed(gpointer data) {
-  Parcel *parcel = data;
-
-  if (!frozen(&parcel->world->nodes[parcel->from], parcel->from_life, link_up_thawed, parcel))
-    link_up(parcel);
-}
-
 static void
 link_nodes(World *world, guint from, guint to) {
   Parcel *parcel = g_new0(Parcel, 1);
 
   *parcel = (Parcel){ world, from, to, world->nodes[from].life, world->nodes[to].life, NULL, 0 };
   /* Which side comes first is left to chance. */
-  world_at(world, world->now_us + 100000 + world_delay(world) * 20, link_up_thawed, parcel);
+  world_at(world, world->now_us + 100000 + world_delay(world) * 20, link_up, parcel);
+}
+
+/* Both ways with every other node that is there. */
+static void
+link_with_others(const WorldNode *self) {
+  World *world = self->world;
+
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    if (i == self->index || world->nodes[i].node == NULL || self->node == NULL)
+      continue;
+    link_nodes(world, self->index, i);
+    link_nodes(world, i, self->index);
+  }
 }
 
 static void
@@ -659,25 +666,12 @@
   mm_node_start(self->node);
   *ticking = (Later){ self, self->life, NULL, NULL };
   world_at(world, world->now_us + MM_NODE_TICK_MS * 1000, tick, ticking);
-  for (guint i = 0; i < WORLD_NODES; i++) {
-    if (i == self->index || world->nodes[i].node == NULL)
-      continue;
-    link_nodes(world, self->index, i);
-    link_nodes(world, i, self->index);
-  }
+  link_with_others(self);
 }
 
 static void
 cut_over(gpointer data) {
-  WorldNode *self = data;
-  World *world = self->world;
-
-  for (guint i = 0; i < WORLD_NODES; i++) {
-    if (i == self->index || world->nodes[i].node == NULL || self->node == NULL)
-      continue;
-    link_nodes(world, self->index, i);
-    link_nodes(world, i, self->index);
-  }
+  link_with_others(data);
 }
 
 void
