Links and claims: one loop to tell all peers, comments where they belong

No behaviour changes: a comment had come to stand over the wrong function, a name and a comment said one lease where it is two, two loops over the peers were the same.

--- a/src/checkin/checkin.h
+++ b/src/checkin/checkin.h
@@ -8,8 +8,8 @@
   MmNode *node;
   GHashTable *asks; /* id of the request to a peer -> session */
   guint64 next_ask;
-  GQueue
-      *deferred; /* reports that show a newer term than the replica does, or came amid a taking */
+  /* Reports that show a newer term than the replica does, or came while parts changed hands: */
+  GQueue *deferred;
   MmTime unsettled_since; /* since when parts are about to change hands; 0: they are not */
   MmTime redirected;
   MmTime counted;
--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -26,10 +26,10 @@
 
 /* Whether the claim still holds for certain, by the steady clock. */
 gboolean mm_claims_valid(const MmClaims *claims);
-/* Whether this node may answer workers: a valid claim that the replica shows. */
 /* Whether parts are about to change hands, as far as shows: one is held by nobody, or its holder or
  * another node has a claim that is new. */
 gboolean mm_claims_unsettled(const MmClaims *claims);
+/* Whether this node may answer workers: a valid claim that the replica shows. */
 gboolean mm_claims_may_answer(const MmClaims *claims);
 /* Whether the replica shows this life of this node as holder of the part. */
 gboolean mm_claims_holds(const MmClaims *claims, const char *part);
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -163,6 +163,13 @@
     tell_beats(links);
 }
 
+static void
+tell_machine(MmLinks *links, const MmMachine *machine, Telling telling) {
+  for (guint i = 0; i < links->n_peers; i++)
+    if (links->peers[i].up)
+      send_report(links, i, machine, telling);
+}
+
 void
 mm_links_tell_report(MmLinks *links, MmMachine *machine, gboolean answered) {
   if (!machine->untold && answered) {
@@ -173,16 +180,12 @@
     return;
   }
   machine->untold = FALSE;
-  for (guint i = 0; i < links->n_peers; i++)
-    if (links->peers[i].up)
-      send_report(links, i, machine, answered ? ANSWERED : UNANSWERED);
+  tell_machine(links, machine, answered ? ANSWERED : UNANSWERED);
 }
 
 void
 mm_links_tell_direct(MmLinks *links, MmMachine *machine) {
-  for (guint i = 0; i < links->n_peers; i++)
-    if (links->peers[i].up)
-      send_report(links, i, machine, DIRECT);
+  tell_machine(links, machine, DIRECT);
 }
 
 static void
@@ -251,9 +254,9 @@
   mm_links_send(links, peer, &frame);
 }
 
-/* Everything this node has answered within a lease comes before its first pong on a link: what was
- * lost with an earlier link is told again, so that `settled` can be trusted. That must not hang on
- * who is believed to host a machine: once a node that was back, with its links refused, passed
+/* Everything this node has answered within two leases comes before its first pong on a link: what
+ * was lost with an earlier link is told again, so that `settled` can be trusted. That must not hang
+ * on who is believed to host a machine: once a node that was back, with its links refused, passed
  * direct answers on as reports of its own; the node that did answer those machines took it for
  * their host and did not tell of them, and they were given up while they lived. */
 static void
@@ -261,7 +264,7 @@
   MmNode *node = links->node;
   const GPtrArray *order = node->roster->order;
   MmTime now = mm_node_now(node);
-  gint64 lease_ms = (gint64)(node->settings->lease_s * 2000);
+  gint64 recent_ms = (gint64)(node->settings->lease_s * 2000);
   g_autoptr(GPtrArray) others = g_ptr_array_new();
   Mm__Frame frame = MM__FRAME__INIT;
   Mm__Beats beats = MM__BEATS__INIT;
@@ -271,7 +274,7 @@
     if (machine->heard && machine->host == MM_HOST_SELF && !machine->lost)
       send_report(links, peer, machine, ANSWERED);
     else if (machine->answered_here.us != 0
-             && mm_time_ms_since(now, machine->answered_here) < lease_ms)
+             && mm_time_ms_since(now, machine->answered_here) < recent_ms)
       g_ptr_array_add(others, machine->id.s);
   }
   if (others->len == 0)
