--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -82,6 +82,8 @@
 
   if (list != NULL && !json_is_array(list))
     complain(check, "others", "must be a list of tables");
+  if (json_array_size(list) > MM_PEERS_MAX)
+    complain(check, "others", "must not be longer than 31");
   json_array_foreach(list, i, item) {
     MmPeerSettings peer = { .label = mm_name(text(check, item, "others.", "label")),
                             .zone = mm_name(mm_json_string(item, "zone")),
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -8,6 +8,8 @@
   MmName zone;
   char *endpoint;
 } MmPeerSettings;
+/* Sets of peers are kept as bits. */
+#define MM_PEERS_MAX 31
 
 typedef struct {
   MmName name;
--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -15,7 +15,7 @@
 
 #define CANCEL_TRIES 6
 #define REFUSED_MS 500
-/* How long a user's request waits for the owner to know of a cancellation. */
+/* How long a user's request waits for the other nodes to know of a cancellation. */
 #define KNOWN_MS 1200
 #define TELL_AGAIN_MS 400
 
@@ -28,8 +28,8 @@
   MmSpec spec;
   gint64 at_ms;
   json_t *record;  /* the job's record as last read */
-  MmTime deadline; /* while it waits for the owner to know of a cancellation, */
-  MmTime told;     /* and when the owner was last told */
+  MmTime deadline; /* while it waits for the others to know of a cancellation, */
+  MmTime told;     /* and when they were last told */
 } Call;
 
 static void lookup(Call *call);
@@ -72,30 +72,38 @@
                    W_RUNNING, (json_int_t)running);
 }
 
-/* Who holds the job's part, as the replica shows it: -1 this node or nobody, else a peer. Whoever
- * takes a part that is nobody's reads the record first. */
-static gint
-holder_of(const Call *call) {
-  const MmJob *job = mm_book_find(call->node->book, call->id.s);
-  MmName team = mm_name(mm_json_string(mm_json_get(call->record, "s"), W_TEAM));
-  g_autofree char *part = job != NULL ? g_strdup(job->part) : mm_claims_part_of_team(&team);
-  const MmPart *held = mm_replica_part(call->node->replica, part);
-
-  return held == NULL || mm_claims_holds(call->node->claims, part)
-             ? -1
-             : mm_links_find(call->node->links, held->holder.s);
+/* Whether every node that may still answer a worker knows of the job's cancellation, so that from
+ * now on no answer leaves its tasks alone or starts one: each machine that is answered again stops
+ * them, and each that is not ends them with its lease. Who may answer has a claim that shows in a
+ * replica as new as the cancellation; whoever takes a claim later reads the record first. A peer
+ * that can't be asked knows it all the same, or answers nobody, once the state service has served
+ * this node for longer than a node may answer without having read what changed. */
+static gboolean
+is_known(const Call *call) {
+  const MmNode *node = call->node;
+  const MmJob *job = mm_book_find(node->book, call->id.s);
+
+  if (!node->replica->loaded)
+    return FALSE;
+  /* Finished as cancelled: its tasks were all gone. */
+  if (job == NULL)
+    return mm_book_is_over(node->book, call->id.s);
+  if (job->cancel_mark.v == 0 || node->replica->epoch < job->cancel_mark.v)
+    return FALSE;
+  if (node->store->calm_us - job->cancel_calm >= mm_claims_blind_most(node->claims) * 2)
+    return TRUE;
+  for (guint i = 0; i < node->links->n_peers; i++)
+    if (g_hash_table_contains(node->replica->nodes, node->links->peers[i].label.s)
+        && (job->cancel_known & (G_GUINT64_CONSTANT(1) << i)) == 0)
+      return FALSE;
+  return TRUE;
 }
 
-/* A user is told of a cancellation only when the owner of the job's part knows of it. With the
- * owner cut off, and then the state service down, tasks of a cancelled job once ran on for as long.
- */
 static void
 answer_cancelled(Call *call) {
   MmTime now = mm_node_now(call->node);
-  const MmJob *job = mm_book_find(call->node->book, call->id.s);
-  gint holder = holder_of(call);
 
-  if (holder < 0 || (job != NULL && job->cancel_known)) {
+  if (is_known(call)) {
     finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
     return;
   }
@@ -105,20 +113,28 @@
   mm_links_tell_cancelled(call->node->links, call->id.s);
 }
 
+static gboolean
+let_go_known(MmApi *api, GList *link) {
+  Call *call = link->data;
+
+  if (!is_known(call))
+    return FALSE;
+  g_queue_delete_link(api->waiting, link);
+  finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
+  return TRUE;
+}
+
 void
-mm_api_cancel_known(MmApi *api, const char *id) {
+mm_api_cancel_known(MmApi *api, guint peer, const char *id) {
   MmJob *job = mm_book_find(api->node->book, id);
   GList *next;
 
   if (job != NULL)
-    job->cancel_known = TRUE;
+    job->cancel_known |= G_GUINT64_CONSTANT(1) << peer;
   for (GList *link = api->waiting->head; link != NULL; link = next) {
-    Call *call = link->data;
     next = link->next;
-    if (strcmp(call->id.s, id) != 0)
-      continue;
-    g_queue_delete_link(api->waiting, link);
-    finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
+    if (strcmp(((Call *)link->data)->id.s, id) == 0)
+      let_go_known(api, link);
   }
 }
 
@@ -130,6 +146,8 @@
   for (GList *link = api->waiting->head; link != NULL; link = next) {
     Call *call = link->data;
     next = link->next;
+    if (let_go_known(api, link))
+      continue;
     if (!mm_time_before(now, call->deadline)) {
       g_queue_delete_link(api->waiting, link);
       give_up(call);
--- a/src/jobs/api.h
+++ b/src/jobs/api.h
@@ -5,14 +5,14 @@
 
 struct MmApi {
   MmNode *node;
-  GQueue *waiting; /* requests until the owner of the job's part knows of its cancellation */
+  GQueue *waiting; /* requests until all who may answer workers know of the job's cancellation */
 };
 
 MmApi *mm_api_new(MmNode *node);
 void mm_api_free(MmApi *api);
 void mm_api_tick(MmApi *api);
-/* The owner of the job's part knows that it is cancelled. */
-void mm_api_cancel_known(MmApi *api, const char *id);
+/* The peer knows that the job is cancelled. */
+void mm_api_cancel_known(MmApi *api, guint peer, const char *id);
 void mm_api_submit(MmNode *node, const json_t *body, MmExchange *exchange);
 void mm_api_status(MmNode *node, const char *id, MmExchange *exchange);
 void mm_api_cancel(MmNode *node, const char *id, MmExchange *exchange);
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -87,8 +87,11 @@
   job->mark = mark;
   if (!mm_done_set_parse(&job->recorded, mm_json_string(value, "d")))
     mm_error("job record %s: done set is not readable", id);
-  if (mm_json_count(value, "c", 0) != 0)
-    job->cancelled = TRUE;
+  if (mm_json_count(value, "c", 0) != 0) {
+    if (job->cancel_mark.v == 0)
+      job->cancel_mark = mark;
+    mm_owner_cancelled(book->node->owner, id);
+  }
   mm_owner_job_changed(book->node->owner, job);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -94,6 +94,7 @@
 void
 mm_node_tick(MmNode *node) {
   measure_lag(node);
+  mm_store_tick(node->store);
   mm_claims_tick(node->claims);
   mm_replica_tick(node->replica);
   mm_api_tick(node->api);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -311,23 +311,43 @@
   mm_owner_stop(owner, task->machine, &job->spec.id, number, task->attempt, mm_owner_grace_s(job));
 }
 
+/* Those of its tasks that show on machines which this node answers, and that no part held here has
+ * placed there: perhaps no part's holder can be reached, or none is left. */
+static void
+stop_seen(MmOwner *owner, const MmJob *job) {
+  const GPtrArray *machines = owner->node->roster->order;
+
+  for (guint i = 0; i < machines->len; i++) {
+    MmMachine *machine = g_ptr_array_index(machines, i);
+    for (guint k = 0; machine->host == MM_HOST_SELF && k < machine->tasks->len; k++) {
+      const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, k);
+      if (seen->state != MM_SEEN_ENDED && mm_name_equal(&seen->job, &job->spec.id)
+          && (job->tasks == NULL || seen->number >= job->spec.tasks
+              || job->tasks[seen->number].machine != machine))
+        mm_owner_stop(owner, machine, &seen->job, seen->number, seen->attempt, 0);
+    }
+  }
+}
+
 gboolean
 mm_owner_cancelled(MmOwner *owner, const char *id) {
   MmJob *job = mm_book_find(owner->node->book, id);
 
   if (job == NULL)
-    return FALSE;
+    return mm_book_is_over(owner->node->book, id);
   if (job->cancelled)
-    return job->tasks != NULL;
+    return TRUE;
   job->cancelled = TRUE;
+  job->cancel_calm = owner->node->store->calm_us;
   for (guint i = 0; job->tasks != NULL && i < job->spec.tasks; i++) {
     if (job->tasks[i].state == MM_TASK_RESERVED)
       mm_owner_unplace(owner, job, i);
     else if (is_live(job->tasks[i].state))
       mm_owner_stop_task(owner, job, i);
   }
+  stop_seen(owner, job);
   mm_rank_changed(owner->node->rank);
-  return job->tasks != NULL;
+  return TRUE;
 }
 
 /* ---- commands ---- */
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -83,8 +83,9 @@
 void mm_owner_replica_changed(MmOwner *owner);
 void mm_owner_job_changed(MmOwner *owner, MmJob *job);
 void mm_owner_job_removed(MmOwner *owner, MmJob *job);
-/* The job's cancellation is in the state service. Whether this node holds its part and now keeps to
- * it: then no task of it starts any more. */
+/* The job's cancellation is in the state service, which needs no judge: whoever holds its part,
+ * this node stops its tasks wherever it can from now on, and lets none start. FALSE when it knows
+ * nothing of the job yet. */
 gboolean mm_owner_cancelled(MmOwner *owner, const char *job);
 /* `changed`: the report shows other tasks than the one before. */
 void mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report, gboolean changed);
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -15,6 +15,8 @@
 #define UNEVEN_PATIENCE_MS 10000
 #define PARTS_EVERY_MS 100
 #define CONFLICT_MS 2000
+#define OUTAGE_MS 1000
+#define BLIND_TTLS 2
 
 MmClaims *
 mm_claims_new(MmNode *node) {
@@ -63,12 +65,24 @@
   const MmReplica *replica = claims->node->replica;
   const MmNodeClaim *mine;
 
-  if (!mm_claims_valid(claims) || !replica->loaded || replica->term.v == 0)
+  if (!mm_claims_valid(claims) || !replica->loaded || replica->term.v == 0
+      || mm_replica_blind_us(replica) > mm_claims_blind_most(claims))
     return FALSE;
   mine = g_hash_table_lookup(replica->nodes, claims->node->settings->label.s);
   return mine != NULL && mine->claim == claims->claim;
 }
 
+gboolean
+mm_claims_outage(const MmClaims *claims) {
+  return claims->proved.us != 0
+         && mm_time_ms_since(mm_node_now(claims->node), claims->proved) <= OUTAGE_MS;
+}
+
+gint64
+mm_claims_blind_most(const MmClaims *claims) {
+  return ttl_ms(claims) * 1000 * BLIND_TTLS;
+}
+
 gboolean
 mm_claims_holds(const MmClaims *claims, const char *name) {
   const MmPart *part = mm_replica_part(claims->node->replica, name);
@@ -97,6 +111,8 @@
   return FALSE;
 }
 
+/* ---- the claim itself ---- */
+
 typedef struct {
   MmClaims *claims;
   MmTime sent;
@@ -119,6 +135,7 @@
   claims->asking = FALSE;
   if (status == 200) {
     claims->claim = call->claim;
+    claims->announced.v = mm_json_count(body, W_REVISION, 0);
     claims->valid = valid_from(claims, call->sent);
     claims->next = mm_node_now(claims->node);
     mm_info("claim %" G_GUINT64_FORMAT " taken", call->claim);
@@ -137,6 +154,10 @@
   if (status == 200 && claim != 0) {
     MmTxn txn = mm_txn();
     call->claim = claim;
+    /* Without the guard an announcement that got no answer, carried out after a newer one, hung the
+     * key on the older claim; it went with that, and the others counted this node as gone while it
+     * answered on. */
+    mm_txn_guard(&txn, MM_KEY_NODE, claims->node->settings->label.s, claims->key);
     mm_txn_put(&txn, MM_KEY_NODE, claims->node->settings->label.s,
                json_pack("{s:I}", "c", (json_int_t)claim), claim);
     /* `sent` stays the grant's: the lease has been running since then. */
@@ -148,6 +169,22 @@
   g_free(call);
 }
 
+static void
+key_read(gpointer data, int status, json_t *body) {
+  MmClaims *claims = data;
+  g_autoptr(json_t) grant = NULL;
+
+  if (status != 200 && status != 404) {
+    claims->asking = FALSE;
+    claims->next = mm_time_add_ms(mm_node_now(claims->node), 150);
+    return;
+  }
+  claims->key.v = status == 200 ? mm_json_count(body, W_VERSION, 0) : 0;
+  grant = json_pack("{s:I}", W_TTL, (json_int_t)ttl_ms(claims));
+  mm_store_request(claims->node->store, "POST", W_LEASES_PATH, grant, 1000, granted,
+                   call_new(claims, 0));
+}
+
 static void
 renewed(gpointer data, int status, json_t *body) {
   Call *call = data;
@@ -179,7 +216,8 @@
   MmTime theirs = mm_links_last_refused(claims->node->links);
   MmTime proof = mm_time_min(mine, theirs);
 
-  if (proof.us == 0 || mm_time_ms_since(now, proof) > 1000 || !mm_time_before(proof, claims->valid))
+  if (proof.us == 0 || mm_time_ms_since(now, proof) > OUTAGE_MS
+      || !mm_time_before(proof, claims->valid))
     return;
   /* Whoever is served meanwhile shows that the others are refused alone, and their claims run out.
    */
@@ -187,21 +225,35 @@
       || !mm_time_before(mm_links_last_served(claims->node->links),
                          claims->node->store->refused_since))
     return;
+  claims->proved = proof;
   claims->valid = mm_time_max(claims->valid, valid_from(claims, proof));
 }
 
+/* Whether the node's key shows another claim than its own, or none, though it has announced it:
+ * nobody renews what is not seen, and the node would never be entitled to anything again. */
+static gboolean
+is_overwritten(const MmClaims *claims) {
+  const MmReplica *replica = claims->node->replica;
+  const MmNodeClaim *mine = g_hash_table_lookup(replica->nodes, claims->node->settings->label.s);
+
+  return claims->claim != 0 && replica->loaded && replica->epoch >= claims->announced.v
+         && (mine == NULL || mine->claim != claims->claim);
+}
+
 static void
 tend_claim(MmClaims *claims) {
   MmTime now = mm_node_now(claims->node);
-  g_autoptr(json_t) body = NULL;
 
   if (claims->asking || mm_time_before(now, claims->next))
     return;
+  if (is_overwritten(claims)) {
+    mm_info("claim %" G_GUINT64_FORMAT " shows no more", claims->claim);
+    claims->claim = 0;
+  }
   claims->asking = TRUE;
   if (claims->claim == 0) {
-    body = json_pack("{s:I}", W_TTL, (json_int_t)ttl_ms(claims));
-    mm_store_request(claims->node->store, "POST", W_LEASES_PATH, body, 1000, granted,
-                     call_new(claims, 0));
+    mm_store_get(claims->node->store, MM_KEY_NODE, claims->node->settings->label.s, key_read,
+                 claims);
   } else {
     g_autofree char *path
         = g_strdup_printf(W_LEASES_PATH "/%" G_GUINT64_FORMAT "/renew", claims->claim);
--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -16,6 +16,9 @@
   MmTime next_parts;      /* when to look at the part map again */
   guint64 stale_epoch;    /* the replica's when a transaction on parts failed; 0: none has */
   MmTime uneven;          /* since when the map has been uneven */
+  MmMark announced;       /* of the key that shows the claim */
+  MmMark key;             /* of the node's key as read before the claim was asked for */
+  MmTime proved;          /* the newest proof of an outage */
   GPtrArray *names;       /* all part names, in a fixed order */
   GHashTable *free_since; /* part name -> MmTime */
 };
@@ -31,6 +34,11 @@
 gboolean mm_claims_unsettled(const MmClaims *claims);
 /* Whether this node may answer workers: a valid claim that the replica shows. */
 gboolean mm_claims_may_answer(const MmClaims *claims);
+/* Whether an outage of the state service has been proved within the last second. */
+gboolean mm_claims_outage(const MmClaims *claims);
+/* For how long, in microseconds and outages aside, a node may answer workers without having read
+ * what has changed in the state service. */
+gint64 mm_claims_blind_most(const MmClaims *claims);
 /* Whether the replica shows this life of this node as holder of the part. */
 gboolean mm_claims_holds(const MmClaims *claims, const char *part);
 /* The part's name for a team: its name in a form that a key may have. */
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -515,7 +515,7 @@
       tell_cancel_known(links, index, frame->cancelled->job);
     break;
   case MM__FRAME__BODY_CANCEL_KNOWN:
-    mm_api_cancel_known(links->node->api, frame->cancel_known->job);
+    mm_api_cancel_known(links->node->api, index, frame->cancel_known->job);
     break;
   case MM__FRAME__BODY_GONE:
     mm_roster_gone(links->node->roster, frame->gone->machine);
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -6,6 +6,7 @@
 #include "fleet/types.h"
 #include "jobs/book.h"
 #include "owner/owner.h"
+#include "parts/claims.h"
 #include "store/store.h"
 
 /* Short, so that a returning watch keeps proving that the replica is fresh. */
@@ -212,8 +213,17 @@
   read_revision(replica);
 }
 
+gint64
+mm_replica_blind_us(const MmReplica *replica) {
+  if (mm_claims_outage(replica->node->claims))
+    return replica->blind_us;
+  return replica->blind_us + (mm_node_now(replica->node).us - replica->ticked.us);
+}
+
 void
 mm_replica_tick(MmReplica *replica) {
+  replica->blind_us = mm_replica_blind_us(replica);
+  replica->ticked = mm_node_now(replica->node);
   if (g_queue_is_empty(replica->waiters))
     return;
   read_revision(replica);
@@ -258,6 +268,8 @@
   if (replica->loaded || replica->epoch < replica->newest_mark)
     return;
   replica->loaded = TRUE;
+  replica->ticked = mm_node_now(replica->node);
+  replica->blind_us = replica->ticked.us - replica->loading.us;
   /* Claims may have ended while nothing was seen of them, with answers given up to their end: a
    * node that was cut off as it started once counted machines as lost that another had just
    * answered. */
@@ -311,6 +323,7 @@
   g_clear_pointer(&replica->seen, g_hash_table_unref);
   replica->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_clear_pointer(&replica->after, g_free);
+  replica->loading = mm_node_now(replica->node);
   replica->loading_epoch = 0;
   replica->loaded = FALSE;
   mm_store_list(replica->node->store, MM_KEY_ROOT, NULL, PAGE, page_loaded, replica);
@@ -352,6 +365,8 @@
   }
   replica->epoch = MAX(replica->epoch, mm_json_count(body, W_REVISION, 0));
   replica->fresh = mm_time_max(replica->fresh, sent);
+  replica->ticked = mm_node_now(replica->node);
+  replica->blind_us = replica->ticked.us - sent.us;
   check_whole(replica);
   if (json_array_size(events) > 0 && replica->loaded)
     changed(replica);
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -23,13 +23,16 @@
   MmNode *node;
   gboolean loaded;
   guint64 epoch;
-  MmTime fresh; /* the replica holds all that was written before this instant */
+  MmTime fresh;    /* the replica holds all that was written before this instant */
+  gint64 blind_us; /* how long ago that is, without time in a proved outage, at the last tick */
+  MmTime ticked;
   MmTerm term;
   MmTerm first_term; /* when this life of the node had loaded it */
   MmMark term_mark;
   GHashTable *parts; /* name -> MmPart */
   GHashTable *nodes; /* label -> MmNodeClaim */
   MmTime node_gone;  /* when a node's claim was last seen to have gone */
+  MmTime loading;    /* since when */
   guint64 loading_epoch;
   guint64 newest_mark; /* of what loading met; the watch must have come as far before it is whole */
   GHashTable *seen;    /* keys met while loading */
@@ -54,6 +57,8 @@
  * all who ask within a short while: reading each job's record for each poll took two thirds of the
  * state service's requests and a tenth of the nodes' time. */
 void mm_replica_when_current(MmReplica *replica, MmCurrent call, gpointer data);
+/* For how long this node can't have read what changed, proved outages aside. */
+gint64 mm_replica_blind_us(const MmReplica *replica);
 const MmPart *mm_replica_part(const MmReplica *replica, const char *name);
 /* The live nodes' labels in order; free the container only. */
 GPtrArray *mm_replica_live(const MmReplica *replica);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -8,6 +8,7 @@
 /* Shares are by node, yet rarely do all nodes write at once; the state service's own 429 is the
  * last word. Claims and users' words are not held back by this budget. */
 #define WRITE_SHARE 0.4
+#define CALM_MOST_MS (4 * MM_NODE_TICK_MS)
 
 MmStore *
 mm_store_new(MmNode *node) {
@@ -22,6 +23,15 @@
   g_free(store);
 }
 
+void
+mm_store_tick(MmStore *store) {
+  MmTime now = mm_node_now(store->node);
+
+  if (store->last_served.us != 0 && !mm_store_in_trouble(store) && !mm_store_is_silent(store))
+    store->calm_us += MIN(now.us - store->ticked.us, CALM_MOST_MS * 1000);
+  store->ticked = now;
+}
+
 typedef struct {
   MmStore *store;
   MmTime sent;
@@ -158,8 +168,10 @@
 
 gboolean
 mm_store_is_silent(const MmStore *store) {
-  return store->last_unanswered.us > store->last_served.us
-         && mm_time_ms_since(mm_node_now(store->node), store->last_served) > SILENT_MS;
+  MmTime answered = mm_time_max(store->last_served, store->last_refused);
+
+  return store->last_unanswered.us > answered.us
+         && mm_time_ms_since(mm_node_now(store->node), answered) > SILENT_MS;
 }
 
 gboolean
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -11,6 +11,8 @@
   MmTime last_served;     /* when the last request that was served had been sent */
   double write_tokens;    /* what this node may still write in work that can wait */
   MmTime tokens_at;
+  gint64 calm_us; /* for how long it has been serving this node, as ticks have seen it */
+  MmTime ticked;
   guint64 writes;
   guint64 requests;
 };
@@ -35,6 +37,9 @@
 
 MmStore *mm_store_new(MmNode *node);
 void mm_store_free(MmStore *store);
+/* Counts the time in which the state service serves: of a node that stood still, and can't know, no
+ * more than a few ticks. */
+void mm_store_tick(MmStore *store);
 
 MmTxn mm_txn(void);
 void mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmMark mark);
--- /dev/null
+++ b/tests/test-meetings.c
@@ -0,0 +1,625 @@
+/* Two troubles at once: each test brings one such meeting about, shows that it happened, and then
+ * that the rules held and everything got done. */
+#include "base/wire.h"
+#include "parts/claims.h"
+#include "store/replica.h"
+#include "store/store.h"
+#include "store/store.h"
+#include "world/world.h"
+
+#define SECOND ((gint64)G_USEC_PER_SEC)
+
+typedef struct {
+  const char *name;
+  /* Plays the meeting; how often what makes it one has happened. */
+  guint (*play)(World *world);
+} Meeting;
+
+/* ---- pieces ---- */
+
+static WorldMachine *
+machine_at(const World *world, guint index) {
+  return g_ptr_array_index(world->machines, index);
+}
+
+static WorldJob *
+job_at(const World *world, guint index) {
+  return g_ptr_array_index(world->jobs, index);
+}
+
+static void
+submit_many(World *world, guint n, const char *kind, guint tasks, double run_s) {
+  for (guint i = 0; i < n; i++) {
+    g_autofree char *team = g_strdup_printf("team-%u", i % 4);
+    world_submit(world, json_pack("{s:i, s:s, s:s}", W_TASKS, tasks, W_KIND, kind, W_TEAM, team),
+                 run_s);
+  }
+}
+
+static void
+cancel_all(World *world) {
+  for (guint i = 0; i < world->jobs->len; i++)
+    if (!job_at(world, i)->asked_cancel)
+      world_cancel(job_at(world, i));
+}
+
+static guint
+told(const World *world, WorldTold what) {
+  guint n = 0;
+
+  for (guint i = 0; i < world->jobs->len; i++)
+    n += job_at(world, i)->told == what;
+  return n;
+}
+
+/* How many machines (of the zone) have lost a lease. */
+static guint
+sessions_ended(const World *world, const char *zone) {
+  guint n = 0;
+
+  for (guint i = 0; i < world->machines->len; i++)
+    n += machine_at(world, i)->session > 1
+         && (zone == NULL || strcmp(machine_at(world, i)->zone, zone) == 0);
+  return n;
+}
+
+static guint64
+newest_term(const World *world) {
+  guint64 term = 0;
+
+  for (guint i = 0; i < WORLD_NODES; i++)
+    if (world->nodes[i].node != NULL)
+      term = MAX(term, world->nodes[i].node->replica->term.v);
+  return term;
+}
+
+/* Machines that hold tasks, `most` of them, and what to do with each. */
+static guint
+with_tasks(World *world, guint most, void (*what)(WorldMachine *machine, gint64 until_us),
+           double seconds) {
+  gint64 until_us = world->now_us + (gint64)(seconds * SECOND);
+  guint n = 0;
+
+  for (guint i = 0; i < world->machines->len && n < most; i++) {
+    if (machine_at(world, i)->tasks->len == 0)
+      continue;
+    what(machine_at(world, i), until_us);
+    n++;
+  }
+  return n;
+}
+
+static void
+cut(WorldMachine *machine, gint64 until_us) {
+  machine->cut_until_us = until_us;
+}
+
+static void
+hang(WorldMachine *machine, gint64 until_us) {
+  machine->hung_until_us = until_us;
+}
+
+static void
+deafen(WorldMachine *machine, gint64 until_us) {
+  machine->deaf_until_us = until_us;
+}
+
+static void
+silence(WorldMachine *machine, gint64 until_us) {
+  machine->mute_until_us = until_us;
+}
+
+static void
+refuse(World *world, guint node, double seconds) {
+  world->nodes[node].refused_until_us = world->now_us + (gint64)(seconds * SECOND);
+}
+
+/* ---- the meetings ---- */
+
+/* A command is held up for seconds, and its machine goes on meanwhile. */
+static guint
+held_commands(World *world) {
+  submit_many(world, 4, W_KIND_ARRAY, 4, 30);
+  world_run(world, 8);
+  with_tasks(world, 3, cut, 6);
+  cancel_all(world);
+  world_run(world, 2);
+  with_tasks(world, 6, hang, 5);
+  world_run(world, 10);
+  return world->held;
+}
+
+static guint
+zone_cut_with_node(World *world) {
+  submit_many(world, 4, W_KIND_SERVICE, 3, 0);
+  world_run(world, 8);
+  world_cut_zone(world, 0, world->lease_s + 8, TRUE);
+  world_run(world, 5);
+  submit_many(world, 2, W_KIND_ARRAY, 4, 5);
+  world_run(world, world->lease_s + 15);
+  return sessions_ended(world, "a");
+}
+
+/* Nodes hand over and back; all end, and one is back within a second. */
+static guint
+all_end_one_returns(World *world) {
+  guint64 before;
+
+  submit_many(world, 4, W_KIND_ARRAY, 5, 25);
+  world_run(world, 6);
+  before = newest_term(world);
+  for (guint round = 0; round < 3; round++) {
+    world_kill_node(world, world_leader(world), 0.2);
+    world_run(world, 4);
+    for (guint i = 0; i < WORLD_NODES; i++)
+      world_kill_node(world, i, i == round ? 0.3 : 4);
+    world_run(world, 7);
+  }
+  return newest_term(world) >= before + 6;
+}
+
+/* Reports come again after newer ones, also of earlier sessions and attempts. */
+static guint
+old_reports(World *world) {
+  world->copies = 0.3;
+  submit_many(world, 6, W_KIND_ARRAY, 3, 12);
+  for (guint round = 0; round < 3; round++) {
+    world_run(world, 6);
+    with_tasks(world, 2, round % 2 == 0 ? cut : deafen, world->lease_s + 3);
+    world_kill_node(world, round, 0.3);
+    world_run(world, 8);
+  }
+  world->copies = 0;
+  return world->old_sessions;
+}
+
+/* Transactions get no answer and are carried out late, after newer ones of the same node, also in
+ * its next life. */
+static guint
+late_writes(World *world) {
+  world->late_writes = 0.3;
+  for (guint round = 0; round < 8; round++) {
+    submit_many(world, 2, W_KIND_ARRAY, 3, 5);
+    world_run(world, 4);
+    world_cancel(job_at(world, round * 2));
+    if (round % 3 == 1)
+      world_kill_node(world, world_leader(world), 0.3);
+    if (round % 3 == 2)
+      with_tasks(world, 1, cut, world->lease_s + 2);
+    world_run(world, 2);
+  }
+  world->late_writes = 0;
+  return world->late_taken > 0 && world->late_void > 0;
+}
+
+/* A node's claim is announced twice, and the first announcement is carried out last. The key once
+ * hung on the older claim then and went with it; the node was never entitled to anything again. */
+static guint
+late_announcements(World *world) {
+  guint before;
+
+  submit_many(world, 3, W_KIND_ARRAY, 4, 20);
+  world_run(world, 6);
+  before = world->late_void;
+  for (guint round = 0; round < 8; round++) {
+    guint node = round % WORLD_NODES;
+    world_kill_node(world, node, 0.2);
+    world_run(world, 0.2);
+    world->late_writes = 1;
+    world_run(world, 0.15);
+    world->late_writes = 0;
+    world_run(world, 20);
+    g_assert_true(mm_claims_may_answer(world->nodes[node].node->claims));
+  }
+  return world->late_void - before;
+}
+
+/* Machines reach no node, while direct commands reach them; a job on them is called off. */
+static guint
+mute_machines(World *world) {
+  guint heard = 0;
+
+  submit_many(world, 4, W_KIND_ARRAY, 4, 40);
+  world_run(world, 8);
+  with_tasks(world, 4, silence, world->lease_s + 12);
+  world_run(world, 0.5);
+  world_cancel(job_at(world, 0));
+  world_cancel(job_at(world, 1));
+  world_run(world, world->lease_s + 14);
+  for (guint i = 0; i < world->machines->len; i++)
+    heard += machine_at(world, i)->heard_mute;
+  return heard;
+}
+
+/* A copy of a report comes to a new leader that has acted already. */
+static guint
+held_report(World *world) {
+  guint old = world_leader(world), met = 0;
+  guint64 before = newest_term(world);
+
+  submit_many(world, 5, W_KIND_ARRAY, 3, 6);
+  world_run(world, 4);
+  for (guint i = 0; i < world->machines->len; i++) {
+    machine_at(world, i)->copy_at_us = world->now_us + 9 * SECOND + (gint64)i * SECOND / 3;
+    machine_at(world, i)->copy_to = (old + 1 + i % 2) % WORLD_NODES;
+  }
+  world_run(world, 1.5);
+  world_kill_node(world, old, 20);
+  world_run(world, 6.5);
+  submit_many(world, 5, W_KIND_ARRAY, 3, 6);
+  for (guint i = 0; i < world->machines->len; i++)
+    met += machine_at(world, i)->copy_at_us == 0 && machine_at(world, i)->token > before;
+  world_run(world, 20);
+  return newest_term(world) > before ? met : 0;
+}
+
+/* Tasks of one array end far apart, with changes of leader between: none runs again that was done,
+ * and none is missed. */
+static guint
+ends_far_apart(World *world) {
+  guint met = 0;
+
+  for (guint i = 0; i < world->machines->len; i++)
+    machine_at(world, i)->faulty = 0;
+  for (guint i = 0; i < 6; i++)
+    world_submit(world, json_pack("{s:i}", W_TASKS, 2 + i % 2), 2)->stagger_s = 14;
+  for (guint i = 0; i < 3; i++) {
+    world_run(world, 8);
+    world_kill_node(world, world_leader(world), i % 2 == 0 ? 0.3 : 3);
+  }
+  world_run(world, 30);
+  for (guint i = 0; i < 6; i++) {
+    g_assert_cmpint(job_at(world, i)->told, ==, TOLD_DONE);
+    met += job_at(world, i)->starts == job_at(world, i)->spec.tasks;
+  }
+  g_assert_cmpuint(met, ==, 6);
+  return met;
+}
+
+/* Cancellations, questions and repeated submissions at the end of a job's last task. */
+static guint
+called_off_at_the_end(World *world) {
+  guint done = 0, cancelled = 0;
+
+  world->cancelled_at_end = 0.7;
+  for (guint i = 0; i < 12; i++) {
+    submit_many(world, 2, W_KIND_ARRAY, 1 + i % 3, 1 + i % 4);
+    world_run(world, 2);
+    world_odd_requests(world);
+  }
+  world_run(world, 10);
+  for (guint i = 0; i < world->jobs->len; i++) {
+    done += job_at(world, i)->asked_cancel && job_at(world, i)->told == TOLD_DONE;
+    cancelled += job_at(world, i)->told == TOLD_CANCELLED;
+  }
+  g_test_message("%u called off after all, %u were done", cancelled, done);
+  return MIN(world->odd_right, cancelled + done);
+}
+
+/* The state service refuses the leader alone, the others confirm cancellations, and then it is out
+ * for all for longer than cancel_s, while the machines are answered. */
+static guint
+gap(World *world) {
+  guint leader, met;
+
+  submit_many(world, 6, W_KIND_ARRAY, 4, 300);
+  submit_many(world, 2, W_KIND_SERVICE, 2, 0);
+  world_run(world, 8);
+  leader = world_leader(world);
+  refuse(world, leader, 14);
+  world_run(world, 1.5);
+  /* The first commands to these are lost. */
+  with_tasks(world, 4, deafen, 4);
+  cancel_all(world);
+  world_run(world, 0.4);
+  world_store_outage(world, world->cancel_s + 12);
+  world_run(world, 0.5);
+  met = world_cancelled_tasks(world);
+  world_run(world, world->cancel_s + 20);
+  return met;
+}
+
+/* The same, but for the outage, which comes when the leader's claim has just ended and nobody has
+ * taken its parts: they have no holder as long as it lasts. */
+static guint
+gap_without_a_holder(World *world) {
+  g_autofree char *key = NULL;
+  guint leader, met = 0;
+  const MmNode *other;
+
+  submit_many(world, 8, W_KIND_ARRAY, 3, 300);
+  world_run(world, 8);
+  leader = world_leader(world);
+  other = world->nodes[(leader + 1) % WORLD_NODES].node;
+  key = g_strconcat(MM_KEY_NODE, world->nodes[leader].settings->label.s, NULL);
+  refuse(world, leader, 14);
+  for (guint i = 0; i < 500 && g_tree_lookup(world->keys, key) != NULL; i++)
+    world_run(world, 0.01);
+  with_tasks(world, 4, deafen, 3);
+  cancel_all(world);
+  world->late_takings = TRUE;
+  world_run(world, 0.3);
+  world->late_takings = FALSE;
+  world_store_outage(world, world->cancel_s + 12);
+  world_run(world, 0.5);
+  for (guint i = 0; i < world->jobs->len; i++) {
+    g_autofree char *part = mm_claims_part_of_team(&job_at(world, i)->spec.team);
+    met += job_at(world, i)->told == TOLD_CANCELLED
+           && mm_replica_part(other->replica, part) == NULL;
+  }
+  world_run(world, world->cancel_s + 20);
+  return met;
+}
+
+/* Jobs bound to one zone lose machines. */
+static guint
+zone_bound_jobs(World *world) {
+  guint lost = 0;
+
+  for (guint i = 0; i < 6; i++)
+    world_submit(world,
+                 json_pack("{s:i, s:s, s:s}", W_TASKS, 3, W_ZONE, "b", W_KIND,
+                           i % 3 == 0 ? W_KIND_SERVICE : W_KIND_ARRAY),
+                 12);
+  world_run(world, 8);
+  for (guint i = 0; i < world->machines->len && lost < 2; i++) {
+    WorldMachine *machine = machine_at(world, i);
+    if (strcmp(machine->zone, "b") != 0 || machine->tasks->len == 0)
+      continue;
+    world_kill_machine(world, machine);
+    lost++;
+  }
+  world_kill_node(world, 1, 0.3);
+  world_run(world, 20);
+  return lost;
+}
+
+/* The leader has its workers and users and nothing else; jobs are called off through the others. */
+static guint
+leader_apart(World *world) {
+  guint leader, met = 0;
+
+  submit_many(world, 6, W_KIND_ARRAY, 4, 300);
+  world_run(world, 8);
+  leader = world_leader(world);
+  world_cut_node(world, leader, world->cancel_s + 10, FALSE);
+  world_run(world, 1);
+  with_tasks(world, 4, deafen, 6);
+  cancel_all(world);
+  for (guint i = 0; i < 60; i++) {
+    world_run(world, 0.1);
+    met = MAX(met, world_cancelled_tasks(world));
+  }
+  world_run(world, world->cancel_s + 10);
+  return met;
+}
+
+/* More work than room, urgent and not, over slow links. */
+static guint
+more_work_than_room(World *world) {
+  static const char *const priorities[] = { "low", "normal", "urgent", "critical" };
+  guint waiting = 0;
+
+  world->slow_links_s = 1.5;
+  world->capacity = 1;
+  for (guint i = 0; i < 36; i++) {
+    g_autofree char *team = g_strdup_printf("team-%u", i % 4);
+    world_submit(
+        world,
+        json_pack("{s:i, s:s, s:s}", W_TASKS, 5, W_PRIORITY, priorities[i / 4 % 4], W_TEAM, team),
+        20);
+  }
+  world_run(world, 30);
+  for (guint i = 0; i < world->jobs->len; i++)
+    waiting += job_at(world, i)->began_us == 0;
+  world_kill_node(world, world_leader(world), 0.5);
+  world_run(world, 60);
+  world->slow_links_s = 0;
+  return waiting;
+}
+
+/* A leader ends while machines with long tasks can't be reached, or don't hear the new one. */
+static guint
+unreached_at_the_end(World *world) {
+  guint met = 0;
+  guint64 before;
+
+  submit_many(world, 5, W_KIND_ARRAY, 4, 35);
+  world_run(world, 8);
+  before = newest_term(world);
+  met += with_tasks(world, 2, cut, world->lease_s - 2);
+  met += with_tasks(world, 4, deafen, 6);
+  world_kill_node(world, world_leader(world), 15);
+  world_run(world, 1);
+  world_cancel(job_at(world, 0));
+  world_run(world, 30);
+  return newest_term(world) > before ? met : 0;
+}
+
+/* Leaders change ten times in two minutes, also inside an outage. */
+static guint
+ten_leaders(World *world) {
+  guint64 before;
+  WorldJob *after;
+
+  submit_many(world, 6, W_KIND_ARRAY, 4, 30);
+  world_run(world, 6);
+  before = newest_term(world);
+  for (guint i = 0; i < 11; i++) {
+    world_kill_node(world, world_leader(world), i % 2 == 0 ? 0.3 : 3);
+    if (i == 4)
+      world_store_outage(world, 8);
+    world_run(world, 10.5);
+  }
+  after = world_submit(world, json_pack("{s:i}", W_TASKS, 2), 3);
+  world_run(world, 25);
+  g_assert_cmpint(after->began_us, >, 0);
+  return newest_term(world) >= before + 10;
+}
+
+/* The state service is slow, then refuses the leader alone and then everybody, while users call off
+ * jobs and ask. */
+static guint
+slow_then_refused(World *world) {
+  guint met;
+
+  world->slow_s = 0.8;
+  world->slow_until_us = world->now_us + 30 * SECOND;
+  submit_many(world, 6, W_KIND_ARRAY, 4, 200);
+  world_run(world, 15);
+  cancel_all(world);
+  refuse(world, world_leader(world), 10);
+  world_run(world, 2);
+  world_odd_requests(world);
+  world_store_outage(world, world->cancel_s + 10);
+  world_run(world, 1);
+  met = told(world, TOLD_CANCELLED) + world_cancelled_tasks(world);
+  world_odd_requests(world);
+  world_run(world, world->cancel_s + 20);
+  return met;
+}
+
+static guint
+all_away(World *world) {
+  submit_many(world, 4, W_KIND_ARRAY, 4, 30);
+  submit_many(world, 2, W_KIND_SERVICE, 3, 0);
+  world_run(world, 8);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_kill_node(world, i, world->lease_s + 6);
+  world_run(world, 2 * world->lease_s + 10);
+  return sessions_ended(world, NULL);
+}
+
+/* A team is at its limit when the leader changes; some of its machines can't be asked, and one of
+ * its jobs is called off then. */
+static guint
+at_the_limit(World *world) {
+  guint running = 0;
+
+  for (guint i = 0; i < 5; i++)
+    world_submit(world, json_pack("{s:i}", W_TASKS, 6), 25);
+  world_run(world, 10);
+  for (guint i = 0; i < 5; i++)
+    running += world_running(world, job_at(world, i), NULL);
+  with_tasks(world, 3, cut, world->lease_s + 4);
+  world_kill_node(world, world_leader(world), 5);
+  world_run(world, 0.5);
+  world_cancel(job_at(world, 0));
+  world_run(world, 40);
+  return running * 2 >= (guint)world->team_cores - 2 ? running : 0;
+}
+
+/* Many jobs are called off within a fifth of a second, and their machines hang. */
+static guint
+called_off_and_hung(World *world) {
+  guint met;
+
+  submit_many(world, 8, W_KIND_ARRAY, 3, 200);
+  world_run(world, 10);
+  cancel_all(world);
+  world_run(world, 0.1);
+  met = with_tasks(world, 5, hang, world->lease_s - 1);
+  world_run(world, world->cancel_s + 10);
+  return met;
+}
+
+static const Meeting meetings[] = {
+  { "held-commands", held_commands },
+  { "zone-cut-with-node", zone_cut_with_node },
+  { "all-end-one-returns", all_end_one_returns },
+  { "old-reports", old_reports },
+  { "late-writes", late_writes },
+  { "late-announcements", late_announcements },
+  { "mute-machines", mute_machines },
+  { "held-report", held_report },
+  { "ends-far-apart", ends_far_apart },
+  { "called-off-at-the-end", called_off_at_the_end },
+  { "gap", gap },
+  { "gap-without-a-holder", gap_without_a_holder },
+  { "zone-bound-jobs", zone_bound_jobs },
+  { "leader-apart", leader_apart },
+  { "more-work-than-room", more_work_than_room },
+  { "unreached-at-the-end", unreached_at_the_end },
+  { "ten-leaders", ten_leaders },
+  { "slow-then-refused", slow_then_refused },
+  { "all-away", all_away },
+  { "at-the-limit", at_the_limit },
+  { "called-off-and-hung", called_off_and_hung },
+};
+
+static World *
+meeting_world(guint32 seed) {
+  World *world = world_new(seed);
+
+  for (guint i = 0; i < 9; i++)
+    world_add_machine(world, "small", i % 3 == 0 ? "a" : i % 3 == 1 ? "b" : "c", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 3);
+  return world;
+}
+
+/* What is left gets done once the troubles are over, and users are served. */
+static void
+settle(World *world) {
+  world->calm_us = world->now_us + 30 * SECOND;
+  for (guint i = 0; i < world->jobs->len; i++)
+    if (job_at(world, i)->spec.kind == MM_KIND_SERVICE && !job_at(world, i)->asked_cancel)
+      world_cancel(job_at(world, i));
+  world_run(world, 150);
+  world_check_served(world);
+  world_assert_rules(world);
+  for (guint i = 0; i < world->jobs->len; i++)
+    if (job_at(world, i)->told < TOLD_CANCELLED)
+      g_test_message("%s is not over: %u of %u done", job_at(world, i)->id,
+                     job_at(world, i)->n_done, job_at(world, i)->spec.tasks);
+  g_assert_cmpuint(told(world, TOLD_DONE) + told(world, TOLD_CANCELLED), ==, world->jobs->len);
+}
+
+static void
+test_meeting(gconstpointer data) {
+  const Meeting *meeting = data;
+  guint days = 2, met = 0;
+
+  /* More than CI plays: MM_MEETING_DAYS=50 tests/test-meetings */
+  if (g_getenv("MM_MEETING_DAYS") != NULL)
+    days = (guint)g_ascii_strtoull(g_getenv("MM_MEETING_DAYS"), NULL, 10);
+  for (guint32 seed = 1; seed <= days; seed++) {
+    World *world = meeting_world(seed);
+    guint here = meeting->play(world);
+    g_test_message("day %u: met %u times", seed, here);
+    met += here;
+    settle(world);
+    world_free(world);
+  }
+  g_assert_cmpuint(met, >, 0);
+}
+
+/* Nodes that know only of the cancellations of their own parts' jobs let tasks run on in the gap
+ * without a holder. */
+static void
+test_judge_alone(void) {
+  gboolean broken = FALSE;
+
+  for (guint32 seed = 1; seed <= 4 && !broken; seed++) {
+    World *world = meeting_world(seed);
+    world->judge_alone = TRUE;
+    gap_without_a_holder(world);
+    for (guint i = 0; i < world->broken->len; i++)
+      broken = broken || g_str_has_prefix(g_ptr_array_index(world->broken, i), "ran_cancelled");
+    world_free(world);
+  }
+  g_assert_true(broken);
+}
+
+int
+main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  if (g_getenv("LOG_LEVEL") != NULL)
+    mm_log_setup();
+  for (guint i = 0; i < G_N_ELEMENTS(meetings); i++) {
+    g_autofree char *path = g_strconcat("/meetings/", meetings[i].name, NULL);
+    g_test_add_data_func(path, &meetings[i], test_meeting);
+  }
+  g_test_add_func("/meetings/broken/judge-alone", test_judge_alone);
+  return g_test_run();
+}
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -55,6 +55,7 @@
         world_break(world, "ran_cancelled: %s/%u on %s", job->id, task->number, machine->id);
     }
   }
+  world_watch_waiting(world);
   /* Troubles over, each job that was accepted has some question answered within 75 s. */
   for (guint i = 0; i < world->jobs->len && world->calm_us != 0; i++) {
     const WorldJob *job = g_ptr_array_index(world->jobs, i);
--- /dev/null
+++ b/tests/world/troubles.c
@@ -0,0 +1,241 @@
+/* Troubles of users and nodes beyond those of the network, and what the rules say of waiting. */
+#include "world/world.h"
+
+#include "base/wire.h"
+#include "parts/claims.h"
+
+#define WAIT_US (90 * (gint64)G_USEC_PER_SEC)
+#define LARGEST_BEGIN_US (240 * (gint64)G_USEC_PER_SEC)
+
+guint
+world_leader(World *world) {
+  guint leader = G_MAXUINT, most = 0;
+
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    const MmClaims *claims = world->nodes[i].node != NULL ? world->nodes[i].node->claims : NULL;
+    guint held = 0;
+    for (guint p = 0; claims != NULL && p < claims->names->len; p++)
+      held += mm_claims_holds(claims, g_ptr_array_index(claims->names, p));
+    if (claims != NULL && (leader == G_MAXUINT || held > most)) {
+      leader = i;
+      most = held;
+    }
+  }
+  g_assert_cmpuint(leader, !=, G_MAXUINT);
+  return leader;
+}
+
+guint
+world_cancelled_tasks(const World *world) {
+  guint n = 0;
+
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    for (guint k = 0; k < machine->tasks->len; k++) {
+      const WorldTask *task = g_ptr_array_index(machine->tasks, k);
+      n += world_task_is_on(task) && task->job->told == TOLD_CANCELLED;
+    }
+  }
+  return n;
+}
+
+/* ---- odd requests ---- */
+
+typedef struct {
+  World *world;
+  int status;
+  const char *state; /* NULL: any */
+  char *what;
+} Expected;
+
+static void
+odd_answered(gpointer data, int status, json_t *body) {
+  Expected *expected = data;
+  const char *state = mm_json_string(body, W_STATE);
+
+  if (status == expected->status
+      && (expected->state == NULL || g_strcmp0(state, expected->state) == 0))
+    expected->world->odd_right++;
+  else if (status != 0 && status != 503)
+    world_break(expected->world, "odd: %s gets %d %s", expected->what, status, state);
+  g_free(expected->what);
+  g_free(expected);
+}
+
+static void
+ask_odd(World *world, const char *method, const char *path, json_t *body, int status,
+        const char *state, const char *what) {
+  Expected *expected = g_new(Expected, 1);
+  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+
+  *expected = (Expected){ world, status, state, g_strdup(what) };
+  world_ask_node(world, node, NULL, method, path, body, 2 * (gint64)G_USEC_PER_SEC, odd_answered,
+                 expected);
+}
+
+static json_t *
+fresh_body(World *world, const WorldJob *like) {
+  json_t *body = json_deep_copy(like->body);
+  g_autofree char *id = g_strdup_printf("run-9%08u", ++world->next_job);
+
+  json_object_set_new(body, W_JOB_ID, json_string(id));
+  return body;
+}
+
+void
+world_odd_requests(World *world) {
+  WorldJob *like = g_ptr_array_index(world->jobs, 0);
+  json_t *body = fresh_body(world, like);
+  const char *field;
+  json_t *value;
+
+  json_object_set_new(body, W_CORES, json_real(17));
+  ask_odd(world, "POST", W_JOBS_PATH, body, 422, NULL, "a job that fits no machine");
+  json_object_foreach(like->body, field, value) {
+    body = fresh_body(world, like);
+    json_object_del(body, field);
+    ask_odd(world, "POST", W_JOBS_PATH, body, 400, NULL, field);
+  }
+  ask_odd(world, "GET", W_JOBS_PATH "/run-555555555", NULL, 404, NULL, "a job nobody submitted");
+  ask_odd(world, "POST", W_JOBS_PATH "/run-555555555/" W_CANCEL_WORD, NULL, 404, NULL,
+          "a cancellation of a job nobody submitted");
+  for (guint i = 0; i < world->jobs->len; i++) {
+    const WorldJob *job = g_ptr_array_index(world->jobs, i);
+    g_autofree char *path = g_strdup_printf(W_JOBS_PATH "/%s/" W_CANCEL_WORD, job->id);
+    if (job->told == TOLD_DONE)
+      ask_odd(world, "POST", path, NULL, 200, W_DONE, job->id);
+    else if (job->ever_accepted)
+      ask_odd(world, "POST", W_JOBS_PATH, json_deep_copy(job->body), 200, NULL, job->id);
+  }
+}
+
+/* ---- waiting ---- */
+
+static MmRoom
+free_room(const WorldMachine *machine) {
+  double cores = strcmp(machine->type, "small") == 0 ? 4 : 16;
+  MmRoom room = { cores, 0, cores * 4 };
+
+  for (guint k = 0; k < machine->tasks->len; k++) {
+    const WorldTask *task = g_ptr_array_index(machine->tasks, k);
+    if (task->state != MM_SEEN_ENDED)
+      room = mm_room_sub(room, task->job->spec.need);
+  }
+  return room;
+}
+
+static gboolean
+fits_somewhere(const World *world, const MmSpec *spec) {
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    MmName type = mm_name(machine->type);
+    if (machine->up && !machine->gone && machine->warned_us == 0
+        && world->now_us >= MAX(machine->hung_until_us, machine->cut_until_us)
+        && world->now_us >= MAX(machine->deaf_until_us, machine->mute_until_us)
+        && mm_spec_allows_type(spec, &type) && (!machine->spot || spec->spot)
+        && (mm_name_is_empty(&spec->zone) || strcmp(spec->zone.s, machine->zone) == 0)
+        && mm_room_fits(spec->need, free_room(machine)))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Cores that the team's tasks take, images being fetched included, and how many of the job's tasks
+ * are given to machines. */
+static double
+team_cores(const World *world, const WorldJob *of, guint *given) {
+  double cores = 0;
+
+  *given = 0;
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    for (guint k = 0; k < machine->tasks->len; k++) {
+      const WorldTask *task = g_ptr_array_index(machine->tasks, k);
+      if (task->state == MM_SEEN_ENDED)
+        continue;
+      *given += task->job == of;
+      if (mm_name_equal(&task->job->spec.team, &of->spec.team))
+        cores += task->job->spec.need.cores;
+    }
+  }
+  return cores;
+}
+
+static gboolean
+waits_needlessly(const World *world, const WorldJob *job) {
+  const MmSpec *spec = &job->spec;
+  double cores;
+  guint given;
+
+  if (job->told != ACCEPTED || job->asked_cancel || spec->one_zone || spec->spread
+      || (spec->kind == MM_KIND_GANG && spec->tasks > 1))
+    return FALSE;
+  cores = team_cores(world, job, &given);
+  return spec->tasks > job->n_done + given && cores + spec->need.cores <= world->team_cores + 1e-6
+         && fits_somewhere(world, spec);
+}
+
+void
+world_watch_waiting(World *world) {
+  if (world->calm_us == 0 || world->now_us < world->calm_us
+      || world->now_us - world->watched_us < G_USEC_PER_SEC)
+    return;
+  world->watched_us = world->now_us;
+  for (guint i = 0; i < world->jobs->len; i++) {
+    WorldJob *job = g_ptr_array_index(world->jobs, i);
+    if (!waits_needlessly(world, job))
+      job->waits_us = 0;
+    else if (job->waits_us == 0)
+      job->waits_us = world->now_us;
+    else if (world->now_us - MAX(job->waits_us, job->begun_us) > WAIT_US)
+      world_break(world, "waits: %s has waited 90 s beside a machine that fits it", job->id);
+  }
+}
+
+/* ---- who is served ---- */
+
+typedef struct {
+  guint all;
+  guint served;
+} Share;
+
+static void
+count(World *world, Share *share, const char *what, const WorldJob *job) {
+  if (job != NULL) {
+    share->all++;
+    share->served += job->began_us != 0;
+  } else if (share->served * 2 < share->all) {
+    world_break(world, "served: %u of %u jobs of %s", share->served, share->all, what);
+  }
+}
+
+void
+world_check_served(World *world) {
+  static const char *const kinds[] = { "arrays", "gangs", "services" };
+  Share teams[4] = { 0 }, of_kind[3] = { 0 }, largest = { 0 };
+  guint most = 0;
+
+  for (guint i = 0; i < world->jobs->len; i++) {
+    const WorldJob *job = g_ptr_array_index(world->jobs, i);
+    if (!job->asked_cancel)
+      most = MAX(most, job->spec.tasks);
+  }
+  for (guint i = 0; i < world->jobs->len; i++) {
+    const WorldJob *job = g_ptr_array_index(world->jobs, i);
+    if (job->asked_cancel || !job->ever_accepted)
+      continue;
+    count(world, &teams[job->spec.team.s[5] - '0'], NULL, job);
+    count(world, &of_kind[job->spec.kind], NULL, job);
+    if (job->spec.tasks < most)
+      continue;
+    count(world, &largest, NULL, job);
+    if (job->began_us - job->submitted_us > LARGEST_BEGIN_US)
+      world_break(world, "served: %s, one of the largest, began after %" G_GINT64_FORMAT " s",
+                  job->id, (job->began_us - job->submitted_us) / G_USEC_PER_SEC);
+  }
+  for (guint i = 0; i < 4; i++)
+    count(world, &teams[i], "a team", NULL);
+  for (guint i = 0; i < 3; i++)
+    count(world, &of_kind[i], kinds[i], NULL);
+  count(world, &largest, "the largest", NULL);
+}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -39,6 +39,10 @@
   gboolean *done; /* by task, in truth */
   guint n_done;
   double run_s;
+  double stagger_s;   /* so much longer runs each next task */
+  guint starts;       /* of its tasks, ever */
+  gint64 begun_us;    /* when one of them was last given to a machine */
+  gint64 waits_us;    /* since when it waits though it need not, see the rules; 0: it does not */
   gint64 answered_us; /* when a question about it was last answered */
   gint64 submitted_us;
   gint64 began_us; /* when its first task was on a machine */
@@ -68,6 +72,10 @@
   gint64 hung_until_us;
   gint64 cut_until_us;  /* its network is interrupted; what is sent is held */
   gint64 deaf_until_us; /* its reports arrive, but no answer or command reaches it */
+  gint64 mute_until_us; /* it reaches no node, but direct commands reach it */
+  guint heard_mute;     /* direct commands that reached it then */
+  gint64 copy_at_us;    /* of its next report a copy comes then; 0: of none */
+  guint copy_to;        /* and to this node */
   guint64 session, seq, token;
   gint64 lease_from_us;
   guint node; /* the node it reports to */
@@ -135,14 +143,27 @@
 
   guint cut_zone; /* of the node with this index */
   gint64 zone_cut_until_us;
-  double copies;  /* share of requests of which a late copy comes */
-  gint64 calm_us; /* when the last trouble ended; 0: not yet */
+  double copies;         /* share of requests of which a late copy comes */
+  guint old_sessions;    /* copies of reports that came when a newer session had begun */
+  double late_writes;    /* share of transactions with no answer, carried out 2 to 12 s later */
+  gboolean late_takings; /* the same befalls all that move parts */
+  guint late_taken;      /* such that were applied, */
+  guint late_void;       /* and such that were not */
+  guint held;            /* direct commands that were held up and carried out in the end */
+  gint64 slow_until_us;  /* the state service answers up to slow_s late, */
+  double slow_s;
+  double slow_links_s;     /* and workers' reports and their answers take up to so much longer */
+  double cancelled_at_end; /* share of jobs that are called off as their last task ends */
+  guint odd_right;         /* odd requests with the right answer */
+  gint64 calm_us;          /* when the last trouble ended; 0: not yet */
+  gint64 watched_us;       /* when waiting was last looked at */
 
   /* switches for the tests that break something on purpose */
   gboolean ignore_echo;    /* owners take every machine for heard */
   gboolean believe_copies; /* nodes forget how new a machine's last report was */
   gboolean answer_deaf;    /* nodes answer machines on that show no sign of hearing */
   gboolean claim_for_ever; /* a node goes on as if its claim could not end */
+  gboolean judge_alone;    /* only who holds a job's part knows that it is cancelled */
   double believed_lease_s; /* what the nodes' settings say; 0: the truth */
 
   double lease_s, report_s, cancel_s;
@@ -190,6 +211,23 @@
 void world_store_add_watch(World *world, guint node, const char *path, MmAnswered answered,
                            gpointer data);
 
+/* troubles.c */
+/* The node that holds most parts, of those that are up. */
+guint world_leader(World *world);
+/* Users send a job that fits no machine, one without each of its fields, and a repetition of each
+ * that is accepted; they cancel what is done and ask for what never was. Wrong answers break rules,
+ * right ones are counted; 503 is neither. */
+void world_odd_requests(World *world);
+/* Tasks on machines whose jobs' users were told of the cancellation. */
+guint world_cancelled_tasks(const World *world);
+/* Troubles over, no job waits 90 s while a machine that fits has room and its team is under its
+ * limit. Gangs, and jobs bound to one zone or spread over several, are not judged: what fits them
+ * hangs on all their places. */
+void world_watch_waiting(World *world);
+/* What users are served, those apart who called their job off: at least half of all jobs, of each
+ * team and of the largest; the largest begun within four minutes. */
+void world_check_served(World *world);
+
 /* cloud.c */
 int world_cloud_handle(World *world, const char *method, const char *path, const json_t *body,
                        json_t **answer);
