--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -97,7 +97,7 @@
     replica->term.v = MAX(replica->term.v, mm_json_count(value, "t", 0));
     replica->term_mark = mark;
   } else if (strcmp(key, MM_KEY_TYPES) == 0) {
-    mm_types_stored(replica->node->types, value);
+    mm_types_stored(replica->node->types, value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_PART)) {
     put_part(replica, key + strlen(MM_KEY_PART), value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_NODE)) {
