--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -92,6 +92,9 @@
   json_object_set_new(body, W_CORES, json_real(17));
   ask_odd(world, "POST", W_JOBS_PATH, body, 422, NULL, "a job that fits no machine");
   json_object_foreach(like->body, field, value) {
+    /* May be null, so absent too. */
+    if (strcmp(field, W_ZONE) == 0)
+      continue;
     body = fresh_body(world, like);
     json_object_del(body, field);
     ask_odd(world, "POST", W_JOBS_PATH, body, 400, NULL, field);
