--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -525,6 +525,26 @@
   return met;
 }
 
+/* A node reads nothing new, while its claim is renewed and its links are refused, and its workers'
+ * jobs are called off through the others. */
+static guint
+blind_node(World *world) {
+  guint node;
+
+  submit_many(world, 6, W_KIND_ARRAY, 4, 300);
+  world_run(world, 8);
+  node = world_leader(world);
+  world->nodes[node].blind_until_us = world->now_us + 60 * SECOND;
+  world_refuse_links(world, 60);
+  /* Else it would be told of by its own users. */
+  world->users_shun = node;
+  world_run(world, 0.5);
+  cancel_all(world);
+  world_run(world, 58);
+  world->users_shun = -1;
+  return told(world, TOLD_CANCELLED);
+}
+
 static const Meeting meetings[] = {
   { "held-commands", held_commands },
   { "zone-cut-with-node", zone_cut_with_node },
@@ -547,6 +567,7 @@
   { "all-away", all_away },
   { "at-the-limit", at_the_limit },
   { "called-off-and-hung", called_off_and_hung },
+  { "blind-node", blind_node },
 };
 
 static World *
@@ -598,21 +619,32 @@
   g_assert_cmpuint(met, >, 0);
 }
 
-/* Nodes that know only of the cancellations of their own parts' jobs let tasks run on in the gap
- * without a holder. */
-static void
-test_judge_alone(void) {
+static gboolean
+cancelled_run_on(guint (*play)(World *world), gboolean judge_alone, gboolean never_blind) {
   gboolean broken = FALSE;
 
   for (guint32 seed = 1; seed <= 4 && !broken; seed++) {
     World *world = meeting_world(seed);
-    world->judge_alone = TRUE;
-    gap_without_a_holder(world);
+    world->judge_alone = judge_alone;
+    world->never_blind = never_blind;
+    play(world);
     for (guint i = 0; i < world->broken->len; i++)
       broken = broken || g_str_has_prefix(g_ptr_array_index(world->broken, i), "ran_cancelled");
     world_free(world);
   }
-  g_assert_true(broken);
+  return broken;
+}
+
+/* Nodes that know only of the cancellations of their own parts' jobs let tasks run on. */
+static void
+test_judge_alone(void) {
+  g_assert_true(cancelled_run_on(gap_without_a_holder, TRUE, FALSE));
+}
+
+/* And so does one that answers its workers on though it has read nothing for long. */
+static void
+test_never_blind(void) {
+  g_assert_true(cancelled_run_on(blind_node, FALSE, TRUE));
 }
 
 int
@@ -625,5 +657,6 @@
     g_test_add_data_func(path, &meetings[i], test_meeting);
   }
   g_test_add_func("/meetings/broken/judge-alone", test_judge_alone);
+  g_test_add_func("/meetings/broken/never-blind", test_never_blind);
   return g_test_run();
 }
--- a/tests/world/users.c
+++ b/tests/world/users.c
@@ -20,7 +20,9 @@
 
 static guint
 any_node(World *world) {
-  return (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+
+  return (gint)node == world->users_shun ? (node + 1) % WORLD_NODES : node;
 }
 
 /* A request, with what its user had been told when it was sent: of two under way at once either may
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -168,7 +168,8 @@
 watch_answered(gpointer data, int status, json_t *body) {
   Call *call = data;
 
-  if (!call->over && call->world->now_us >= call->world->nodes[call->node].cut_until_us) {
+  if (!call->over && call->world->now_us >= call->world->nodes[call->node].cut_until_us
+      && call->world->now_us >= call->world->nodes[call->node].blind_until_us) {
     call->status = alive(call) ? status : 0;
     call->body = json_incref(body);
     call_at(call, call->world->now_us + world_delay(call->world), call_answer);
@@ -653,14 +654,20 @@
   }
 }
 
-/* And one that goes on as if its claim could not end, nor what it has read grow old. */
+/* One for which what it has read does not grow old. */
 static void
-forget_claim_ends(const MmNode *node, MmTime now) {
-  node->claims->valid = mm_time_add_ms(now, 60000);
+forget_blindness(const MmNode *node, MmTime now) {
   node->replica->blind_us = 0;
   node->replica->ticked = now;
 }
 
+/* And one that goes on as if its claim could not end either. */
+static void
+forget_claim_ends(const MmNode *node, MmTime now) {
+  node->claims->valid = mm_time_add_ms(now, 60000);
+  forget_blindness(node, now);
+}
+
 static void
 tick(gpointer data) {
   Later *later = data;
@@ -679,6 +686,8 @@
     forget_deafness(later->self->node);
   if (later->self->world->claim_for_ever && later->self->node->claims->claim != 0)
     forget_claim_ends(later->self->node, port_now(later->self));
+  if (later->self->world->never_blind)
+    forget_blindness(later->self->node, port_now(later->self));
   if (later->self->world->judge_alone)
     forget_cancelled(later->self->node->book);
   mm_node_tick(later->self->node);
@@ -888,6 +897,7 @@
   world->cancel_s = 25;
   world->capacity = 6;
   world->team_cores = 24;
+  world->users_shun = -1;
   world->broken = g_ptr_array_new_with_free_func(g_free);
   world->machines = g_ptr_array_new();
   world->jobs = g_ptr_array_new();
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -19,6 +19,7 @@
   guint life;
   gint64 down_until_us;
   gint64 refused_until_us; /* the state service refuses this node alone */
+  gint64 blind_until_us;   /* its watches get no answer, its other requests do */
   gint64 cut_until_us;    /* neither the state service, the cloud nor the other nodes are reached */
   gboolean cut_holds;     /* what is sent meanwhile is held and delivered late, else it is lost */
   gint64 frozen_until_us; /* it stands still, while its clocks run on and its sockets fill */
@@ -139,6 +140,7 @@
   guint next_job;
 
   gint64 links_refused_until_us; /* nodes refuse each other's connections */
+  gint users_shun;               /* the node that no user asks; -1: none */
   double stalls;                 /* share of answers that a node stands still before sending */
 
   guint cut_zone; /* of the node with this index */
@@ -163,6 +165,7 @@
   gboolean believe_copies; /* nodes forget how new a machine's last report was */
   gboolean answer_deaf;    /* nodes answer machines on that show no sign of hearing */
   gboolean claim_for_ever; /* a node goes on as if its claim could not end */
+  gboolean never_blind;    /* nodes answer on however old what they have read is */
   gboolean judge_alone;    /* only who holds a job's part knows that it is cancelled */
   double believed_lease_s; /* what the nodes' settings say; 0: the truth */
 
