--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -79,7 +79,7 @@
  * that can't be asked knows it all the same, or answers nobody, once the state service has served
  * this node for longer than a node may answer without having read what changed. */
 static gboolean
-is_known(const Call *call) {
+all_know(const Call *call) {
   const MmNode *node = call->node;
   const MmJob *job = mm_book_find(node->book, call->id.s);
 
@@ -90,11 +90,11 @@
     return mm_book_is_over(node->book, call->id.s);
   if (job->cancel_mark.v == 0 || node->replica->epoch < job->cancel_mark.v)
     return FALSE;
-  if (node->store->calm_us - job->cancel_calm >= mm_claims_blind_most(node->claims) * 2)
+  if (node->store->served_us - job->cancel_served_us >= mm_claims_staleness_bound(node->claims) * 2)
     return TRUE;
   for (guint i = 0; i < node->links->n_peers; i++)
     if (g_hash_table_contains(node->replica->nodes, node->links->peers[i].label.s)
-        && (job->cancel_known & (G_GUINT64_CONSTANT(1) << i)) == 0)
+        && (job->cancel_acks & (G_GUINT64_CONSTANT(1) << i)) == 0)
       return FALSE;
   return TRUE;
 }
@@ -103,7 +103,7 @@
 answer_cancelled(Call *call) {
   MmTime now = mm_node_now(call->node);
 
-  if (is_known(call)) {
+  if (all_know(call)) {
     finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
     return;
   }
@@ -114,10 +114,10 @@
 }
 
 static gboolean
-let_go_known(MmApi *api, GList *link) {
+let_go_acked(MmApi *api, GList *link) {
   Call *call = link->data;
 
-  if (!is_known(call))
+  if (!all_know(call))
     return FALSE;
   g_queue_delete_link(api->waiting, link);
   finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
@@ -125,16 +125,16 @@
 }
 
 void
-mm_api_cancel_known(MmApi *api, guint peer, const char *id) {
+mm_api_cancel_acked(MmApi *api, guint peer, const char *id) {
   MmJob *job = mm_book_find(api->node->book, id);
   GList *next;
 
   if (job != NULL)
-    job->cancel_known |= G_GUINT64_CONSTANT(1) << peer;
+    job->cancel_acks |= G_GUINT64_CONSTANT(1) << peer;
   for (GList *link = api->waiting->head; link != NULL; link = next) {
     next = link->next;
     if (strcmp(((Call *)link->data)->id.s, id) == 0)
-      let_go_known(api, link);
+      let_go_acked(api, link);
   }
 }
 
@@ -146,7 +146,7 @@
   for (GList *link = api->waiting->head; link != NULL; link = next) {
     Call *call = link->data;
     next = link->next;
-    if (let_go_known(api, link))
+    if (let_go_acked(api, link))
       continue;
     if (!mm_time_before(now, call->deadline)) {
       g_queue_delete_link(api->waiting, link);
--- a/src/jobs/api.h
+++ b/src/jobs/api.h
@@ -12,7 +12,7 @@
 void mm_api_free(MmApi *api);
 void mm_api_tick(MmApi *api);
 /* The peer knows that the job is cancelled. */
-void mm_api_cancel_known(MmApi *api, guint peer, const char *id);
+void mm_api_cancel_acked(MmApi *api, guint peer, const char *id);
 void mm_api_submit(MmNode *node, const json_t *body, MmExchange *exchange);
 void mm_api_status(MmNode *node, const char *id, MmExchange *exchange);
 void mm_api_cancel(MmNode *node, const char *id, MmExchange *exchange);
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -50,9 +50,9 @@
   MmSpec spec;
   gint64 submitted_ms; /* time of day */
   gboolean cancelled;
-  guint64 cancel_known; /* the peers that have taken note of that, a bit each */
-  MmMark cancel_mark;   /* of the record that showed it; 0 while it is known by word only */
-  gint64 cancel_calm;   /* the state service's time of service, see mm_store_tick, when it was */
+  guint64 cancel_acks;     /* the peers that have taken note of that, a bit each */
+  MmMark cancel_mark;      /* of the record that showed it; 0 while it is known by word only */
+  gint64 cancel_served_us; /* the state service's time of service, see mm_store_tick, when it was */
   MmMark mark;
   char *part;
   MmDoneSet recorded; /* what the state service holds */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -338,7 +338,7 @@
   if (job->cancelled)
     return TRUE;
   job->cancelled = TRUE;
-  job->cancel_calm = owner->node->store->calm_us;
+  job->cancel_served_us = owner->node->store->served_us;
   for (guint i = 0; job->tasks != NULL && i < job->spec.tasks; i++) {
     if (job->tasks[i].state == MM_TASK_RESERVED)
       mm_owner_unplace(owner, job, i);
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -16,7 +16,7 @@
 #define PARTS_EVERY_MS 100
 #define CONFLICT_MS 2000
 #define OUTAGE_MS 1000
-#define BLIND_TTLS 2
+#define STALE_TTLS 2
 
 MmClaims *
 mm_claims_new(MmNode *node) {
@@ -66,7 +66,7 @@
   const MmNodeClaim *mine;
 
   if (!mm_claims_valid(claims) || !replica->loaded || replica->term.v == 0
-      || mm_replica_blind_us(replica) > mm_claims_blind_most(claims))
+      || mm_replica_staleness_us(replica) > mm_claims_staleness_bound(claims))
     return FALSE;
   mine = g_hash_table_lookup(replica->nodes, claims->node->settings->label.s);
   return mine != NULL && mine->claim == claims->claim;
@@ -79,8 +79,8 @@
 }
 
 gint64
-mm_claims_blind_most(const MmClaims *claims) {
-  return ttl_ms(claims) * 1000 * BLIND_TTLS;
+mm_claims_staleness_bound(const MmClaims *claims) {
+  return ttl_ms(claims) * 1000 * STALE_TTLS;
 }
 
 gboolean
--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -38,7 +38,7 @@
 gboolean mm_claims_outage(const MmClaims *claims);
 /* For how long, in microseconds and outages aside, a node may answer workers without having read
  * what has changed in the state service. */
-gint64 mm_claims_blind_most(const MmClaims *claims);
+gint64 mm_claims_staleness_bound(const MmClaims *claims);
 /* Whether the replica shows this life of this node as holder of the part. */
 gboolean mm_claims_holds(const MmClaims *claims, const char *part);
 /* The part's name for a team: its name in a form that a key may have. */
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -206,13 +206,13 @@
 }
 
 static void
-tell_cancel_known(MmLinks *links, guint peer, const char *job) {
+tell_cancel_ack(MmLinks *links, guint peer, const char *job) {
   Mm__Frame frame = MM__FRAME__INIT;
-  Mm__CancelKnown known = MM__CANCEL_KNOWN__INIT;
+  Mm__CancelAck ack = MM__CANCEL_ACK__INIT;
 
-  known.job = (char *)job;
-  frame.body_case = MM__FRAME__BODY_CANCEL_KNOWN;
-  frame.cancel_known = &known;
+  ack.job = (char *)job;
+  frame.body_case = MM__FRAME__BODY_CANCEL_ACK;
+  frame.cancel_ack = &ack;
   mm_links_send(links, peer, &frame);
 }
 
@@ -512,10 +512,10 @@
     break;
   case MM__FRAME__BODY_CANCELLED:
     if (mm_owner_cancelled(links->node->owner, frame->cancelled->job))
-      tell_cancel_known(links, index, frame->cancelled->job);
+      tell_cancel_ack(links, index, frame->cancelled->job);
     break;
-  case MM__FRAME__BODY_CANCEL_KNOWN:
-    mm_api_cancel_known(links->node->api, index, frame->cancel_known->job);
+  case MM__FRAME__BODY_CANCEL_ACK:
+    mm_api_cancel_acked(links->node->api, index, frame->cancel_ack->job);
     break;
   case MM__FRAME__BODY_GONE:
     mm_roster_gone(links->node->roster, frame->gone->machine);
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -214,15 +214,15 @@
 }
 
 gint64
-mm_replica_blind_us(const MmReplica *replica) {
+mm_replica_staleness_us(const MmReplica *replica) {
   if (mm_claims_outage(replica->node->claims))
-    return replica->blind_us;
-  return replica->blind_us + (mm_node_now(replica->node).us - replica->ticked.us);
+    return replica->stale_us;
+  return replica->stale_us + (mm_node_now(replica->node).us - replica->ticked.us);
 }
 
 void
 mm_replica_tick(MmReplica *replica) {
-  replica->blind_us = mm_replica_blind_us(replica);
+  replica->stale_us = mm_replica_staleness_us(replica);
   replica->ticked = mm_node_now(replica->node);
   if (g_queue_is_empty(replica->waiters))
     return;
@@ -269,7 +269,7 @@
     return;
   replica->loaded = TRUE;
   replica->ticked = mm_node_now(replica->node);
-  replica->blind_us = replica->ticked.us - replica->loading.us;
+  replica->stale_us = replica->ticked.us - replica->loading.us;
   /* Claims may have ended while nothing was seen of them, with answers given up to their end: a
    * node that was cut off as it started once counted machines as lost that another had just
    * answered. */
@@ -366,7 +366,7 @@
   replica->epoch = MAX(replica->epoch, mm_json_count(body, W_REVISION, 0));
   replica->fresh = mm_time_max(replica->fresh, sent);
   replica->ticked = mm_node_now(replica->node);
-  replica->blind_us = replica->ticked.us - sent.us;
+  replica->stale_us = replica->ticked.us - sent.us;
   check_whole(replica);
   if (json_array_size(events) > 0 && replica->loaded)
     changed(replica);
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -24,7 +24,7 @@
   gboolean loaded;
   guint64 epoch;
   MmTime fresh;    /* the replica holds all that was written before this instant */
-  gint64 blind_us; /* how long ago that is, without time in a proved outage, at the last tick */
+  gint64 stale_us; /* how long ago that is, without time in a proved outage, at the last tick */
   MmTime ticked;
   MmTerm term;
   MmTerm first_term; /* when this life of the node had loaded it */
@@ -58,7 +58,7 @@
  * state service's requests and a tenth of the nodes' time. */
 void mm_replica_when_current(MmReplica *replica, MmCurrent call, gpointer data);
 /* For how long this node can't have read what changed, proved outages aside. */
-gint64 mm_replica_blind_us(const MmReplica *replica);
+gint64 mm_replica_staleness_us(const MmReplica *replica);
 const MmPart *mm_replica_part(const MmReplica *replica, const char *name);
 /* The live nodes' labels in order; free the container only. */
 GPtrArray *mm_replica_live(const MmReplica *replica);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -8,7 +8,7 @@
 /* Shares are by node, yet rarely do all nodes write at once; the state service's own 429 is the
  * last word. Claims and users' words are not held back by this budget. */
 #define WRITE_SHARE 0.4
-#define CALM_MOST_MS (4 * MM_NODE_TICK_MS)
+#define SERVED_MOST_MS (4 * MM_NODE_TICK_MS)
 
 MmStore *
 mm_store_new(MmNode *node) {
@@ -28,7 +28,7 @@
   MmTime now = mm_node_now(store->node);
 
   if (store->last_served.us != 0 && !mm_store_in_trouble(store) && !mm_store_is_silent(store))
-    store->calm_us += MIN(now.us - store->ticked.us, CALM_MOST_MS * 1000);
+    store->served_us += MIN(now.us - store->ticked.us, SERVED_MOST_MS * 1000);
   store->ticked = now;
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -11,7 +11,7 @@
   MmTime last_served;     /* when the last request that was served had been sent */
   double write_tokens;    /* what this node may still write in work that can wait */
   MmTime tokens_at;
-  gint64 calm_us; /* for how long it has been serving this node, as ticks have seen it */
+  gint64 served_us; /* for how long it has been serving this node, as ticks have seen it */
   MmTime ticked;
   guint64 writes;
   guint64 requests;
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -528,13 +528,13 @@
 /* A node reads nothing new, while its claim is renewed and its links are refused, and its workers'
  * jobs are called off through the others. */
 static guint
-blind_node(World *world) {
+stale_node(World *world) {
   guint node;
 
   submit_many(world, 6, W_KIND_ARRAY, 4, 300);
   world_run(world, 8);
   node = world_leader(world);
-  world->nodes[node].blind_until_us = world->now_us + 60 * SECOND;
+  world->nodes[node].unread_until_us = world->now_us + 60 * SECOND;
   world_refuse_links(world, 60);
   /* Else it would be told of by its own users. */
   world->users_shun = node;
@@ -567,7 +567,7 @@
   { "all-away", all_away },
   { "at-the-limit", at_the_limit },
   { "called-off-and-hung", called_off_and_hung },
-  { "blind-node", blind_node },
+  { "stale-node", stale_node },
 };
 
 static World *
@@ -620,13 +620,13 @@
 }
 
 static gboolean
-cancelled_run_on(guint (*play)(World *world), gboolean judge_alone, gboolean never_blind) {
+cancelled_run_on(guint (*play)(World *world), gboolean judge_alone, gboolean never_stale) {
   gboolean broken = FALSE;
 
   for (guint32 seed = 1; seed <= 4 && !broken; seed++) {
     World *world = meeting_world(seed);
     world->judge_alone = judge_alone;
-    world->never_blind = never_blind;
+    world->never_stale = never_stale;
     play(world);
     for (guint i = 0; i < world->broken->len; i++)
       broken = broken || g_str_has_prefix(g_ptr_array_index(world->broken, i), "ran_cancelled");
@@ -643,8 +643,8 @@
 
 /* And so does one that answers its workers on though it has read nothing for long. */
 static void
-test_never_blind(void) {
-  g_assert_true(cancelled_run_on(blind_node, FALSE, TRUE));
+test_never_stale(void) {
+  g_assert_true(cancelled_run_on(stale_node, FALSE, TRUE));
 }
 
 int
@@ -657,6 +657,6 @@
     g_test_add_data_func(path, &meetings[i], test_meeting);
   }
   g_test_add_func("/meetings/broken/judge-alone", test_judge_alone);
-  g_test_add_func("/meetings/broken/never-blind", test_never_blind);
+  g_test_add_func("/meetings/broken/never-stale", test_never_stale);
   return g_test_run();
 }
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -169,7 +169,7 @@
   Call *call = data;
 
   if (!call->over && call->world->now_us >= call->world->nodes[call->node].cut_until_us
-      && call->world->now_us >= call->world->nodes[call->node].blind_until_us) {
+      && call->world->now_us >= call->world->nodes[call->node].unread_until_us) {
     call->status = alive(call) ? status : 0;
     call->body = json_incref(body);
     call_at(call, call->world->now_us + world_delay(call->world), call_answer);
@@ -656,8 +656,8 @@
 
 /* One for which what it has read does not grow old. */
 static void
-forget_blindness(const MmNode *node, MmTime now) {
-  node->replica->blind_us = 0;
+forget_staleness(const MmNode *node, MmTime now) {
+  node->replica->stale_us = 0;
   node->replica->ticked = now;
 }
 
@@ -665,7 +665,7 @@
 static void
 forget_claim_ends(const MmNode *node, MmTime now) {
   node->claims->valid = mm_time_add_ms(now, 60000);
-  forget_blindness(node, now);
+  forget_staleness(node, now);
 }
 
 static void
@@ -686,8 +686,8 @@
     forget_deafness(later->self->node);
   if (later->self->world->claim_for_ever && later->self->node->claims->claim != 0)
     forget_claim_ends(later->self->node, port_now(later->self));
-  if (later->self->world->never_blind)
-    forget_blindness(later->self->node, port_now(later->self));
+  if (later->self->world->never_stale)
+    forget_staleness(later->self->node, port_now(later->self));
   if (later->self->world->judge_alone)
     forget_cancelled(later->self->node->book);
   mm_node_tick(later->self->node);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -19,7 +19,7 @@
   guint life;
   gint64 down_until_us;
   gint64 refused_until_us; /* the state service refuses this node alone */
-  gint64 blind_until_us;   /* its watches get no answer, its other requests do */
+  gint64 unread_until_us;  /* its watches get no answer, its other requests do */
   gint64 cut_until_us;    /* neither the state service, the cloud nor the other nodes are reached */
   gboolean cut_holds;     /* what is sent meanwhile is held and delivered late, else it is lost */
   gint64 frozen_until_us; /* it stands still, while its clocks run on and its sockets fill */
@@ -165,7 +165,7 @@
   gboolean believe_copies; /* nodes forget how new a machine's last report was */
   gboolean answer_deaf;    /* nodes answer machines on that show no sign of hearing */
   gboolean claim_for_ever; /* a node goes on as if its claim could not end */
-  gboolean never_blind;    /* nodes answer on however old what they have read is */
+  gboolean never_stale;    /* nodes answer on however old what they have read is */
   gboolean judge_alone;    /* only who holds a job's part knows that it is cancelled */
   double believed_lease_s; /* what the nodes' settings say; 0: the truth */
 
