--- /dev/null
+++ b/src/owner/command.c
@@ -0,0 +1,207 @@
+/* Direct commands: stops, cancellations, and empty ones that spread the term. */
+#include "owner/owner.h"
+
+#include "base/wire.h"
+#include "checkin/checkin.h"
+#include "parts/claims.h"
+#include "peers/links.h"
+#include "store/replica.h"
+#include "store/store.h"
+
+#define ECHO_EVERY_MS 3000
+/* In a slow tick: each takes about half a millisecond. */
+#define ECHOES_A_CORE 40
+#define ECHOES_LEAST 2
+#define ECHOES_MOST 16
+/* A worker shows a higher term half a second after it was told, if it does so before its next
+ * report. */
+#define TAKEN_IN_MS 1200
+#define SOON_PERIODS 0.6
+#define STOP_EVERY_MS 2000
+
+double
+mm_owner_grace_s(const MmJob *job) {
+  return job->spec.checkpoint_s > 0 && !job->cancelled ? job->spec.save_s + 1 : 0;
+}
+
+void
+mm_owner_stop_task(MmOwner *owner, MmJob *job, guint number) {
+  MmTask *task = &job->tasks[number];
+
+  if (task->machine == NULL || task->state == MM_TASK_RESERVED)
+    return;
+  task->stopping = TRUE;
+  task->told = mm_node_now(owner->node);
+  mm_owner_stop(owner, task->machine, &job->spec.id, number, task->attempt, mm_owner_grace_s(job));
+}
+
+/* Those of its tasks that show on machines which this node answers, and that no part held here has
+ * placed there: perhaps no part's holder can be reached, or none is left. */
+static void
+stop_seen(MmOwner *owner, const MmJob *job) {
+  const GPtrArray *machines = owner->node->roster->order;
+
+  for (guint i = 0; i < machines->len; i++) {
+    MmMachine *machine = g_ptr_array_index(machines, i);
+    for (guint k = 0; machine->host == MM_HOST_SELF && k < machine->tasks->len; k++) {
+      const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, k);
+      if (seen->state != MM_SEEN_ENDED && mm_name_equal(&seen->job, &job->spec.id)
+          && (job->tasks == NULL || seen->number >= job->spec.tasks
+              || job->tasks[seen->number].machine != machine))
+        mm_owner_stop(owner, machine, &seen->job, seen->number, seen->attempt, 0);
+    }
+  }
+}
+
+gboolean
+mm_owner_cancelled(MmOwner *owner, const char *id) {
+  MmJob *job = mm_book_find(owner->node->book, id);
+
+  if (job == NULL)
+    return mm_book_is_over(owner->node->book, id);
+  if (job->cancelled)
+    return TRUE;
+  job->cancelled = TRUE;
+  job->cancel_served_us = owner->node->store->served_us;
+  for (guint i = 0; job->tasks != NULL && i < job->spec.tasks; i++) {
+    if (job->tasks[i].state == MM_TASK_RESERVED)
+      mm_owner_unplace(owner, job, i);
+    else if (mm_task_is_live(job->tasks[i].state))
+      mm_owner_stop_task(owner, job, i);
+  }
+  stop_seen(owner, job);
+  mm_rank_changed(owner->node->rank);
+  return TRUE;
+}
+
+static void
+direct_answered(gpointer data, int status, json_t *body) {
+  MmOwner *owner = data;
+  MmReport report;
+  const char *reason = NULL;
+
+  if (status != 200 && status != 409)
+    return;
+  if (mm_report_parse(&report, body, &reason)) {
+    MmMachine *machine = mm_roster_find(owner->node->roster, report.machine.s);
+    gboolean echo = machine != NULL && report.token.v > machine->token.v;
+    report.direct = TRUE;
+    if (machine != NULL)
+      machine
+          = mm_roster_take(owner->node->roster, &report, mm_node_now(owner->node), MM_HOST_NONE);
+    /* Other nodes may wait for the same echo. */
+    if (echo && machine != NULL)
+      mm_links_tell_direct(owner->node->links, machine);
+  }
+  mm_report_clear(&report);
+}
+
+static void
+send_direct(MmOwner *owner, MmMachine *machine, json_t *commands) {
+  MmNode *node = owner->node;
+  g_autoptr(json_t) body
+      = json_pack("{s:I, s:I, s:o}", W_TOKEN, (json_int_t)node->replica->term.v, W_SESSION,
+                  (json_int_t)MAX(machine->stamp.session, 1), W_COMMANDS, commands);
+
+  if (machine->addr[0] == '\0' || !mm_claims_may_answer(node->claims))
+    return;
+  node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "POST", W_DIRECT_PATH, body,
+                     2000, direct_answered, owner);
+}
+
+void
+mm_owner_stop(MmOwner *owner, MmMachine *machine, const MmName *job, guint number,
+              MmAttempt attempt, double grace_s) {
+  MmCommand command = { MM_OP_STOP, *job, number, attempt, grace_s };
+  json_t *commands = json_array();
+
+  json_array_append_new(commands, mm_command_to_json(&command));
+  send_direct(owner, machine, commands);
+}
+
+/* The newest term that a team's holder waits for, wherever it is. */
+static MmTerm
+newest_taking(const MmNode *node) {
+  MmTerm newest = { 0 };
+
+  for (guint i = 0; i < node->claims->names->len; i++) {
+    const char *name = g_ptr_array_index(node->claims->names, i);
+    const MmPart *part = mm_replica_part(node->replica, name);
+    if (part != NULL && strcmp(name, MM_PART_FLEET) != 0)
+      newest.v = MAX(newest.v, part->term.v);
+  }
+  return newest;
+}
+
+static gboolean
+is_unheard(const MmOwner *owner, const MmMachine *machine) {
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init(&iter, owner->held);
+  while (g_hash_table_iter_next(&iter, NULL, &value))
+    if (g_hash_table_contains(((MmHeld *)value)->unheard, machine->id.s))
+      return TRUE;
+  return FALSE;
+}
+
+/* Of a machine that reports, the node that it reports to asks for all: one that will not report for
+ * long yet, or that has been told of the term and may not show it before its next report is due. */
+static gboolean
+echo_would_be_late(const MmNode *node, const MmMachine *machine, MmTerm term) {
+  MmTime now = mm_node_now(node);
+  gint64 reported_ms = mm_time_ms_since(now, machine->reported);
+
+  if (machine->host != MM_HOST_SELF || !machine->heard || !machine->registered
+      || machine->token.v >= term.v)
+    return FALSE;
+  if (machine->untaken_since.us != 0)
+    return mm_time_ms_since(now, machine->untaken_since) > TAKEN_IN_MS;
+  return reported_ms < (gint64)(node->settings->report_s * 1000 * SOON_PERIODS);
+}
+
+/* An empty command spreads the term, and its answer is an echo. A few are asked at a time, for a
+ * share of the processor: asking four hundred at once took all the time there was, and claims ended
+ * over it. */
+void
+mm_owner_ask_echoes(MmOwner *owner) {
+  MmNode *node = owner->node;
+  MmTime now = mm_node_now(node);
+  gint64 quiet_ms = (gint64)(node->settings->report_s * 1500);
+  MmTerm newest = newest_taking(node);
+  guint left = (guint)CLAMP(node->settings->cpu_share * ECHOES_A_CORE, ECHOES_LEAST, ECHOES_MOST);
+
+  if (mm_checkin_is_settling(node->checkin))
+    return;
+  for (guint i = 0; i < node->roster->order->len && left > 0; i++) {
+    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    gboolean deaf;
+
+    if (machine->lost || mm_time_ms_since(now, machine->echo_asked) < ECHO_EVERY_MS)
+      continue;
+    deaf = mm_machine_is_deaf(node->roster, machine);
+    if (!deaf && !echo_would_be_late(node, machine, newest)
+        && (mm_time_ms_since(now, machine->reported) < quiet_ms || !is_unheard(owner, machine)))
+      continue;
+    machine->echo_asked = now;
+    left--;
+    send_direct(owner, machine, json_array());
+  }
+}
+
+void
+mm_owner_repeat_stops(MmOwner *owner) {
+  MmNode *node = owner->node;
+  MmTime now = mm_node_now(node);
+
+  for (guint i = 0; i < node->roster->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+    for (guint k = 0; k < machine->placed->len; k++) {
+      const MmPlaced *placed = g_ptr_array_index(machine->placed, k);
+      const MmTask *task = &placed->job->tasks[placed->number];
+      if ((placed->job->cancelled || task->stopping) && task->state != MM_TASK_SAVING
+          && mm_time_ms_since(now, task->told) > STOP_EVERY_MS)
+        mm_owner_stop_task(owner, placed->job, placed->number);
+    }
+  }
+}
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -123,9 +123,25 @@
 MmAttempt mm_owner_next_attempt(MmOwner *owner, const MmHeld *held);
 
 /* owner.c */
+static inline gboolean
+mm_task_is_live(guint8 state) {
+  return state != MM_TASK_IDLE && state != MM_TASK_DONE;
+}
+void mm_owner_set_state(MmOwner *owner, MmJob *job, guint number, guint8 state);
 void mm_owner_place(MmOwner *owner, MmJob *job, guint number, MmMachine *machine, MmTaskState state,
                     MmAttempt attempt);
 void mm_owner_unplace(MmOwner *owner, MmJob *job, guint number);
+/* Notes when nothing is left to hear for the part. */
+void mm_owner_check_ready(MmOwner *owner, MmHeld *held);
+
+/* reports.c */
+/* Places what the machine's newest report shows, of one part only unless that is NULL. */
+void mm_owner_take_tasks(MmOwner *owner, MmMachine *machine, const char *only_part);
+
+/* record.c */
+void mm_owner_write_jobs(MmOwner *owner);
+
+/* command.c */
 /* Tells a task's machine to stop it, at once and with every answer until it is gone. */
 void mm_owner_stop(MmOwner *owner, MmMachine *machine, const MmName *job, guint number,
                    MmAttempt attempt, double grace_s);
@@ -133,6 +149,9 @@
 void mm_owner_stop_task(MmOwner *owner, MmJob *job, guint number);
 /* The smallest grace that lets the job save. */
 double mm_owner_grace_s(const MmJob *job);
+void mm_owner_ask_echoes(MmOwner *owner);
+/* Tasks that were told to stop are told again, should the command have got lost. */
+void mm_owner_repeat_stops(MmOwner *owner);
 
 const GPtrArray *mm_owner_pressing(MmOwner *owner);
 
--- /dev/null
+++ b/src/owner/reports.c
@@ -0,0 +1,260 @@
+/* What machines' reports say of the tasks of the parts held here, and what follows for the
+ * machines.
+ */
+#include "owner/owner.h"
+
+#include "peers/links.h"
+
+/* Old days weigh less and less: guesses may be too high on one day and too low on the next. */
+static void
+learn(MmOwner *owner, const MmJob *job, double ran_s) {
+  MmGuesses *guesses = g_hash_table_lookup(owner->guesses, job->spec.job_class.s);
+
+  if (job->spec.estimate_s <= 0)
+    return;
+  if (guesses == NULL) {
+    guesses = g_new0(MmGuesses, 1);
+    g_hash_table_insert(owner->guesses, g_strdup(job->spec.job_class.s), guesses);
+  }
+  guesses->seen_s = guesses->seen_s * 0.98 + ran_s;
+  guesses->guessed_s = guesses->guessed_s * 0.98 + job->spec.estimate_s;
+}
+
+static void
+task_done(MmOwner *owner, MmJob *job, guint number) {
+  MmTask *task = &job->tasks[number];
+  MmTime now = mm_node_now(owner->node);
+
+  if (task->state == MM_TASK_DONE || job->spec.kind == MM_KIND_SERVICE)
+    return;
+  if (task->state == MM_TASK_RUNNING) {
+    double ran_s = (double)mm_time_ms_since(now, task->since) / 1000.0;
+    job->seen_s += ran_s;
+    job->seen_n++;
+    learn(owner, job, ran_s);
+  }
+  if (task->machine != NULL)
+    mm_owner_unplace(owner, job, number);
+  mm_owner_set_state(owner, job, number, MM_TASK_DONE);
+  mm_done_set_add(&job->done, number);
+  job->failed_tasks = 0;
+  if (job->dirty.us == 0)
+    job->dirty = now;
+}
+
+/* What each cause of ending asks for. The task has left the machine in every case. */
+static void
+task_ended(MmOwner *owner, MmJob *job, guint number, MmMachine *machine, MmCause cause) {
+  MmTask *task = &job->tasks[number];
+  MmTime now = mm_node_now(owner->node);
+
+  mm_owner_unplace(owner, job, number);
+  switch (cause) {
+  case MM_CAUSE_ERROR:
+    task->errors = MIN(task->errors + 1, 10);
+    task->avoid = machine->id;
+    task->not_before = mm_time_add_ms(now, MIN(500 << task->errors, 30000));
+    /* A job that fails everywhere may not hog the fleet. */
+    if (++job->failed_tasks >= 4)
+      job->paused_until = mm_time_add_ms(now, MIN(2000 << MIN(job->failed_tasks - 4, 5), 60000));
+    break;
+  case MM_CAUSE_NO_ROOM:
+    /* Our idea of its room was wrong; the next report but one shows better. */
+    machine->full_until = mm_time_add_ms(now, (gint64)(owner->node->settings->report_s * 1000));
+    break;
+  case MM_CAUSE_UNKNOWN:
+    /* The user has not uploaded it yet, or never does. */
+    task->not_before = mm_time_add_ms(now, 2000);
+    break;
+  case MM_CAUSE_BUSY: /* the other attempt shows in the same report */
+  case MM_CAUSE_ALONE:
+  case MM_CAUSE_PEERS:
+  case MM_CAUSE_STOPPED:
+  default:
+    break;
+  }
+}
+
+static MmTaskState
+state_of_seen(guint8 seen) {
+  static const MmTaskState map[]
+      = { MM_TASK_FETCHING, MM_TASK_WAITING, MM_TASK_RUNNING, MM_TASK_SAVING };
+  return map[MIN(seen, MM_SEEN_SAVING)];
+}
+
+static void
+take_task(MmOwner *owner, MmMachine *machine, MmJob *job, const MmSeenTask *seen) {
+  MmTask *task = &job->tasks[seen->number];
+  gboolean same = task->machine == machine && task->attempt.v == seen->attempt.v;
+
+  if (seen->state == MM_SEEN_ENDED) {
+    if (seen->cause == MM_CAUSE_DONE && (same || !mm_task_is_live(task->state)))
+      task_done(owner, job, seen->number);
+    else if (same && mm_task_is_live(task->state))
+      task_ended(owner, job, seen->number, machine, seen->cause);
+    return;
+  }
+  if (same || !mm_task_is_live(task->state) || task->state == MM_TASK_RESERVED
+      || task->machine == machine) {
+    if (task->state == MM_TASK_DONE)
+      return; /* to be stopped, see commands_for */
+    if (same && task->state == MM_TASK_ISSUED)
+      machine->denied = 0;
+    mm_owner_place(owner, job, seen->number, machine, state_of_seen(seen->state), seen->attempt);
+    return;
+  }
+  /* A newer attempt is only ever approved when the older is gone for certain: of two that show, the
+   * older is what a late report brought back. */
+  if (seen->attempt.v > task->attempt.v) {
+    mm_info("task %s/%u is on %s: what %s showed is over", job->spec.id.s, seen->number,
+            machine->id.s, task->machine->id.s);
+    mm_owner_place(owner, job, seen->number, machine, state_of_seen(seen->state), seen->attempt);
+    return;
+  }
+  mm_info("task %s/%u shows on %s while it is placed on %s", job->spec.id.s, seen->number,
+          machine->id.s, task->machine->id.s);
+}
+
+void
+mm_owner_take_tasks(MmOwner *owner, MmMachine *machine, const char *only_part) {
+  gboolean unsettled = FALSE;
+
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    MmJob *job = mm_book_find(owner->node->book, seen->job.s);
+    unsettled = unsettled || job == NULL || seen->state == MM_SEEN_ENDED;
+    if (job == NULL || job->tasks == NULL || seen->number >= job->spec.tasks)
+      continue;
+    if (only_part == NULL || strcmp(only_part, job->part) == 0)
+      take_task(owner, machine, job, seen);
+    unsettled = unsettled || job->tasks[seen->number].machine != machine;
+  }
+  /* A record may come after the report that shows its tasks, and a result may be taken only once
+   * another attempt has left its machine: the same report must then be looked at again. */
+  machine->unsettled = unsettled;
+}
+
+/* Tasks placed on the machine that this report does not show have left it; a start is denied only
+ * by a report that was sent after the one whose answer carried it. */
+static void
+miss_tasks(MmOwner *owner, MmMachine *machine, const MmReport *report) {
+  for (guint i = machine->placed->len; i > 0; i--) {
+    const MmPlaced *placed = g_ptr_array_index(machine->placed, i - 1);
+    MmJob *job = placed->job;
+    guint number = placed->number;
+    MmTask *task = &job->tasks[number];
+
+    if (task->state == MM_TASK_RESERVED
+        || mm_machine_seen(machine, &job->spec.id, number, task->attempt) != NULL)
+      continue;
+    if (task->state == MM_TASK_ISSUED) {
+      gboolean denied = report->stamp.session > task->issued.session
+                        || (!report->direct && mm_stamp_newer(report->stamp, task->issued));
+      if (!denied)
+        continue;
+      mm_debug("start of %s/%u on %s was not carried out", job->spec.id.s, number, machine->id.s);
+      if (report->stamp.session == task->issued.session)
+        mm_machine_denied(owner->node->roster, machine);
+    }
+    mm_owner_unplace(owner, job, number);
+  }
+}
+
+/* Stops and clears that follow from the report. */
+static void
+commands_for(MmOwner *owner, MmMachine *machine, const MmReport *report) {
+  g_autoptr(GArray) commands = g_array_new(FALSE, TRUE, sizeof(MmCommand));
+  MmTime now = mm_node_now(owner->node);
+
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    MmJob *job = mm_book_find(owner->node->book, seen->job.s);
+    MmCommand command = { MM_OP_FORGET, seen->job, seen->number, seen->attempt, 0 };
+    MmTask *task;
+
+    if (job == NULL || job->tasks == NULL || seen->number >= job->spec.tasks)
+      continue;
+    task = &job->tasks[seen->number];
+    if (seen->state == MM_SEEN_ENDED) {
+      /* The result is forgotten here only once the state service holds it. */
+      if (seen->cause == MM_CAUSE_DONE && job->spec.kind != MM_KIND_SERVICE
+          && !mm_done_set_has(&job->recorded, seen->number) && !job->cancelled)
+        continue;
+      g_array_append_val(commands, command);
+      continue;
+    }
+    command.op = MM_OP_STOP;
+    command.grace_s = mm_owner_grace_s(job);
+    if (job->cancelled || task->state == MM_TASK_DONE
+        || (task->stopping && task->machine == machine && mm_time_ms_since(now, task->told) > 500
+            && seen->state != MM_SEEN_SAVING)) {
+      g_array_append_val(commands, command);
+    } else if (machine->warned && !task->stopping && task->machine == machine) {
+      /* The machine is about to be taken: save, or at least start again elsewhere sooner. */
+      task->stopping = TRUE;
+      task->told = now;
+      g_array_append_val(commands, command);
+    }
+  }
+  if (commands->len == 0)
+    return;
+  if (machine->host == MM_HOST_SELF)
+    for (guint i = 0; i < commands->len; i++)
+      mm_machine_queue(machine, machine->stamp.session, &g_array_index(commands, MmCommand, i));
+  else if (machine->host >= 0)
+    mm_links_tell_commands(owner->node->links, (guint)machine->host, machine, commands);
+}
+
+/* Its report echoes the part's term; or it shows a newer session than any that was on the register
+ * when the part was taken: the old session's tasks are gone, and starts for the new one need an
+ * entry that only who has seen the part's term can believe. */
+static gboolean
+is_heard(const MmHeld *held, const MmMachine *machine) {
+  gpointer session;
+
+  return machine->token.v >= held->term.v
+         || (g_hash_table_lookup_extended(held->unheard, machine->id.s, NULL, &session)
+             && machine->stamp.session > GPOINTER_TO_SIZE(session));
+}
+
+void
+mm_owner_report(MmOwner *owner, MmMachine *machine, const MmReport *report, gboolean changed) {
+  GHashTableIter iter;
+  gpointer value;
+
+  if (g_hash_table_size(owner->held) == 0)
+    return;
+  if (changed || machine->unsettled)
+    mm_owner_take_tasks(owner, machine, NULL);
+  miss_tasks(owner, machine, report);
+  g_hash_table_iter_init(&iter, owner->held);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    MmHeld *held = value;
+    if (!held->ready && is_heard(held, machine)
+        && g_hash_table_remove(held->unheard, machine->id.s)) {
+      held->unheard_changed = TRUE;
+      mm_owner_check_ready(owner, held);
+    }
+  }
+  commands_for(owner, machine, report);
+}
+
+/* Lost or returned: nothing is on it any more and no start can reach it. */
+void
+mm_owner_machine_gone(MmOwner *owner, MmMachine *machine) {
+  GHashTableIter iter;
+  gpointer value;
+
+  while (machine->placed->len > 0) {
+    const MmPlaced *placed = g_ptr_array_index(machine->placed, machine->placed->len - 1);
+    mm_owner_unplace(owner, placed->job, placed->number);
+  }
+  g_hash_table_iter_init(&iter, owner->held);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    MmHeld *held = value;
+    if (g_hash_table_remove(held->unheard, machine->id.s)) {
+      held->unheard_changed = TRUE;
+      mm_owner_check_ready(owner, held);
+    }
+  }
+}
