--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -60,6 +60,19 @@
   }
 }
 
+/* Sets of peers are kept as bits. */
+static void
+test_too_many_others(void) {
+  g_autoptr(GString) text = g_string_new(sample_settings);
+  g_autofree char *reason = NULL;
+
+  for (guint i = 0; i < MM_PEERS_MAX; i++)
+    g_string_append_printf(
+        text, "\n[[others]]\nlabel = \"x-%u\"\nzone = \"a\"\nendpoint = \"127.0.0.1:9\"\n", i);
+  g_assert_null(read_text(text->str, &reason));
+  g_assert_nonnull(strstr(reason, "others: must not be longer"));
+}
+
 static void
 test_unreadable(void) {
   g_autofree char *reason = NULL, *other = NULL;
@@ -78,6 +91,7 @@
   directory = g_dir_make_tmp("mm-test-XXXXXX", NULL);
   g_test_add_func("/settings/good", test_good);
   g_test_add_func("/settings/faults", test_faults);
+  g_test_add_func("/settings/too-many-others", test_too_many_others);
   g_test_add_func("/settings/unreadable", test_unreadable);
   result = g_test_run();
   {
