A team's limit binds only those who need what is limited

Seventeen of them waited up to 300 s beside a dozen idle machines, with all troubles over.

Ruled out: echoes (all machines heard, all parts ready), machines (usable, empty), pauses after errors.

What is not needed of a limited resource cannot take a team over it, so no rule hangs on the difference.

--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -236,6 +236,14 @@
 
 /* What the team's tasks take or might take: all that may be on a machine, stops under way included,
  * and on a machine that has not been heard whatever fits there. */
+/* Who needs nothing of what is limited takes nothing of it, however much is used or owed: a team
+ * that owed a waiting gang accelerators once started none of its arrays either, for minutes, beside
+ * machines that lay idle. */
+static gboolean
+within(double limit, double used, double need) {
+  return limit <= 0 || need <= 0 || used + need <= limit + MM_ROOM_SLACK;
+}
+
 gboolean
 mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks) {
   MmRoom limit = held->team->limit;
@@ -252,10 +260,8 @@
   if (held->owed_to != NULL && held->owed_to != job
       && mm_owner_compare_pressing(&held->owed_to, &job) < 0)
     used = mm_room_add(used, held->owed);
-  used.cores += tasks * job->spec.need.cores;
-  used.accelerators += tasks * job->spec.need.accelerators;
-  return (limit.cores <= 0 || used.cores <= limit.cores + MM_ROOM_SLACK)
-         && (limit.accelerators <= 0 || used.accelerators <= limit.accelerators + MM_ROOM_SLACK);
+  return within(limit.cores, used.cores, tasks * job->spec.need.cores)
+         && within(limit.accelerators, used.accelerators, tasks * job->spec.need.accelerators);
 }
 
 guint
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -100,6 +100,31 @@
   world_free(s.world);
 }
 
+/* A limit of accelerators, of which eight of thirteen are used and eight more are kept for a job
+ * that starves: who needs accelerators waits, who needs none does not. */
+static void
+test_owes_what_is_limited(void) {
+  Setting s = set_up(2);
+  MmHeld *held = mm_owner_held(s.owner, s.job);
+  MmTeamSettings team = *held->team;
+  MmJob starving = { .aged = TRUE, .spec = { .need = { 43, 8, 310 }, .tasks = 1 } };
+
+  team.limit = (MmRoom){ 0, 13, 0 };
+  held->team = &team;
+  held->used = (MmRoom){ 43, 8, 310 };
+  held->owed = starving.spec.need;
+  held->owed_to = &starving;
+  g_assert_true(mm_owner_quota_allows(s.owner, held, s.job, 2));
+  s.job->spec.need.accelerators = 1;
+  g_assert_false(mm_owner_quota_allows(s.owner, held, s.job, 1));
+  g_assert_false(mm_owner_quota_allows(s.owner, held, &starving, 1));
+  held->owed_to = NULL;
+  g_assert_true(mm_owner_quota_allows(s.owner, held, s.job, 5));
+  g_assert_false(mm_owner_quota_allows(s.owner, held, s.job, 6));
+  held->team = mm_settings_team(s.owner->node->settings, &s.job->spec.team);
+  world_free(s.world);
+}
+
 /* An ask for an overtaken report must get nothing: its answer may never reach the worker. */
 static void
 test_old_ask(void) {
@@ -300,6 +325,7 @@
   g_test_add_func("/owner/table-one", test_table_one);
   g_test_add_func("/owner/pull-takes-kept", test_pull_takes_kept);
   g_test_add_func("/owner/limit", test_limit);
+  g_test_add_func("/owner/owes-what-is-limited", test_owes_what_is_limited);
   g_test_add_func("/owner/old-ask", test_old_ask);
   g_test_add_func("/owner/newer-attempt-stands", test_newer_attempt_stands);
   g_test_add_func("/owner/late-copies", test_late_copies);
