Links on which no ping is answered are opened anew; silent peers are told only hello

Cause: when a node's machine goes away without a word, its peers' connections to it look open, and TCP tries again ever more rarely.

A link is opened anew after ten unanswered pings, and a peer is told everything only once it has shown a sign of life on it, before any pong, so that a peer that stands still costs a few bytes. The time a node itself stands still does not count. A half-open connection of a peer goes with that peer's next hello.

Tests: links/half-open, links/told-once-it-lives.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,4 +21,6 @@
 
 MmPeerSockets *mm_peer_sockets_new(const MmSettings *settings);
 gboolean mm_peer_sockets_start(MmPeerSockets *sockets, MmNode *node, GError **error);
+/* Closes our connection to the peer and opens another. */
+void mm_peer_sockets_reconnect(MmPeerSockets *sockets, guint peer);
 void mm_peer_sockets_send(MmPeerSockets *sockets, guint peer, const Mm__Frame *frame);
--- a/src/edge/main.c
+++ b/src/edge/main.c
@@ -34,6 +34,11 @@
   mm_peer_sockets_send(((Edge *)self)->peers, peer, frame);
 }
 
+static void
+edge_reconnect(gpointer self, guint peer) {
+  mm_peer_sockets_reconnect(((Edge *)self)->peers, peer);
+}
+
 typedef struct {
   void (*call)(gpointer data);
   gpointer data;
@@ -65,7 +70,8 @@
 static int
 run(const MmSettings *settings, const MmOperators *operators) {
   Edge edge = { mm_http_client_new(settings), mm_peer_sockets_new(settings) };
-  MmPort port = { &edge, edge_now, edge_wall_ms, edge_request, edge_send, edge_later };
+  MmPort port
+      = { &edge, edge_now, edge_wall_ms, edge_request, edge_send, edge_reconnect, edge_later };
   MmNode *node = mm_node_new(settings, operators, &port, g_random_int());
   g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
   g_autoptr(GError) error = NULL;
--- a/src/edge/peer-socket.c
+++ b/src/edge/peer-socket.c
@@ -32,6 +32,7 @@
   MmPeerSockets *sockets;
   GSocketConnection *connection;
   GByteArray *buffer;
+  GSource *readable;
   gint peer; /* -1 until its hello */
 } In;
 
@@ -41,6 +42,7 @@
   GSocketService *service;
   GSocketClient *client;
   Out *outs;
+  In **ins; /* by peer, the connection that said hello last; may be NULL */
   guint n;
 };
 
@@ -155,6 +157,7 @@
   sockets->settings = settings;
   sockets->n = settings->peers->len;
   sockets->outs = g_new0(Out, sockets->n);
+  sockets->ins = g_new0(In *, sockets->n);
   sockets->client = g_socket_client_new();
   g_socket_client_set_enable_proxy(sockets->client, FALSE);
   g_socket_client_set_timeout(sockets->client, CONNECT_S);
@@ -191,6 +194,11 @@
   g_source_set_ready_time(out->flush, 0);
 }
 
+void
+mm_peer_sockets_reconnect(MmPeerSockets *sockets, guint peer) {
+  drop_out(&sockets->outs[peer]);
+}
+
 static gboolean
 out_read(GSocket *socket, GIOCondition condition, gpointer data) {
   drop_out(data);
@@ -212,7 +220,7 @@
   out->readable = g_socket_create_source(g_socket_connection_get_socket(connection), G_IO_IN, NULL);
   g_source_set_callback(out->readable, G_SOURCE_FUNC(out_read), out, NULL);
   g_source_attach(out->readable, NULL);
-  mm_links_up(out->sockets->node->links, out->peer);
+  mm_links_connected(out->sockets->node->links, out->peer);
 }
 
 static void
@@ -229,6 +237,30 @@
 
 /* ---- receiving ---- */
 
+static void
+drop_in(In *in) {
+  if (in->peer >= 0 && in->sockets->ins[in->peer] == in)
+    in->sockets->ins[in->peer] = NULL;
+  drop_source(&in->readable);
+  close_connection(in->connection);
+  g_byte_array_unref(in->buffer);
+  g_free(in);
+}
+
+/* The peer has opened a new connection: should the one before be half-open, nothing would ever show
+ * its end. */
+static void
+note_hello(In *in, const char *label) {
+  MmPeerSockets *sockets = in->sockets;
+
+  in->peer = mm_links_find(sockets->node->links, label);
+  if (in->peer < 0 || sockets->ins[in->peer] == in)
+    return;
+  if (sockets->ins[in->peer] != NULL)
+    drop_in(sockets->ins[in->peer]);
+  sockets->ins[in->peer] = in;
+}
+
 /* FALSE when the stream makes no sense. */
 static gboolean
 take_frames(In *in) {
@@ -249,7 +281,7 @@
       return FALSE;
     at += 4 + length;
     if (frame->body_case == MM__FRAME__BODY_HELLO)
-      in->peer = mm_links_find(node->links, frame->hello->label);
+      note_hello(in, frame->hello->label);
     if (in->peer >= 0)
       mm_links_frame(node->links, (guint)in->peer, frame);
     mm__frame__free_unpacked(frame, NULL);
@@ -276,26 +308,22 @@
     return G_SOURCE_CONTINUE;
   if (n > 0)
     mm_info("a peer's link makes no sense and is closed");
-  close_connection(in->connection);
-  g_byte_array_unref(in->buffer);
-  g_free(in);
+  drop_in(in);
   return G_SOURCE_REMOVE;
 }
 
 static gboolean
 incoming(GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data) {
   In *in = g_new0(In, 1);
-  GSource *readable;
 
   in->sockets = data;
   in->connection = g_object_ref(connection);
   in->buffer = g_byte_array_new();
   in->peer = -1;
   prepare_socket(connection);
-  readable = g_socket_create_source(g_socket_connection_get_socket(connection), G_IO_IN, NULL);
-  g_source_set_callback(readable, G_SOURCE_FUNC(in_read), in, NULL);
-  g_source_attach(readable, NULL);
-  g_source_unref(readable);
+  in->readable = g_socket_create_source(g_socket_connection_get_socket(connection), G_IO_IN, NULL);
+  g_source_set_callback(in->readable, G_SOURCE_FUNC(in_read), in, NULL);
+  g_source_attach(in->readable, NULL);
   return TRUE;
 }
 
--- a/src/node/port.h
+++ b/src/node/port.h
@@ -23,6 +23,8 @@
                   const char *path, const json_t *body, guint timeout_ms, MmAnswered answered,
                   gpointer data);
   void (*send)(gpointer self, guint peer, const Mm__Frame *frame);
+  /* Closes the connection to the peer, which calls mm_links_down, and opens another. */
+  void (*reconnect)(gpointer self, guint peer);
   void (*later)(gpointer self, guint ms, void (*call)(gpointer data), gpointer data);
 } MmPort;
 
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -11,6 +11,11 @@
 /* How long reports that show nothing new may wait to be told together. */
 #define BEATS_EVERY_MS 200
 #define BEATS_MAX 1024
+/* A connection over which no ping was answered for so many periods is opened anew. */
+#define SILENT_PINGS 10
+#define SILENT_LEAST_MS 5000
+/* More than this between two ticks is not the peer's silence: this node was stopped itself. */
+#define TICK_MOST_MS (4 * MM_NODE_TICK_MS)
 
 MmLinks *
 mm_links_new(MmNode *node) {
@@ -42,14 +47,21 @@
   return -1;
 }
 
-void
-mm_links_send(MmLinks *links, guint peer, Mm__Frame *frame) {
-  if (!links->peers[peer].up)
+/* Also to a peer that has not been told everything yet. */
+static void
+send_at_once(MmLinks *links, guint peer, Mm__Frame *frame) {
+  if (!links->peers[peer].connected)
     return;
   links->frames_out++;
   links->node->port.send(links->node->port.self, peer, frame);
 }
 
+void
+mm_links_send(MmLinks *links, guint peer, Mm__Frame *frame) {
+  if (links->peers[peer].up)
+    send_at_once(links, peer, frame);
+}
+
 static void
 send_to_all(MmLinks *links, Mm__Frame *frame) {
   for (guint i = 0; i < links->n_peers; i++)
@@ -73,7 +85,7 @@
   hello.claim = links->node->claims->claim;
   frame.body_case = MM__FRAME__BODY_HELLO;
   frame.hello = &hello;
-  mm_links_send(links, peer, &frame);
+  send_at_once(links, peer, &frame);
 }
 
 typedef enum { ANSWERED, UNANSWERED, DIRECT } Telling;
@@ -286,13 +298,36 @@
   mm_links_send(links, peer, &frame);
 }
 
+static void
+send_ping(MmLinks *links, guint peer) {
+  MmTime now = mm_node_now(links->node);
+  Mm__Frame frame = MM__FRAME__INIT;
+  Mm__Ping ping = MM__PING__INIT;
+
+  ping.at_us = (guint64)now.us;
+  ping.served_ms = age_ms(links, links->node->store->last_served);
+  frame.body_case = MM__FRAME__BODY_PING;
+  frame.ping = &ping;
+  send_at_once(links, peer, &frame);
+}
+
 void
-mm_links_up(MmLinks *links, guint peer) {
+mm_links_connected(MmLinks *links, guint peer) {
+  links->peers[peer].connected = TRUE;
+  links->peers[peer].up = FALSE;
+  links->peers[peer].silent_us = 0;
+  send_hello(links, peer);
+  send_ping(links, peer);
+}
+
+/* Tells a peer that lives what it must know before any pong of ours. A peer that stands still costs
+ * a few bytes each time its connection is opened anew. */
+static void
+introduce(MmLinks *links, guint peer) {
   const MmBook *book = links->node->book;
 
   links->peers[peer].up = TRUE;
   mm_debug("link to %s stands", links->peers[peer].label.s);
-  send_hello(links, peer);
   tell_answered(links, peer);
   for (guint i = 0; i < book->order->len; i++) {
     const MmJob *job = g_ptr_array_index(book->order, i);
@@ -304,6 +339,7 @@
 
 void
 mm_links_down(MmLinks *links, guint peer) {
+  links->peers[peer].connected = FALSE;
   links->peers[peer].up = FALSE;
   links->peers[peer].answering = FALSE;
 }
@@ -474,6 +510,8 @@
 mm_links_frame(MmLinks *links, guint index, const Mm__Frame *frame) {
   MmPeer *peer = &links->peers[index];
 
+  if (peer->connected && !peer->up)
+    introduce(links, index);
   switch (frame->body_case) {
   case MM__FRAME__BODY_HELLO:
     break; /* the edge has used it to tell whose link this is */
@@ -485,6 +523,7 @@
     note_served(links, index, frame->pong->served_ms);
     note_refused(links, index, (MmTime){ (gint64)frame->pong->at_us }, frame->pong->outage_ms);
     peer->ponged = mm_node_now(links->node);
+    peer->silent_us = 0;
     peer->answering = frame->pong->answering;
     peer->machines = frame->pong->machines;
     if (peer->claim != frame->pong->claim)
@@ -526,20 +565,40 @@
   }
 }
 
+/* A peer whose machine went away without a word leaves a connection that looks open. TCP tries
+ * again ever more rarely, for minutes: a node that was back after a minute and a half once heard
+ * nothing of its peers for as long again, and the parts it had taken waited for machines that only
+ * the peers had heard. */
+static void
+reopen_silent(MmLinks *links, MmTime now) {
+  gint64 passed_us = MIN(now.us - links->ticked.us, TICK_MOST_MS * 1000);
+  gint64 patience_ms
+      = MAX((gint64)(links->node->operators->peer_ping_s * 1000 * SILENT_PINGS), SILENT_LEAST_MS);
+
+  links->ticked = now;
+  for (guint i = 0; i < links->n_peers; i++) {
+    MmPeer *peer = &links->peers[i];
+    if (!peer->connected)
+      continue;
+    peer->silent_us += passed_us;
+    if (peer->silent_us < patience_ms * 1000)
+      continue;
+    mm_info("no ping to %s was answered for %.1f s: a new connection", peer->label.s,
+            (double)peer->silent_us / G_USEC_PER_SEC);
+    links->node->port.reconnect(links->node->port.self, i);
+  }
+}
+
 void
 mm_links_tick(MmLinks *links) {
   MmTime now = mm_node_now(links->node);
-  Mm__Frame frame = MM__FRAME__INIT;
-  Mm__Ping ping = MM__PING__INIT;
 
+  reopen_silent(links, now);
   if (mm_time_ms_since(now, links->beat_told) >= BEATS_EVERY_MS)
     tell_beats(links);
   if (mm_time_before(now, links->next_ping))
     return;
   links->next_ping = mm_time_add_ms(now, (gint64)(links->node->operators->peer_ping_s * 1000));
-  ping.at_us = (guint64)now.us;
-  ping.served_ms = age_ms(links, links->node->store->last_served);
-  frame.body_case = MM__FRAME__BODY_PING;
-  frame.ping = &ping;
-  send_to_all(links, &frame);
+  for (guint i = 0; i < links->n_peers; i++)
+    send_ping(links, i);
 }
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -8,11 +8,13 @@
 
 typedef struct {
   MmName label;
-  gboolean up;    /* our own link to it stands */
-  guint64 claim;  /* its claim, as its last pong said */
-  MmTime settled; /* all answers it gave before this instant are known here */
-  MmTime refused; /* when it was last refused by the state service */
-  MmTime served;  /* when a request of it was last served, at the latest */
+  gboolean connected; /* our own connection to it is open */
+  gboolean up;      /* and the peer has shown a sign of life since: it was told all it must know */
+  gint64 silent_us; /* how long it has been open without an answer to a ping */
+  guint64 claim;    /* its claim, as its last pong said */
+  MmTime settled;   /* all answers it gave before this instant are known here */
+  MmTime refused;   /* when it was last refused by the state service */
+  MmTime served;    /* when a request of it was last served, at the latest */
   MmTime ponged;
   gboolean answering;
   guint machines;
@@ -28,6 +30,7 @@
   MmPeer *peers;
   guint n_peers;
   MmTime next_ping;
+  MmTime ticked;
   GArray *unproved; /* MmName: answered, but their reports are not believed yet */
   GArray *beats;    /* MmBeat not yet told; before any pong they are */
   MmTime beat_told;
@@ -39,7 +42,8 @@
 void mm_links_tick(MmLinks *links);
 
 /* From the edge. A link is our own way to the peer; what it sends comes on its own link to us. */
-void mm_links_up(MmLinks *links, guint peer);
+/* The connection to the peer is open. That proves nothing yet: the peer may stand still. */
+void mm_links_connected(MmLinks *links, guint peer);
 void mm_links_down(MmLinks *links, guint peer);
 void mm_links_frame(MmLinks *links, guint peer, const Mm__Frame *frame);
 /* -1 when no peer has this label. */
--- a/tests/test-links.c
+++ b/tests/test-links.c
@@ -147,11 +147,64 @@
   world_free(world);
 }
 
+/* A node's machine loses its power, so that its peers are told of no end, and is back much later.
+ * The peers open their links anew; those that were open once led nowhere for minutes more, and the
+ * parts that the node had taken waited for machines of which it was told nothing. */
+static void
+test_half_open(void) {
+  World *world = two_machines(5);
+  const MmLinks *links;
+
+  world->silent_ends = TRUE;
+  world_kill_node(world, 2, 40);
+  world_run(world, 39);
+  g_assert_cmpuint(world->reopened, >=, 2);
+  world_run(world, 3.5);
+  links = world->nodes[2].node->links;
+  g_assert_true(links->peers[0].up && links->peers[1].up);
+  g_assert_cmpint(mm_time_ms_since(mm_node_now(world->nodes[2].node), mm_links_settled(links)), <,
+                  3000);
+  world_assert_rules(world);
+  world_free(world);
+}
+
+/* A peer that stands still is told nothing but hello on the links that are opened meanwhile, and
+ * all it must know once it lives, before any pong. */
+static void
+test_told_once_it_lives(void) {
+  World *world = two_machines(6);
+  const char *id = ((WorldMachine *)g_ptr_array_index(world->machines, 0))->id;
+  guint host = host_of(world, id), still = (host + 1) % WORLD_NODES;
+  const MmPeer *peer = NULL;
+  guint64 frames;
+
+  for (guint i = 0; i < WORLD_NODES - 1; i++)
+    if (mm_name_equal(&world->nodes[host].node->links->peers[i].label,
+                      &world->nodes[still].node->settings->label))
+      peer = &world->nodes[host].node->links->peers[i];
+  world_freeze_node(world, still, 20);
+  world_run(world, 12);
+  g_assert_cmpuint(world->reopened, >=, 2);
+  g_assert_true(peer->connected && !peer->up);
+  frames = world->nodes[host].node->links->frames_out;
+  world_run(world, 1);
+  g_assert_cmpuint(world->nodes[host].node->links->frames_out - frames, <, 40);
+  world_run(world, 9);
+  g_assert_true(peer->up);
+  g_assert_cmpint(mm_time_ms_since(mm_node_now(world->nodes[still].node),
+                                   mm_roster_find(world->nodes[still].node->roster, id)->answered),
+                  <, 4000);
+  world_assert_rules(world);
+  world_free(world);
+}
+
 int
 main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_test_add_func("/links/tells-whom-it-answered", test_tells_whom_it_answered);
   g_test_add_func("/links/new-session-lives", test_new_session_lives);
   g_test_add_func("/links/old-refusals", test_old_refusals);
+  g_test_add_func("/links/half-open", test_half_open);
+  g_test_add_func("/links/told-once-it-lives", test_told_once_it_lives);
   return g_test_run();
 }
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -381,15 +381,21 @@
   g_free(parcel);
 }
 
+/* Index of the node that is peer `peer` of node `at`. */
+static guint
+node_index(guint at, guint peer) {
+  return peer < at ? peer : peer + 1;
+}
+
 static void
 port_send(gpointer data, guint peer, const Mm__Frame *frame) {
   WorldNode *self = data;
   World *world = self->world;
-  guint to = peer < self->index ? peer : peer + 1;
+  guint to = node_index(self->index, peer);
   Parcel *parcel;
 
-  if (self->node == NULL || world->nodes[to].node == NULL || world->now_us < self->cut_until_us
-      || world->now_us < world->nodes[to].cut_until_us
+  if (self->node == NULL || world->nodes[to].node == NULL || self->half_open[to]
+      || world->now_us < self->cut_until_us || world->now_us < world->nodes[to].cut_until_us
       || world->now_us < world->links_refused_until_us)
     return;
   world->frames++;
@@ -702,10 +708,10 @@
   if (frozen(from, parcel->from_life, link_up, parcel))
     return;
   if (from->node != NULL && to->node != NULL && from->life == parcel->from_life
-      && to->life == parcel->to_life && parcel->world->now_us >= from->cut_until_us
-      && parcel->world->now_us >= to->cut_until_us
+      && to->life == parcel->to_life && !from->half_open[parcel->to]
+      && parcel->world->now_us >= from->cut_until_us && parcel->world->now_us >= to->cut_until_us
       && parcel->world->now_us >= parcel->world->links_refused_until_us)
-    mm_links_up(from->node->links, peer_index(parcel->from, parcel->to));
+    mm_links_connected(from->node->links, peer_index(parcel->from, parcel->to));
   g_free(parcel);
 }
 
@@ -718,6 +724,17 @@
   world_at(world, world->now_us + 100000 + world_delay(world) * 20, link_up, parcel);
 }
 
+static void
+port_reconnect(gpointer data, guint peer) {
+  WorldNode *self = data;
+  guint to = node_index(self->index, peer);
+
+  self->world->reopened++;
+  self->half_open[to] = FALSE;
+  mm_links_down(self->node->links, peer);
+  link_nodes(self->world, self->index, to);
+}
+
 /* Both ways with every other node that is there. */
 static void
 link_with_others(const WorldNode *self) {
@@ -735,7 +752,8 @@
 boot_node(gpointer data) {
   WorldNode *self = data;
   World *world = self->world;
-  MmPort port = { self, port_now, port_wall_ms, port_request, port_send, port_later };
+  MmPort port
+      = { self, port_now, port_wall_ms, port_request, port_send, port_reconnect, port_later };
   Later *ticking;
 
   if (world->closing)
@@ -768,6 +786,7 @@
       continue;
     mm_links_down(world->nodes[i].node->links, peer_index(i, index));
     mm_links_down(self->node->links, peer_index(index, i));
+    world->nodes[i].half_open[index] = self->half_open[i] = FALSE;
   }
   world_at(world, self->cut_until_us + 1000, cut_over, self);
 }
@@ -787,9 +806,11 @@
   if (world->now_us < world->links_refused_until_us)
     return;
   world->links_refused_until_us = world->now_us + (gint64)(seconds * G_USEC_PER_SEC);
-  for (guint i = 0; i < WORLD_NODES; i++)
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    memset(world->nodes[i].half_open, 0, sizeof world->nodes[i].half_open);
     for (guint k = 0; k < WORLD_NODES - 1 && world->nodes[i].node != NULL; k++)
       mm_links_down(world->nodes[i].node->links, k);
+  }
   world_at(world, world->links_refused_until_us + 1000, links_allowed, world);
 }
 
@@ -830,9 +851,15 @@
   self->node = NULL;
   self->life++;
   self->frozen_until_us = 0;
-  for (guint i = 0; i < WORLD_NODES; i++)
-    if (i != index && world->nodes[i].node != NULL)
+  memset(self->half_open, 0, sizeof self->half_open);
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    if (i == index || world->nodes[i].node == NULL)
+      continue;
+    if (world->silent_ends)
+      world->nodes[i].half_open[index] = TRUE;
+    else
       mm_links_down(world->nodes[i].node->links, peer_index(i, index));
+  }
   world_at(world, world->now_us + (gint64)(down_s * G_USEC_PER_SEC), boot_node, self);
 }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -23,6 +23,7 @@
   gint64 cut_until_us;    /* neither the state service, the cloud nor the other nodes are reached */
   gboolean cut_holds;     /* what is sent meanwhile is held and delivered late, else it is lost */
   gint64 frozen_until_us; /* it stands still, while its clocks run on and its sockets fill */
+  gboolean half_open[WORLD_NODES]; /* its link to that node leads nowhere and looks open */
   double clock_rate;
 } WorldNode;
 
@@ -140,6 +141,8 @@
   guint next_job;
 
   gint64 links_refused_until_us; /* nodes refuse each other's connections */
+  gboolean silent_ends;          /* machines of nodes that end leave their links half-open */
+  guint reopened;                /* links that nodes opened anew of themselves */
   gint users_shun;               /* the node that no user asks; -1: none */
   double stalls;                 /* share of answers that a node stands still before sending */
 
