A node cut off from the workers returns no machine for their silence

Cause: the node that rents and returns machines asks a silent machine three times and returns it when nothing comes back.

Now an unanswered question counts only if some worker has reached this node since; where few report to it, it asks the one that was heard of last. Ruled out by the log of tick lateness, new here: overload; eight and ten times the polls made no tick 600 ms late. Test: meetings/fleet-cut-from-workers, fails before.

--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -460,6 +460,8 @@
   gboolean live = FALSE;
   gboolean same, newest_report;
 
+  if (host == MM_HOST_SELF || host == MM_HOST_NONE)
+    roster->heard_here = mm_node_now(roster->node);
   if (is_past(roster, report->machine.s, report->stamp.session))
     return NULL;
   machine = find_or_add(roster, report->machine.s);
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -145,6 +145,7 @@
   GHashTable *past;     /* id -> newest session that is over for certain; bounded */
   GQueue *past_order;
   MmTime next;
+  MmTime heard_here; /* when any worker last reached this node, or answered it */
 };
 
 MmRoster *mm_roster_new(MmNode *node);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -190,9 +190,12 @@
 static void
 probe_answered(gpointer data, int status, json_t *body) {
   MmFleet *fleet = data;
+  MmRoster *roster = fleet->node->roster;
   const char *id = mm_json_string(body, W_MACHINE);
-  MmMachine *machine = id != NULL ? mm_roster_find(fleet->node->roster, id) : NULL;
+  MmMachine *machine = id != NULL ? mm_roster_find(roster, id) : NULL;
 
+  if (status == 200)
+    roster->heard_here = mm_node_now(fleet->node);
   if (status == 200 && machine != NULL)
     machine->seen = mm_time_max(machine->seen, mm_node_now(fleet->node));
   if (machine != NULL)
@@ -233,6 +236,30 @@
          + (fleet->node->operators->silent_release_s > 0 ? overdue : MIN(overdue, questions));
 }
 
+/* Whether this node reaches workers at all, as far as it can have seen since the machine was last
+ * asked in vain. A node cut off from the workers got no answer from any, and once returned 80
+ * healthy machines that reported to its peers a little late. */
+static gboolean
+reaches_workers(const MmFleet *fleet, const MmMachine *machine) {
+  return mm_time_before(machine->probed, fleet->node->roster->heard_here);
+}
+
+/* Where few machines report to this node, it may hear of none for long: it asks the one that was
+ * heard of last, by whichever node. */
+static void
+probe_control(MmFleet *fleet) {
+  const GPtrArray *order = fleet->node->roster->order;
+  MmMachine *control = NULL;
+
+  for (guint i = 0; i < order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(order, i);
+    if (control == NULL || mm_time_before(control->seen, machine->seen))
+      control = machine;
+  }
+  if (control != NULL)
+    probe(fleet, control);
+}
+
 /* A machine that neither reports nor answers while the others do: its lease would prove its tasks
  * gone only at its end, the cloud proves it at once. Not when many are silent together: then the
  * trouble is hardly with the machines. */
@@ -256,9 +283,14 @@
   }
   if (fleet->quiet > MAX(2, fleet->all / 8))
     return FALSE;
+  if (mm_time_ms_since(now, machine->seen) >= patience_ms && machine->unanswered >= PROBES) {
+    if (reaches_workers(fleet, machine))
+      return TRUE;
+    probe_control(fleet);
+  }
   /* Its node may have crashed and it may be on its way to another: then it answers directly. */
   probe(fleet, machine);
-  return mm_time_ms_since(now, machine->seen) >= patience_ms && machine->unanswered >= PROBES;
+  return FALSE;
 }
 
 static MmZoneQuiet *
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -80,6 +80,8 @@
   gint64 late_ms = node->ticked.us != 0 ? mm_time_ms_since(now, node->ticked) - MM_NODE_TICK_MS : 0;
 
   node->ticked = now;
+  if (late_ms >= SHED_POLLS_MS && node->lag_ms < SHED_POLLS_MS)
+    mm_info("too much to do: %" G_GINT64_FORMAT " ms late, polls are turned away", late_ms);
   node->lag_ms = MAX(late_ms, node->lag_ms / 2);
 }
 
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -3,7 +3,7 @@
 #include "base/wire.h"
 #include "parts/claims.h"
 #include "store/replica.h"
-#include "store/store.h"
+#include "fleet/fleet.h"
 #include "store/store.h"
 #include "world/world.h"
 
@@ -562,7 +562,29 @@
   return told(world, TOLD_CANCELLED);
 }
 
+/* The node that rents and returns machines loses the workers, and some of them, which reach no node
+ * for a while, do answer the other nodes' questions. Healthy machines once were returned by the
+ * dozen: nobody had answered the questions of the one who could ask nobody. */
+static guint
+fleet_cut_from_workers(World *world) {
+  guint holder = 0, n, gone = 0;
+
+  submit_many(world, 6, W_KIND_SERVICE, 2, 0);
+  world_run(world, 8);
+  while (!world->nodes[holder].node->fleet->active)
+    holder++;
+  world->nodes[holder].workers_cut_until_us = world->now_us + 20 * SECOND;
+  world_run(world, 5);
+  n = with_tasks(world, 1, silence, world->lease_s - 1.5);
+  world_run(world, 15);
+  for (guint i = 0; i < 9; i++)
+    gone += machine_at(world, i)->gone;
+  g_assert_cmpuint(gone, ==, 0);
+  return n;
+}
+
 static const Meeting meetings[] = {
+  { "fleet-cut-from-workers", fleet_cut_from_workers },
   { "held-commands", held_commands },
   { "zone-cut-with-node", zone_cut_with_node },
   { "zone-cut-and-restart", zone_cut_and_restart },
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -826,6 +826,8 @@
 
 gboolean
 world_is_apart(const World *world, guint index, const WorldMachine *machine) {
+  if (world->now_us < world->nodes[index].workers_cut_until_us)
+    return TRUE;
   return world->now_us < world->zone_cut_until_us
          && (index == world->cut_zone) != (strcmp(machine->zone, zone_names[world->cut_zone]) == 0);
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -18,8 +18,9 @@
   MmNode *node; /* NULL while it is down */
   guint life;
   gint64 down_until_us;
-  gint64 refused_until_us; /* the state service refuses this node alone */
-  gint64 unread_until_us;  /* its watches get no answer, its other requests do */
+  gint64 refused_until_us;     /* the state service refuses this node alone */
+  gint64 workers_cut_until_us; /* it reaches no worker, and none reaches it */
+  gint64 unread_until_us;      /* its watches get no answer, its other requests do */
   gint64 cut_until_us;    /* neither the state service, the cloud nor the other nodes are reached */
   gboolean cut_holds;     /* what is sent meanwhile is held and delivered late, else it is lost */
   gint64 frozen_until_us; /* it stands still, while its clocks run on and its sockets fill */
