Faulty jobs blame no machine; workers of ended nodes are not set aside

A job that failed on two machines and succeeded on none counts against no machine any more; a lost lease counts only after a whole lease of steady answers. What sets machines aside, and what makes them deaf, moved out of roster.c into checkin/health.c, under the names of the field.

Ruled out: the room that broken jobs hold; few of them are about at 4%.

--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -2,6 +2,7 @@
  * out late, while a direct command may be. An approval is good for the one answer it was asked for.
  */
 #include "checkin/checkin.h"
+#include "checkin/health.h"
 
 #include "base/wire.h"
 #include "checkin/roster.h"
@@ -377,12 +378,12 @@
   MmMachine *machine = mm_roster_note_unproved(node->roster, report);
   json_t *commands;
 
-  if (mm_machine_is_deaf(node->roster, machine)) {
+  if (mm_health_is_deaf(node->roster, machine)) {
     mm_exchange_answer(exchange, 503, mm_json_error("earlier answers were not taken"), 0);
     return;
   }
-  machine->answered = mm_node_now(node);
-  mm_machine_answer_here(node->roster, machine);
+  mm_health_note_answer(node->roster, machine, mm_node_now(node));
+  mm_health_count_own_answer(node->roster, machine);
   mm_links_tell_unproved(node->links, &machine->id);
   commands = json_array();
   clear_away(checkin, report->tasks, commands);
@@ -439,7 +440,7 @@
     return;
   }
   machine = mm_roster_find(node->roster, report.machine.s);
-  report.unanswered = machine != NULL && mm_machine_is_deaf(node->roster, machine)
+  report.unanswered = machine != NULL && mm_health_is_deaf(node->roster, machine)
                       && report.token.v <= machine->token.v;
   if (report.unanswered && machine->lost) {
     mm_report_clear(&report);
@@ -463,7 +464,7 @@
     mm_exchange_answer(exchange, 503, mm_json_error("earlier answers were not taken"), 0);
     return;
   }
-  mm_machine_answer_here(node->roster, machine);
+  mm_health_count_own_answer(node->roster, machine);
   session = g_new0(Session, 1);
   session->checkin = checkin;
   session->exchange = exchange;
--- /dev/null
+++ b/src/checkin/health.c
@@ -0,0 +1,147 @@
+#include "checkin/health.h"
+
+#include "jobs/book.h"
+#include "store/replica.h"
+
+/* Errors of so many different jobs, with no success between them, are the machine's fault. */
+#define ERRORS_TO_QUARANTINE 2
+#define ERRORS_QUARANTINE_MS 60000
+#define REFUSED_STARTS_TO_QUARANTINE 3
+#define LOST_LEASES_TO_QUARANTINE 2
+/* The first quarantine for anything but errors; each next one is twice as long. */
+#define QUARANTINE_MS 5000
+#define QUARANTINE_MOST_MS 60000
+#define QUARANTINE_DOUBLINGS 4
+/* Answers without a sign of having been had, and for how long, until a machine counts as deaf. */
+#define DEAF_ANSWERS 4
+#define DEAF_LEAST_MS 4000
+#define DEAF_PERIODS 3
+
+static void
+quarantine(const MmRoster *roster, MmMachine *machine, guint times, const char *reason) {
+  gint64 ms = (gint64)QUARANTINE_MS << MIN(times, QUARANTINE_DOUBLINGS);
+
+  mm_info("machine %s is quarantined: %s", machine->id.s, reason);
+  machine->quarantined_until
+      = mm_time_add_ms(mm_node_now(roster->node), MIN(ms, QUARANTINE_MOST_MS));
+}
+
+/* ---- errors ---- */
+
+static gboolean
+was_ended(const MmMachine *machine, const MmSeenTask *task) {
+  const MmSeenTask *old = mm_machine_seen(machine, &task->job, task->number, task->attempt);
+
+  return old != NULL && old->state == MM_SEEN_ENDED;
+}
+
+/* One that failed wherever it was tried and succeeded nowhere: it says nothing about machines. */
+static gboolean
+job_is_faulty(const MmRoster *roster, const MmName *id) {
+  const MmJob *job = mm_book_find(roster->node->book, id->s);
+
+  return job != NULL && mm_job_fails_everywhere(job);
+}
+
+/* Jobs with a mistake fail on every machine. They once had healthy machines quarantined by the
+ * hundred: two such jobs were enough for each machine that had tried both. */
+static void
+count_error(MmRoster *roster, MmMachine *machine, const MmName *job) {
+  if (machine->failed_jobs > 0 && job_is_faulty(roster, &machine->last_failed_job))
+    machine->failed_jobs--;
+  if (job_is_faulty(roster, job)
+      || (machine->failed_jobs > 0 && mm_name_equal(&machine->last_failed_job, job)))
+    return;
+  machine->last_failed_job = *job;
+  if (++machine->failed_jobs < ERRORS_TO_QUARANTINE)
+    return;
+  mm_info("machine %s is quarantined: tasks of several jobs fail there", machine->id.s);
+  machine->quarantined_until = mm_time_add_ms(mm_node_now(roster->node), ERRORS_QUARANTINE_MS);
+}
+
+void
+mm_health_count_errors(MmRoster *roster, MmMachine *machine, const MmReport *report) {
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const MmSeenTask *task = &g_array_index(report->tasks, MmSeenTask, i);
+    MmJob *job = mm_book_find(roster->node->book, task->job.s);
+
+    if (task->state != MM_SEEN_ENDED || was_ended(machine, task))
+      continue;
+    if (task->cause == MM_CAUSE_DONE) {
+      machine->failed_jobs = 0;
+      if (job != NULL)
+        job->succeeded = TRUE;
+    } else if (task->cause == MM_CAUSE_ERROR) {
+      if (job != NULL)
+        mm_job_note_failure(job, &machine->id);
+      count_error(roster, machine, &task->job);
+    }
+  }
+}
+
+/* ---- starts and sessions ---- */
+
+void
+mm_health_note_refused_start(const MmRoster *roster, MmMachine *machine) {
+  if (++machine->refused_starts < REFUSED_STARTS_TO_QUARANTINE)
+    return;
+  quarantine(roster, machine, machine->refused_starts - REFUSED_STARTS_TO_QUARANTINE,
+             "it carries out no start");
+}
+
+static gint64
+lease_ms(const MmRoster *roster) {
+  return (gint64)(roster->node->settings->lease_s * 1000);
+}
+
+void
+mm_health_note_answer(const MmRoster *roster, MmMachine *machine, MmTime at) {
+  if (mm_time_ms_since(at, machine->answered) > lease_ms(roster) / 2)
+    machine->answered_steadily_since = at;
+  machine->answered = mm_time_max(machine->answered, at);
+}
+
+/* A worker that is answered keeps its session. One whose nodes have ended finds another late, and
+ * may lose its lease at the very moment of the first answer: healthy machines once got no work for
+ * that, just when many had to start anew. */
+void
+mm_health_note_session(const MmRoster *roster, MmMachine *machine) {
+  MmTime now = mm_node_now(roster->node);
+
+  if (machine->answers >= DEAF_ANSWERS && !machine->lost
+      && mm_time_ms_since(now, machine->answered_steadily_since) >= lease_ms(roster)) {
+    if (++machine->lost_leases >= LOST_LEASES_TO_QUARANTINE)
+      quarantine(roster, machine, machine->lost_leases, "it loses its leases though answered");
+  } else {
+    machine->lost_leases = 0;
+  }
+  machine->answers = 0;
+}
+
+/* ---- machines that hear nothing ---- */
+
+gboolean
+mm_health_is_deaf(const MmRoster *roster, const MmMachine *machine) {
+  gint64 periods_ms = (gint64)(roster->node->settings->report_s * 1000 * DEAF_PERIODS);
+  gint64 patience_ms = MAX(DEAF_LEAST_MS, periods_ms);
+
+  return machine->unacknowledged_since.us != 0 && machine->unacknowledged >= DEAF_ANSWERS
+         && mm_time_ms_since(mm_node_now(roster->node), machine->unacknowledged_since)
+                > patience_ms;
+}
+
+void
+mm_health_count_answer(const MmRoster *roster, MmMachine *machine, MmTerm term) {
+  machine->answers++;
+  if (term.v <= machine->token.v)
+    return;
+  if (machine->unacknowledged_since.us == 0)
+    machine->unacknowledged_since = mm_node_now(roster->node);
+  machine->unacknowledged++;
+}
+
+void
+mm_health_count_own_answer(const MmRoster *roster, MmMachine *machine) {
+  machine->answered_here = mm_node_now(roster->node);
+  mm_health_count_answer(roster, machine, roster->node->replica->term);
+}
--- a/src/checkin/register.c
+++ b/src/checkin/register.c
@@ -1,4 +1,5 @@
 #include "checkin/register.h"
+#include "checkin/health.h"
 
 #include "store/replica.h"
 #include "store/store.h"
@@ -178,7 +179,7 @@
     MmMachine *machine = g_ptr_array_index(order, i);
     if (!mm_machine_is_registered(machine) && machine->heard && !machine->lost
         && !machine->releasing && machine->host == MM_HOST_SELF
-        && !mm_machine_is_deaf(reg->node->roster, machine))
+        && !mm_health_is_deaf(reg->node->roster, machine))
       g_ptr_array_add(list, machine);
   }
   return list;
--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/wire.h"
+#include "checkin/health.h"
 #include "checkin/register.h"
 #include "owner/owner.h"
 #include "peers/links.h"
@@ -15,14 +16,6 @@
 #define TICK_EVERY_MS 150
 #define DRIFT 0.002
 #define LOST_MARGIN_MS 250
-#define FAULTS_TO_SHUN 2
-#define SHUN_MS 60000
-/* Answers without a sign of having been had, and for how long, until a machine counts as deaf. */
-#define DEAF_ANSWERS 4
-#define DEAF_LEAST_MS 4000
-#define DENIED_TO_REST 3
-#define REST_MS 5000
-#define REST_MOST_MS 60000
 #define PAST_MAX 4096
 
 static const char *const states[] = { "fetching", "gathering", "running", "flushing", "ended" };
@@ -132,6 +125,7 @@
   /* Nothing is known of its past: it may have been answered a moment ago. */
   machine->answered = mm_node_now(roster->node);
   machine->idle_since = machine->seen = machine->answered;
+  machine->answered_steadily_since = machine->answered;
   g_hash_table_insert(roster->machines, machine->id.s, machine);
   insert(roster, machine);
   return machine;
@@ -264,8 +258,6 @@
   return FALSE;
 }
 
-/* ---- faulty machines ---- */
-
 const MmSeenTask *
 mm_machine_seen(const MmMachine *machine, const MmName *job, guint number, MmAttempt attempt) {
   for (guint i = 0; i < machine->tasks->len; i++) {
@@ -276,34 +268,6 @@
   return NULL;
 }
 
-static gboolean
-was_ended(const MmMachine *machine, const MmSeenTask *task) {
-  const MmSeenTask *old = mm_machine_seen(machine, &task->job, task->number, task->attempt);
-
-  return old != NULL && old->state == MM_SEEN_ENDED;
-}
-
-/* Errors of different jobs without a success between point at the machine. Every node sees every
- * report, so all come to the same view: a place reserved by one is not refused by another. */
-static void
-count_faults(MmRoster *roster, MmMachine *machine, const MmReport *report) {
-  for (guint i = 0; i < report->tasks->len; i++) {
-    const MmSeenTask *task = &g_array_index(report->tasks, MmSeenTask, i);
-    if (task->state != MM_SEEN_ENDED || was_ended(machine, task))
-      continue;
-    if (task->cause == MM_CAUSE_DONE)
-      machine->faults = 0;
-    if (task->cause != MM_CAUSE_ERROR
-        || (machine->faults > 0 && mm_name_equal(&machine->fault_job, &task->job)))
-      continue;
-    machine->fault_job = task->job;
-    if (++machine->faults < FAULTS_TO_SHUN)
-      continue;
-    mm_info("machine %s fails tasks of several jobs: shunned", machine->id.s);
-    machine->shunned = mm_time_add_ms(mm_node_now(roster->node), SHUN_MS);
-  }
-}
-
 /* ---- taking reports in ---- */
 
 /* Whether the report shows what is known already. */
@@ -384,66 +348,6 @@
   return machine;
 }
 
-/* ---- machines that hear nothing ---- */
-
-gboolean
-mm_machine_is_deaf(const MmRoster *roster, const MmMachine *machine) {
-  gint64 patience_ms = MAX(DEAF_LEAST_MS, (gint64)(roster->node->settings->report_s * 3000));
-
-  return machine->untaken_since.us != 0 && machine->untaken >= DEAF_ANSWERS
-         && mm_time_ms_since(mm_node_now(roster->node), machine->untaken_since) > patience_ms;
-}
-
-void
-mm_machine_answer(const MmRoster *roster, MmMachine *machine, MmTerm term) {
-  machine->answers++;
-  if (term.v <= machine->token.v)
-    return;
-  if (machine->untaken_since.us == 0)
-    machine->untaken_since = mm_node_now(roster->node);
-  machine->untaken++;
-}
-
-void
-mm_machine_answer_here(const MmRoster *roster, MmMachine *machine) {
-  machine->answered_here = mm_node_now(roster->node);
-  mm_machine_answer(roster, machine, roster->node->replica->term);
-}
-
-/* No more work for a while, longer each time: its reports must not make it a target for one start
- * after another. */
-static void
-rest(const MmRoster *roster, MmMachine *machine, guint times) {
-  machine->shunned
-      = mm_time_add_ms(mm_node_now(roster->node), MIN(REST_MS << MIN(times, 4), REST_MOST_MS));
-}
-
-void
-mm_machine_denied(const MmRoster *roster, MmMachine *machine) {
-  if (++machine->denied < DENIED_TO_REST)
-    return;
-  mm_info("machine %s carries out no start: it rests", machine->id.s);
-  rest(roster, machine, machine->denied - DENIED_TO_REST);
-}
-
-/* A worker that is answered keeps its session. */
-static void
-note_session(MmRoster *roster, MmMachine *machine) {
-  gint64 lease_ms = (gint64)(roster->node->settings->lease_s * 1000);
-
-  if (machine->answers >= DEAF_ANSWERS && !machine->lost
-      && mm_time_ms_since(mm_node_now(roster->node), machine->answered) < lease_ms / 2) {
-    /* Once, it may have been held back reports that were answered late. */
-    if (++machine->ended_sessions >= 2) {
-      mm_info("machine %s loses its lease although it is answered: it rests", machine->id.s);
-      rest(roster, machine, machine->ended_sessions);
-    }
-  } else {
-    machine->ended_sessions = 0;
-  }
-  machine->answers = 0;
-}
-
 /* A session that is seen for the first time began no later than that, and lives for a lease if
  * nobody answers it. It once was counted from the last answer to the session before: machines of a
  * zone that came back, seen by a direct answer in a session of a moment ago, were given up at once,
@@ -452,6 +356,7 @@
 static void
 note_new_session(MmMachine *machine, MmTime seen) {
   machine->answered = mm_time_max(machine->answered, seen);
+  machine->answered_steadily_since = seen;
 }
 
 MmMachine *
@@ -477,7 +382,7 @@
   if (newest_report) {
     machine->report_stamp = report->stamp;
     if (!report->unanswered)
-      machine->answered = mm_time_max(machine->answered, heard_at);
+      mm_health_note_answer(roster, machine, heard_at);
   }
   if (machine->heard && !mm_stamp_newer(report->stamp, machine->stamp)) {
     if (newest_report) {
@@ -487,6 +392,10 @@
     }
     return NULL;
   }
+  if (machine->heard && report->stamp.session != machine->stamp.session) {
+    g_array_set_size(machine->images, 0);
+    mm_health_note_session(roster, machine);
+  }
   if (report->stamp.session > newest_session(machine))
     note_new_session(machine, heard_at);
   same = shows_the_same(machine, report, host);
@@ -494,14 +403,10 @@
   if (machine->lost)
     mm_info("machine %s reports again, session %" G_GUINT64_FORMAT, machine->id.s,
             report->stamp.session);
-  if (machine->heard && report->stamp.session != machine->stamp.session) {
-    g_array_set_size(machine->images, 0);
-    note_session(roster, machine);
-  }
   /* A direct answer shows that commands reach it; a higher term, that an answer did. */
   if (report->direct || report->token.v > machine->token.v) {
-    machine->untaken_since.us = 0;
-    machine->untaken = 0;
+    machine->unacknowledged_since.us = 0;
+    machine->unacknowledged = 0;
   }
   machine->heard = TRUE;
   machine->lost = FALSE;
@@ -529,7 +434,7 @@
     mm_owner_report(roster->node->owner, machine, report, FALSE);
     return machine;
   }
-  count_faults(roster, machine, report);
+  mm_health_count_errors(roster, machine, report);
   set_tasks(roster, machine, report->tasks);
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
@@ -553,7 +458,7 @@
 
   /* Unknown here: should it come back, it starts as just answered. */
   if (machine != NULL)
-    machine->answered = mm_time_max(machine->answered, at);
+    mm_health_note_answer(roster, machine, at);
 }
 
 void
@@ -566,7 +471,7 @@
       || !mm_stamp_newer(stamp, machine->report_stamp))
     return;
   machine->report_stamp = stamp;
-  machine->answered = mm_time_max(machine->answered, heard_at);
+  mm_health_note_answer(roster, machine, heard_at);
   if (!machine->heard || machine->lost || machine->host != host
       || stamp.session != machine->stamp.session || !mm_stamp_newer(stamp, machine->stamp))
     return;
@@ -707,8 +612,8 @@
   MmTime now = mm_node_now(roster->node);
 
   return machine->heard && mm_machine_is_registered(machine) && !machine->lost && !machine->warned
-         && !machine->releasing && machine->type != NULL && !mm_time_before(now, machine->shunned)
-         && !mm_machine_is_deaf(roster, machine);
+         && !machine->releasing && machine->type != NULL
+         && !mm_time_before(now, machine->quarantined_until) && !mm_health_is_deaf(roster, machine);
 }
 
 gboolean
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -77,24 +77,25 @@
   MmStamp report_stamp; /* newest report made to a node; `stamp` may be of a direct answer */
   MmTerm token;
   /* Answers that carried a term which no later report has shown: */
-  MmTime untaken_since; /* the first of them; 0: none */
-  guint untaken;        /* how many */
-  guint denied;         /* starts in a row that were not carried out */
-  guint ended_sessions; /* in a row, each while its reports were being answered */
-  guint answers;        /* in this session */
+  MmTime unacknowledged_since; /* the first of them; 0: none */
+  guint unacknowledged;        /* how many */
+  guint refused_starts;        /* in a row that were not carried out */
+  guint lost_leases;           /* in a row, each while its reports were being answered steadily */
+  guint answers;               /* in this session */
   gboolean warned;
-  MmTime taken;               /* when the cloud may take it */
-  GArray *tasks;              /* MmSeenTask of the newest report */
-  gboolean unsettled;         /* the owner must look at the same tasks again */
-  gboolean live;              /* that shows a task which has not ended */
-  gboolean untold;            /* something here is new to the peers */
-  gint host;                  /* the node that heard it last: a peer's index or MM_HOST_... */
-  MmTime answered;            /* it may have been answered up to here, as far as this node knows */
-  MmTime answered_here;       /* when this node itself answered it last */
-  MmTime seen;                /* newest report of any kind */
-  MmTime reported;            /* newest report made to a node */
-  gboolean registered;        /* in the state service, as the replica shows */
-  guint64 registered_session; /* starts need a registration of the session itself */
+  MmTime taken;       /* when the cloud may take it */
+  GArray *tasks;      /* MmSeenTask of the newest report */
+  gboolean unsettled; /* the owner must look at the same tasks again */
+  gboolean live;      /* that shows a task which has not ended */
+  gboolean untold;    /* something here is new to the peers */
+  gint host;          /* the node that heard it last: a peer's index or MM_HOST_... */
+  MmTime answered;    /* it may have been answered up to here, as far as this node knows */
+  MmTime answered_steadily_since; /* since then there was an answer in each half of a lease */
+  MmTime answered_here;           /* when this node itself answered it last */
+  MmTime seen;                    /* newest report of any kind */
+  MmTime reported;                /* newest report made to a node */
+  gboolean registered;            /* in the state service, as the replica shows */
+  guint64 registered_session;     /* starts need a registration of the session itself */
   gboolean lost;
   gboolean gone; /* returned: the cloud has said so */
   gboolean releasing;
@@ -112,10 +113,10 @@
   MmTime clearing;   /* until when `promised` holds */
   MmRoom promised;   /* room, free or being cleared, that is spoken for by work in a hurry */
   MmTime echo_asked; /* when it was last asked to echo the term */
-  guint faults;      /* errors of different jobs without a success between */
-  MmName fault_job;
-  MmTime shunned;    /* no work until then */
-  MmTime full_until; /* it refused a start for lack of room */
+  guint failed_jobs; /* that had errors here, with no success of any job between */
+  MmName last_failed_job;
+  MmTime quarantined_until; /* it gets no work before */
+  MmTime full_until;        /* it refused a start for lack of room */
 
   /* the check-in's */
   GArray *queued; /* MmCommand for the next answer */
@@ -165,14 +166,6 @@
 gboolean mm_roster_is_unproved(const MmRoster *roster, const MmReport *report);
 /* The entry of such a machine. */
 MmMachine *mm_roster_note_unproved(MmRoster *roster, const MmReport *report);
-/* A machine whose reports come but that shows no sign of having had any of several answers. */
-gboolean mm_machine_is_deaf(const MmRoster *roster, const MmMachine *machine);
-/* An answer of this node's is about to go to the machine. */
-void mm_machine_answer_here(const MmRoster *roster, MmMachine *machine);
-/* An answer with this term is about to go to the machine, or has gone from a peer. */
-void mm_machine_answer(const MmRoster *roster, MmMachine *machine, MmTerm term);
-/* A start given to it was not carried out; or one was. */
-void mm_machine_denied(const MmRoster *roster, MmMachine *machine);
 
 /* Takes a report in; NULL when it is older than what is known. `heard_at`: when it was made at the
  * latest; `host`: the node that heard it. */
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -162,6 +162,20 @@
   return record;
 }
 
+void
+mm_job_note_failure(MmJob *job, const MmName *machine) {
+  for (guint i = 0; i < job->n_failed_on; i++)
+    if (mm_name_equal(&job->failed_on[i], machine))
+      return;
+  if (job->n_failed_on < MM_FAILED_ON_MOST)
+    job->failed_on[job->n_failed_on++] = *machine;
+}
+
+gboolean
+mm_job_fails_everywhere(const MmJob *job) {
+  return job->n_failed_on == MM_FAILED_ON_MOST && !job->succeeded;
+}
+
 double
 mm_job_waited_s(const MmNode *node, const MmJob *job) {
   return MAX(0.0, (double)(mm_node_wall_ms(node) - job->submitted_ms) / 1000.0);
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -46,6 +46,9 @@
   guint least_crowd;
 } MmOutlook;
 
+/* So many machines failing a job, and none succeeding, make the job itself the suspect. */
+#define MM_FAILED_ON_MOST 2
+
 typedef struct {
   MmSpec spec;
   gint64 submitted_ms; /* time of day */
@@ -67,6 +70,9 @@
   gboolean writing;
   MmTime wrote;
   MmTime dirty;
+  MmName failed_on[MM_FAILED_ON_MOST]; /* different machines that reported an error of it */
+  guint n_failed_on;
+  gboolean succeeded; /* some task of it was seen to be done */
   guint failed_tasks; /* errors in a row without a success: the job itself may be broken */
   MmTime paused_until;
   gint team;         /* index among the settings' teams; -1: none of them */
@@ -107,4 +113,8 @@
 
 json_t *mm_job_record(const MmSpec *spec, gint64 submitted_ms, gboolean cancelled,
                       const char *done_text);
+/* A task of the job ended with an error on the machine. */
+void mm_job_note_failure(MmJob *job, const MmName *machine);
+/* It has failed on several machines and succeeded on none. */
+gboolean mm_job_fails_everywhere(const MmJob *job);
 double mm_job_waited_s(const MmNode *node, const MmJob *job);
--- a/src/owner/command.c
+++ b/src/owner/command.c
@@ -3,6 +3,7 @@
 
 #include "base/wire.h"
 #include "checkin/checkin.h"
+#include "checkin/health.h"
 #include "parts/claims.h"
 #include "peers/links.h"
 #include "store/replica.h"
@@ -155,8 +156,8 @@
   if (machine->host != MM_HOST_SELF || !machine->heard || !machine->registered
       || machine->token.v >= term.v)
     return FALSE;
-  if (machine->untaken_since.us != 0)
-    return mm_time_ms_since(now, machine->untaken_since) > TAKEN_IN_MS;
+  if (machine->unacknowledged_since.us != 0)
+    return mm_time_ms_since(now, machine->unacknowledged_since) > TAKEN_IN_MS;
   return reported_ms < (gint64)(node->settings->report_s * 1000 * SOON_PERIODS);
 }
 
@@ -179,7 +180,7 @@
 
     if (machine->lost || mm_time_ms_since(now, machine->echo_asked) < ECHO_EVERY_MS)
       continue;
-    deaf = mm_machine_is_deaf(node->roster, machine);
+    deaf = mm_health_is_deaf(node->roster, machine);
     if (!deaf && !echo_would_be_late(node, machine, newest)
         && (mm_time_ms_since(now, machine->reported) < quiet_ms || !is_unheard(owner, machine)))
       continue;
--- a/src/owner/reports.c
+++ b/src/owner/reports.c
@@ -3,6 +3,7 @@
  */
 #include "owner/owner.h"
 
+#include "checkin/health.h"
 #include "peers/links.h"
 
 /* Old days weigh less and less: guesses may be too high on one day and too low on the next. */
@@ -99,7 +100,7 @@
     if (task->state == MM_TASK_DONE)
       return; /* to be stopped, see commands_for */
     if (same && task->state == MM_TASK_ISSUED)
-      machine->denied = 0;
+      machine->refused_starts = 0;
     mm_owner_place(owner, job, seen->number, machine, state_of_seen(seen->state), seen->attempt);
     return;
   }
@@ -154,7 +155,7 @@
         continue;
       mm_debug("start of %s/%u on %s was not carried out", job->spec.id.s, number, machine->id.s);
       if (report->stamp.session == task->issued.session)
-        mm_machine_denied(owner->node->roster, machine);
+        mm_health_note_refused_start(owner->node->roster, machine);
     }
     mm_owner_unplace(owner, job, number);
   }
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -1,6 +1,7 @@
 #include "peers/links.h"
 
 #include "checkin/checkin.h"
+#include "checkin/health.h"
 #include "jobs/api.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
@@ -447,7 +448,7 @@
                            mm_time_add_ms(mm_node_now(links->node), -(gint64)message->age_ms),
                            (gint)peer);
   if (machine != NULL && !message->unanswered)
-    mm_machine_answer(links->node->roster, machine, (MmTerm){ message->term });
+    mm_health_count_answer(links->node->roster, machine, (MmTerm){ message->term });
   mm_report_clear(&report);
 }
 
@@ -462,7 +463,7 @@
     MmMachine *machine = mm_roster_find(links->node->roster, beats->machines[i]);
     mm_roster_beat(links->node->roster, beats->machines[i], stamp, now, (gint)peer);
     if (machine != NULL)
-      mm_machine_answer(links->node->roster, machine, (MmTerm){ beats->term });
+      mm_health_count_answer(links->node->roster, machine, (MmTerm){ beats->term });
   }
   for (size_t i = 0; i < beats->n_unproved; i++)
     mm_roster_answered(links->node->roster, beats->unproved[i], now);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -639,7 +639,7 @@
 
   for (guint i = 0; i < node->roster->order->len; i++) {
     MmMachine *machine = g_ptr_array_index(node->roster->order, i);
-    machine->untaken = 0;
+    machine->unacknowledged = 0;
     g_hash_table_iter_init(&iter, node->owner->held);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
       MmHeld *held = value;
