Gangs begin on machines that report to their owner

Cause: a gang's places are kept, and a machine's free room counts them as taken; when the machine then asked its owner's own node for its start, the task was compared with that rest.

Ruled out: echoes (4.6 s once), limits, places given to services. Test: owner/gang-beside-its-owner, fails before.

--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -194,10 +194,10 @@
                   approval->term };
 
   g_array_append_val(session->starts, start);
-  if (job != NULL)
-    session->room = mm_room_sub(session->room, job->spec.need);
-  else
+  if (job == NULL)
     session->room = (MmRoom){ 0 };
+  else if (!approval->reserved)
+    session->room = mm_room_sub(session->room, job->spec.need);
   mm_rank_strike(checkin->node->rank, (guint)session->asked.view, approval->job.s,
                  approval->number);
 }
@@ -273,6 +273,7 @@
     ask = (MmAsk){ .machine = machine,
                    .stamp = session->stamp,
                    .room = session->room,
+                   .own = TRUE,
                    .pull = session->asked.pull,
                    .n = session->asked.n };
     memcpy(ask.tasks, session->asked.tasks, sizeof ask.tasks);
@@ -295,11 +296,9 @@
   g_hash_table_remove(checkin->asks, &id);
   checkin->node->rank->views[peer + 1].unfinished = answer->unfinished;
   if (answer->approval != NULL) {
-    MmApproval approval = { mm_name(answer->approval->job),
-                            answer->approval->number,
-                            { answer->approval->attempt },
-                            mm_name(answer->approval->team),
-                            { answer->approval->term } };
+    MmApproval approval = { mm_name(answer->approval->job), answer->approval->number,
+                            { answer->approval->attempt },  mm_name(answer->approval->team),
+                            { answer->approval->term },     FALSE };
     take_approval(session, &approval);
   } else {
     take_refusal(session);
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -393,7 +393,7 @@
 
   mm_owner_place(owner, job, number, ask->machine, MM_TASK_ISSUED, attempt);
   job->tasks[number].issued = ask->stamp;
-  *approval = (MmApproval){ job->spec.id, number, attempt, mm_name(held->name), held->term };
+  *approval = (MmApproval){ job->spec.id, number, attempt, mm_name(held->name), held->term, FALSE };
   mm_debug("%s/%u may start on %s (%s%s) after %.1f s", job->spec.id.s, number, ask->machine->id.s,
            ask->machine->type_name.s,
            mm_machine_caches(ask->machine, &job->spec.image) ? ", cached" : "",
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -153,14 +153,18 @@
     const MmPlaced *placed = g_ptr_array_index(ask->machine->placed, i);
     MmTask *task = &placed->job->tasks[placed->number];
     MmHeld *held = mm_owner_held(owner, placed->job);
+    MmRoom need = placed->job->spec.need;
+    /* Own requests have its room taken off already. Compared without it, no gang ever began that
+     * had a place on a machine which reports to its owner. */
+    MmRoom room = ask->own ? mm_room_add(ask->room, need) : ask->room;
 
     if (task->state != MM_TASK_RESERVED || held == NULL || placed->job->cancelled
-        || !mm_room_fits(placed->job->spec.need, ask->room))
+        || !mm_room_fits(need, room))
       continue;
     mm_owner_place(owner, placed->job, placed->number, ask->machine, MM_TASK_ISSUED, task->attempt);
     task->issued = ask->stamp;
     *approval = (MmApproval){ placed->job->spec.id, placed->number, task->attempt,
-                              mm_name(held->name), held->term };
+                              mm_name(held->name),  held->term,     TRUE };
     return TRUE;
   }
   return FALSE;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -62,7 +62,8 @@
 typedef struct {
   MmMachine *machine;
   MmStamp stamp;
-  MmRoom room;
+  MmRoom room;  /* free for this request; */
+  gboolean own; /* asked by the owner's node itself, which has taken off what it keeps for gangs */
   gboolean pull;
   guint n;
   MmTaskRef tasks[MM_RANK_CANDIDATES_MAX];
@@ -74,6 +75,7 @@
   MmAttempt attempt;
   MmName part;
   MmTerm term;
+  gboolean reserved; /* its room had been kept for it */
 } MmApproval;
 
 MmOwner *mm_owner_new(MmNode *node);
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -319,6 +319,39 @@
   world_free(s.world);
 }
 
+/* Gangs whose tasks take most of a machine each, one of each team after another, so that some of
+ * their places are on machines that report to the gang's owner itself. It compared what a task
+ * takes with the room left beside the place it had kept for it: such gangs never began. */
+static void
+test_gang_beside_its_owner(void) {
+  World *world = world_new(11);
+  guint own = 0;
+
+  for (guint i = 0; i < 2; i++)
+    world_add_machine(world, "big", "a", FALSE, 0.1)->faulty = 0;
+  world_start(world);
+  world_run(world, 5);
+  for (guint team = 0; team < 4; team++) {
+    g_autofree char *name = g_strdup_printf("team-%u", team);
+    WorldJob *job = world_submit(world,
+                                 json_pack("{s:i, s:s, s:s, s:f}", W_TASKS, 2, W_KIND, W_KIND_GANG,
+                                           W_TEAM, name, W_CORES, 12.0),
+                                 60);
+    world_run(world, 8);
+    g_assert_cmpuint(world_running(world, job, NULL), ==, 2);
+    for (guint i = 0; i < WORLD_NODES; i++) {
+      const MmJob *known = mm_book_find(world->nodes[i].node->book, job->id);
+      for (guint k = 0; known->tasks != NULL && k < 2; k++)
+        own += known->tasks[k].machine->host == MM_HOST_SELF;
+    }
+    world_cancel(job);
+    world_run(world, 4);
+  }
+  g_assert_cmpuint(own, >, 0);
+  world_assert_rules(world);
+  world_free(world);
+}
+
 int
 main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
@@ -333,5 +366,6 @@
   g_test_add_func("/owner/returns-silent-idle", test_returns_silent_idle);
   g_test_add_func("/owner/unproved", test_unproved);
   g_test_add_func("/owner/reclaim", test_reclaim);
+  g_test_add_func("/owner/gang-beside-its-owner", test_gang_beside_its_owner);
   return g_test_run();
 }
