--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -116,6 +116,16 @@
   return delay_on(owner, job, machine, victims, &n);
 }
 
+/* Work of the lowest priority is not given time to save for work of the highest: it falls back to
+ * its last checkpoint, which costs it less than the wait costs the other. A service that should
+ * have been up within a second once waited three for a scan of idle time to save. */
+static double
+victim_grace_s(const MmJob *job, const MmJob *victim) {
+  if (job->spec.priority == MM_CRITICAL && victim->spec.priority == MM_LOW)
+    return 0;
+  return mm_owner_grace_s(victim);
+}
+
 /* Keeps the room on the machine for the task until its worker's next reports. */
 static void
 promise(MmOwner *owner, const MmJob *job, MmTask *task, MmMachine *machine) {
@@ -163,7 +173,7 @@
       owner->team_used[victim->job->team]
           = mm_room_sub(owner->team_used[victim->job->team], victim->job->spec.need);
     mm_owner_stop(owner, best, &victim->job->spec.id, victim->seen->number, victim->seen->attempt,
-                  mm_owner_grace_s(victim->job));
+                  victim_grace_s(job, victim->job));
   }
   promise(owner, job, task, best);
   return TRUE;
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -319,6 +319,40 @@
   world_free(s.world);
 }
 
+/* A machine full of work of the lowest priority that saves for three seconds; a job comes for which
+ * it must be stopped. The time to save that it was given. */
+static double
+grace_for(const char *priority, double wait_s) {
+  World *world = world_new(12);
+  double grace_s;
+  WorldJob *job;
+
+  world->capacity = 0; /* nothing can be rented */
+  world_add_machine(world, "small", "a", FALSE, 0.1)->faulty = 0;
+  world_start(world);
+  world_run(world, 5);
+  world_submit(world,
+               json_pack("{s:i, s:s, s:f, s:f}", W_TASKS, 2, W_PRIORITY, "low", W_CHECKPOINT, 30.0,
+                         W_SAVE, 3.0),
+               300);
+  world_run(world, 6);
+  job = world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 1, W_PRIORITY, priority), 10);
+  world_run(world, wait_s);
+  g_assert_cmpuint(world_running(world, job, NULL), ==, 1);
+  g_assert_cmpuint(world->stops, >, 0);
+  grace_s = world->stop_grace_s;
+  world_assert_rules(world);
+  world_free(world);
+  return grace_s;
+}
+
+/* Services that should have been up within a second waited three for scans of idle time to save. */
+static void
+test_grace(void) {
+  g_assert_cmpfloat(grace_for("critical", 5), ==, 0);
+  g_assert_cmpfloat(grace_for("urgent", 8), ==, 4);
+}
+
 /* Gangs whose tasks take most of a machine each, one of each team after another, so that some of
  * their places are on machines that report to the gang's owner itself. It compared what a task
  * takes with the room left beside the place it had kept for it: such gangs never began. */
@@ -366,6 +400,7 @@
   g_test_add_func("/owner/returns-silent-idle", test_returns_silent_idle);
   g_test_add_func("/owner/unproved", test_unproved);
   g_test_add_func("/owner/reclaim", test_reclaim);
+  g_test_add_func("/owner/grace", test_grace);
   g_test_add_func("/owner/gang-beside-its-owner", test_gang_beside_its_owner);
   return g_test_run();
 }
--- a/tests/world/worker.c
+++ b/tests/world/worker.c
@@ -184,6 +184,8 @@
     if (strcmp(op, W_START) == 0) {
       command_start(machine, job, number, attempt);
     } else if (task != NULL && strcmp(op, W_STOP) == 0) {
+      machine->world->stops++;
+      machine->world->stop_grace_s = mm_json_number(item, W_GRACE, 0);
       if (task->state != MM_SEEN_ENDED)
         end_task(machine, task, MM_CAUSE_STOPPED);
     } else if (task != NULL && strcmp(op, W_FORGET) == 0 && task->state == MM_SEEN_ENDED) {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -126,10 +126,12 @@
   gint64 outage_until_us;
   gint64 outage_from_us;
   guint64 writes;
-  guint64 conflicts; /* transactions whose conditions failed */
-  guint64 directs;   /* direct commands sent to workers */
-  guint64 frames;    /* between nodes */
-  guint64 reports;   /* that nodes were sent */
+  guint64 conflicts;   /* transactions whose conditions failed */
+  guint stops;         /* commands to stop that workers carried out, */
+  double stop_grace_s; /* and the time to save that the last of them gave */
+  guint64 directs;     /* direct commands sent to workers */
+  guint64 frames;      /* between nodes */
+  guint64 reports;     /* that nodes were sent */
 
   /* cloud */
   GPtrArray *machines; /* WorldMachine */
