Work above the lowest priority may stop that, also when neither urgent nor guaranteed

Cause: only urgent work and work within a guarantee stopped other work, so arrays waited for minutes while scans of idle time, of a team without a guarantee, ran for 300 s on every machine.

Test: owner/plain-work-stops-low-work, fails before.

--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -8,6 +8,8 @@
 
 #define TASKS_A_ROUND 16
 #define CLEARS_A_ROUND 6
+/* Of these, for work that is neither urgent nor within a guarantee. */
+#define PLAIN_CLEARS_A_ROUND 2
 /* How long it takes until a stopped task's room can be given out, as seen: the command, the
  * worker's report half a second after its last at the earliest, the answer. */
 #define STOP_S 0.5
@@ -275,22 +277,48 @@
   return tries;
 }
 
+/* Whether any work of the lowest priority runs: without it nothing is to be had for work that is
+ * only one step above, and looking at all machines for each such job would cost an owner all its
+ * time. */
+static gboolean
+low_work_runs(const MmOwner *owner) {
+  const MmBook *book = owner->node->book;
+
+  for (guint i = 0; i < book->order->len; i++) {
+    const MmJob *job = g_ptr_array_index(book->order, i);
+    if (job->spec.priority == MM_LOW
+        && mm_roster_running(owner->node->roster, job->spec.id.s) > SPARED_TASKS)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Neither urgent nor within a guarantee: it may only stop work of the lowest priority. */
+static gboolean
+is_plain(const MmJob *job) {
+  return job->spec.priority < MM_URGENT && !job->within;
+}
+
 /* A few jobs a round, most pressing first, each round going on where the last one stopped: each
  * costs a look at all machines. */
 void
 mm_owner_preempt(MmOwner *owner) {
   const GPtrArray *jobs = mm_owner_pressing(owner);
   guint left = TASKS_A_ROUND, clears = CLEARS_A_ROUND, n = 0;
+  guint plain_clears = low_work_runs(owner) ? PLAIN_CLEARS_A_ROUND : 0;
 
   for (; n < jobs->len && left > 0 && clears > 0; n++) {
     MmJob *job = g_ptr_array_index(jobs, (owner->next_clear + n) % jobs->len);
+    gboolean plain = is_plain(job);
+    guint most = MIN(left, plain ? MIN(clears, plain_clears) : clears);
     guint tries;
 
-    if (job->idle == 0 || (job->spec.priority < MM_URGENT && !job->within)
+    if (job->idle == 0 || most == 0 || (plain && job->spec.priority <= MM_LOW)
         || !mm_owner_open(owner, job) || !mm_owner_quota_allows(owner, job->held, job, 1))
       continue;
-    tries = clear_for_job(owner, job, MIN(left, clears));
+    tries = clear_for_job(owner, job, most);
     left -= tries;
+    plain_clears -= plain ? tries : 0;
     clears -= tries;
   }
   owner->next_clear = left > 0 && clears > 0 ? 0 : owner->next_clear + n;
