Idle accelerated machines are lent to other work; gangs have them back at once

All idle machines with accelerators but a sixth, four at least, are lent while no accelerated work waits anywhere; a gang that finds no free places has the work of lower priority on as many machines stopped as it has tasks.

--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -100,7 +100,8 @@
   if (mm_owner_yields(owner, job) || !mm_owner_quota_allows(owner, held, job, job->spec.tasks))
     return;
   if (!job->spec.one_zone) {
-    reserve(owner, held, job, NULL);
+    if (!reserve(owner, held, job, NULL) && job->spec.priority >= MM_URGENT)
+      mm_owner_clear_for_gang(owner, job, job->spec.tasks);
     return;
   }
   for (guint i = 0; i < node->roster->order->len; i++) {
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -173,6 +173,9 @@
 
 /* preempt.c */
 void mm_owner_preempt(MmOwner *owner);
+/* Stops work of lower priority on as many machines, each of which could then take a task of the
+ * gang. Not again within a report period. */
+void mm_owner_clear_for_gang(MmOwner *owner, MmJob *job, guint machines);
 /* Seconds until the machine could run a task of the job that is given to it now, its image and what
  * must be stopped for it included; below 0 when that can't be. */
 double mm_owner_delay_on(MmOwner *owner, const MmJob *job, MmMachine *machine);
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -128,6 +128,20 @@
   return mm_owner_grace_s(victim);
 }
 
+static void
+stop_victims(MmOwner *owner, const MmJob *job, MmMachine *machine, const Victim *victims, gint n) {
+  for (gint i = 0; i < n; i++) {
+    const Victim *victim = &victims[i];
+    mm_info("stopping %s/%u on %s for %s", victim->job->spec.id.s, victim->seen->number,
+            machine->id.s, job->spec.id.s);
+    if (victim->job->team >= 0)
+      owner->team_used[victim->job->team]
+          = mm_room_sub(owner->team_used[victim->job->team], victim->job->spec.need);
+    mm_owner_stop(owner, machine, &victim->job->spec.id, victim->seen->number,
+                  victim->seen->attempt, victim_grace_s(job, victim->job));
+  }
+}
+
 /* Keeps the room on the machine for the task until its worker's next reports. */
 static void
 promise(MmOwner *owner, const MmJob *job, MmTask *task, MmMachine *machine) {
@@ -142,6 +156,25 @@
   task->claimed_on = machine->id;
 }
 
+void
+mm_owner_clear_for_gang(MmOwner *owner, MmJob *job, guint machines) {
+  const GPtrArray *order = owner->node->roster->order;
+  MmTime now = mm_node_now(owner->node);
+  Victim victims[VICTIMS_MAX];
+  gint n = 0;
+
+  if (mm_time_before(now, job->tasks[0].claimed))
+    return;
+  job->tasks[0].claimed = mm_time_add_ms(now, (gint64)(owner->node->settings->report_s * 1000));
+  for (guint i = 0; i < order->len && machines > 0; i++) {
+    MmMachine *machine = g_ptr_array_index(order, i);
+    if (delay_on(owner, job, machine, victims, &n) < 0 || n == 0)
+      continue;
+    stop_victims(owner, job, machine, victims, n);
+    machines--;
+  }
+}
+
 /* Finds the machine where the task would run soonest and clears the room there, if it must be
  * cleared; the room is spoken for until then. FALSE when there is no such machine. */
 static gboolean
@@ -167,16 +200,7 @@
   }
   if (best == NULL || delay_on(owner, job, best, victims, &n) < 0)
     return FALSE;
-  for (gint i = 0; i < n; i++) {
-    const Victim *victim = &victims[i];
-    mm_info("stopping %s/%u on %s for %s", victim->job->spec.id.s, victim->seen->number, best->id.s,
-            job->spec.id.s);
-    if (victim->job->team >= 0)
-      owner->team_used[victim->job->team]
-          = mm_room_sub(owner->team_used[victim->job->team], victim->job->spec.need);
-    mm_owner_stop(owner, best, &victim->job->spec.id, victim->seen->number, victim->seen->attempt,
-                  victim_grace_s(job, victim->job));
-  }
+  stop_victims(owner, job, best, victims, n);
   promise(owner, job, task, best);
   return TRUE;
 }
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -9,6 +9,11 @@
 #define TELL_AGAIN_MS 1000
 #define RANKED_MAX 512
 #define UNKNOWN_MS 20000
+/* Idle accelerated machines are lent to other work while no accelerated work waits, but for a sixth
+ * of all, four at least, which stay free for what comes. */
+#define LENT_EVERY_MS 200
+#define KEPT_IDLE_SHARE 6
+#define KEPT_IDLE_LEAST 4
 
 static void
 waiting_free(gpointer data) {
@@ -24,6 +29,7 @@
 
   rank->node = node;
   rank->n_views = 1 + node->settings->peers->len;
+  rank->lent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   rank->views = g_new0(MmBacklogView, rank->n_views);
   for (guint i = 0; i < rank->n_views; i++) {
     rank->views[i].waiting = g_ptr_array_new_with_free_func(waiting_free);
@@ -38,6 +44,7 @@
     g_ptr_array_unref(rank->views[i].waiting);
     g_array_unref(rank->views[i].reserved);
   }
+  g_hash_table_unref(rank->lent);
   g_free(rank->views);
   g_free(rank);
 }
@@ -238,6 +245,67 @@
          && others.memory_gb + rank->largest.memory_gb <= room.memory_gb + MM_ROOM_SLACK;
 }
 
+static gboolean
+accelerated_work_waits(const MmRank *rank) {
+  for (guint v = 0; v < rank->n_views; v++)
+    for (guint i = 0; i < rank->views[v].waiting->len; i++) {
+      const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
+      const MmJob *job = mm_book_find(rank->node->book, waiting->job.s);
+      if (job != NULL && !job->cancelled && job->spec.need.accelerators > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+runs_accelerated_work(const MmRank *rank, const MmMachine *machine) {
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
+    const MmJob *job = mm_book_find(rank->node->book, seen->job.s);
+    if (seen->state != MM_SEEN_ENDED && job != NULL && job->spec.need.accelerators > 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Machines that accelerated work could have at once, or after stopping what they are lent to. */
+static GPtrArray *
+idle_accelerated(const MmRank *rank, guint *all) {
+  const GPtrArray *order = rank->node->roster->order;
+  GPtrArray *idle = g_ptr_array_new();
+
+  *all = 0;
+  for (guint i = 0; i < order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(order, i);
+    if (!mm_machine_usable(rank->node->roster, machine) || machine->type->room.accelerators <= 0
+        || (machine->spot && !rank->accelerated_spot))
+      continue;
+    ++*all;
+    if (!runs_accelerated_work(rank, machine)
+        && holds_largest(rank, machine, lasting_take(rank, machine)))
+      g_ptr_array_add(idle, machine);
+  }
+  return idle;
+}
+
+/* The first of them by name are kept, so that all nodes lend the same ones. */
+static void
+choose_lent(MmRank *rank) {
+  MmTime now = mm_node_now(rank->node);
+  g_autoptr(GPtrArray) idle = NULL;
+  guint all;
+
+  if (mm_time_ms_since(now, rank->lent_at) < LENT_EVERY_MS)
+    return;
+  rank->lent_at = now;
+  g_hash_table_remove_all(rank->lent);
+  if (!rank->accelerated || accelerated_work_waits(rank))
+    return;
+  idle = idle_accelerated(rank, &all);
+  for (guint i = MAX(KEPT_IDLE_LEAST, all / KEPT_IDLE_SHARE); i < idle->len; i++)
+    g_hash_table_add(rank->lent, g_strdup(((MmMachine *)g_ptr_array_index(idle, i))->id.s));
+}
+
 MmLeaves
 mm_rank_leaves(MmRank *rank, const MmJob *job, const MmMachine *machine, MmRoom room) {
   gboolean given_up;
@@ -258,8 +326,12 @@
   given_up = !holds_largest(rank, machine, lasting_take(rank, machine));
   /* Beside services that keep accelerated work away, other work takes nothing from it, and can be
    * stopped for it. A quarter of all room once lay idle there while arrays waited for minutes. */
-  if (job->spec.priority <= rank->accelerated_priority)
-    return given_up && job->spec.priority < rank->accelerated_priority ? MM_GIVEN_UP : MM_MAY_NOT;
+  if (job->spec.priority <= rank->accelerated_priority) {
+    if (job->spec.priority == rank->accelerated_priority)
+      return MM_MAY_NOT;
+    choose_lent(rank);
+    return given_up || g_hash_table_contains(rank->lent, machine->id.s) ? MM_GIVEN_UP : MM_MAY_NOT;
+  }
   return given_up ? MM_GIVEN_UP : MM_WOULD_TAKE;
 }
 
--- a/src/rank/rank.h
+++ b/src/rank/rank.h
@@ -27,7 +27,9 @@
   guint n_views;
   const MmMachine *next_given_up; /* as of `given_up_at`; looking at all machines each time */
   MmTime given_up_at;             /* took a fifth of an owner's time */
-  gboolean dirty;                 /* our own backlog has changed since it was told */
+  GHashTable *lent; /* ids of idle accelerated machines that other work may use, as of */
+  MmTime lent_at;   /* this time */
+  gboolean dirty;   /* our own backlog has changed since it was told */
   MmTime told;
   /* The largest need of work with accelerators seen so far. */
   gboolean accelerated;
@@ -65,7 +67,7 @@
  * at most; once it is, more such work joins there, and work that accelerated work may stop. */
 typedef enum {
   MM_LEAVES,     /* leaves enough, or there is nothing to leave */
-  MM_GIVEN_UP,   /* would not, but the machine is given up already */
+  MM_GIVEN_UP,   /* would not, but the machine is given up already, or is lent */
   MM_WOULD_TAKE, /* would make the machine useless for accelerated work */
   MM_MAY_NOT     /* of too low a priority for that */
 } MmLeaves;
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -393,6 +393,48 @@
   world_free(world);
 }
 
+static guint
+machines_in_use(const World *world) {
+  guint n = 0;
+
+  for (guint i = 0; i < world->machines->len; i++)
+    n += ((WorldMachine *)g_ptr_array_index(world->machines, i))->tasks->len > 0;
+  return n;
+}
+
+/* Machines with accelerators that nothing accelerated waits for are lent to other work, all but
+ * four; a gang that needs more than those has what it was lent to stopped, and begins at once. */
+static void
+test_lends_idle_machines(void) {
+  World *world = world_new(13);
+  WorldJob *first, *array, *gang;
+
+  world->capacity = 0; /* nothing can be rented */
+  world->team_cores = 1000;
+  for (guint i = 0; i < 7; i++)
+    world_add_machine(world, "big", "a", FALSE, 0.1)->faulty = 0;
+  world_start(world);
+  world_run(world, 5);
+  first = world_submit(world,
+                       json_pack("{s:i, s:s, s:f, s:f}", W_TASKS, 1, W_PRIORITY, "urgent", W_CORES,
+                                 16.0, W_ACCELERATORS, 2.0),
+                       3);
+  world_run(world, 8);
+  g_assert_cmpuint(first->n_done, ==, 1);
+  array = world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 60, W_TEAM, "team-1"), 300);
+  world_run(world, 12);
+  g_assert_cmpuint(world_running(world, array, NULL), >, 0);
+  g_assert_cmpuint(machines_in_use(world), <=, 3);
+  gang = world_submit(world,
+                      json_pack("{s:i, s:s, s:s, s:f, s:f}", W_TASKS, 6, W_KIND, W_KIND_GANG,
+                                W_PRIORITY, "urgent", W_CORES, 16.0, W_ACCELERATORS, 2.0),
+                      30);
+  world_run(world, 10);
+  g_assert_cmpuint(world_running(world, gang, NULL), ==, 6);
+  world_assert_rules(world);
+  world_free(world);
+}
+
 int
 main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
@@ -409,6 +451,7 @@
   g_test_add_func("/owner/reclaim", test_reclaim);
   g_test_add_func("/owner/grace", test_grace);
   g_test_add_func("/owner/plain-work-stops-low-work", test_plain_work_stops_low_work);
+  g_test_add_func("/owner/lends-idle-machines", test_lends_idle_machines);
   g_test_add_func("/owner/gang-beside-its-owner", test_gang_beside_its_owner);
   return g_test_run();
 }
