--- a/src/base/types.h
+++ b/src/base/types.h
@@ -89,29 +89,31 @@
   double cores;
   double accelerators;
   double memory_gb;
-} MmRoom;
+} MmResources;
 
-#define MM_ROOM_SLACK 1e-6
+#define MM_RESOURCES_SLACK 1e-6
 
 static inline gboolean
-mm_room_fits(MmRoom need, MmRoom have) {
-  return need.cores <= have.cores + MM_ROOM_SLACK
-         && need.accelerators <= have.accelerators + MM_ROOM_SLACK
-         && need.memory_gb <= have.memory_gb + MM_ROOM_SLACK;
+mm_resources_fits(MmResources need, MmResources have) {
+  return need.cores <= have.cores + MM_RESOURCES_SLACK
+         && need.accelerators <= have.accelerators + MM_RESOURCES_SLACK
+         && need.memory_gb <= have.memory_gb + MM_RESOURCES_SLACK;
 }
 
-static inline MmRoom
-mm_room_least(MmRoom a, MmRoom b) {
-  return (MmRoom){ MIN(a.cores, b.cores), MIN(a.accelerators, b.accelerators),
-                   MIN(a.memory_gb, b.memory_gb) };
+static inline MmResources
+mm_resources_least(MmResources a, MmResources b) {
+  return (MmResources){ MIN(a.cores, b.cores), MIN(a.accelerators, b.accelerators),
+                        MIN(a.memory_gb, b.memory_gb) };
 }
 
-static inline MmRoom
-mm_room_add(MmRoom a, MmRoom b) {
-  return (MmRoom){ a.cores + b.cores, a.accelerators + b.accelerators, a.memory_gb + b.memory_gb };
+static inline MmResources
+mm_resources_add(MmResources a, MmResources b) {
+  return (MmResources){ a.cores + b.cores, a.accelerators + b.accelerators,
+                        a.memory_gb + b.memory_gb };
 }
 
-static inline MmRoom
-mm_room_sub(MmRoom a, MmRoom b) {
-  return (MmRoom){ a.cores - b.cores, a.accelerators - b.accelerators, a.memory_gb - b.memory_gb };
+static inline MmResources
+mm_resources_sub(MmResources a, MmResources b) {
+  return (MmResources){ a.cores - b.cores, a.accelerators - b.accelerators,
+                        a.memory_gb - b.memory_gb };
 }
--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -30,7 +30,7 @@
   MmExchange *exchange;
   MmName machine;
   MmStamp stamp;
-  MmRoom room;
+  MmResources room;
   GArray *starts; /* Start */
   GArray *tried;  /* MmTaskRef */
   MmChoice asked;
@@ -96,7 +96,7 @@
 static void
 confirmed(gpointer data, int status, json_t *body) {
   Confirm *confirm = data;
-  const json_t *value = mm_json_get(body, W_VALUE);
+  const json_t *value = mm_json_get(body, WIRE_VALUE);
 
   if (status == 200 && mm_json_string(value, "m") != NULL)
     mm_book_keep_final(confirm->checkin->node->book, confirm->job.s, mm_json_string(value, "m"),
@@ -145,7 +145,7 @@
 
 static gboolean
 start_is_good(const MmCheckin *checkin, const Start *start) {
-  const MmPart *part = mm_replica_part(checkin->node->replica, start->part.s);
+  const MmShard *part = mm_replica_shard(checkin->node->replica, start->part.s);
   const MmJob *job = mm_book_find(checkin->node->book, start->start.job.s);
 
   /* Adopting a term drops the approvals of superseded holders. */
@@ -179,9 +179,10 @@
     if (start_is_good(checkin, start))
       json_array_append_new(commands, mm_command_to_json(&start->start));
   }
-  mm_exchange_answer(
-      session->exchange, 200,
-      json_pack("{s:I, s:o}", W_TOKEN, (json_int_t)node->replica->term.v, W_COMMANDS, commands), 0);
+  mm_exchange_answer(session->exchange, 200,
+                     json_pack("{s:I, s:o}", WIRE_TOKEN, (json_int_t)node->replica->term.v,
+                               WIRE_COMMANDS, commands),
+                     0);
   session_free(session);
 }
 
@@ -195,9 +196,9 @@
 
   g_array_append_val(session->starts, start);
   if (job == NULL)
-    session->room = (MmRoom){ 0 };
+    session->room = (MmResources){ 0 };
   else if (!approval->reserved)
-    session->room = mm_room_sub(session->room, job->spec.need);
+    session->room = mm_resources_sub(session->room, job->spec.need);
   mm_rank_strike(checkin->node->rank, (guint)session->asked.view, approval->job.s,
                  approval->number);
 }
@@ -311,9 +312,9 @@
 static void
 redirect(MmCheckin *checkin, MmExchange *exchange, gint peer) {
   if (peer >= 0)
-    mm_exchange_answer(exchange, 421,
-                       json_pack("{s:s}", W_REPORT_TO, checkin->node->links->peers[peer].label.s),
-                       0);
+    mm_exchange_answer(
+        exchange, 421,
+        json_pack("{s:s}", WIRE_REPORT_TO, checkin->node->links->peers[peer].label.s), 0);
   else
     mm_exchange_answer(exchange, 503, mm_json_error("not entitled to answer"), 0);
 }
@@ -391,9 +392,10 @@
   mm_links_tell_unproved(node->links, &machine->id);
   commands = json_array();
   clear_away(checkin, report->tasks, commands);
-  mm_exchange_answer(
-      exchange, 200,
-      json_pack("{s:I, s:o}", W_TOKEN, (json_int_t)node->replica->term.v, W_COMMANDS, commands), 0);
+  mm_exchange_answer(exchange, 200,
+                     json_pack("{s:I, s:o}", WIRE_TOKEN, (json_int_t)node->replica->term.v,
+                               WIRE_COMMANDS, commands),
+                     0);
 }
 
 /* Reports that this node may not answer, or not yet; TRUE when the exchange is dealt with. */
--- a/src/checkin/roster.c
+++ b/src/checkin/roster.c
@@ -150,10 +150,10 @@
 
 static gboolean
 read_task(MmSeenTask *task, const json_t *item) {
-  const char *text = mm_json_string(item, W_TASK);
+  const char *text = mm_json_string(item, WIRE_TASK);
   const char *slash = text != NULL ? strrchr(text, '/') : NULL;
-  const char *state = mm_json_string(item, W_STATE);
-  const char *cause = mm_json_string(item, W_CAUSE);
+  const char *state = mm_json_string(item, WIRE_STATE);
+  const char *cause = mm_json_string(item, WIRE_CAUSE);
   char *end;
 
   memset(task, 0, sizeof *task);
@@ -161,8 +161,8 @@
     return FALSE;
   memcpy(task->job.s, text, (gsize)(slash - text));
   task->number = (guint)g_ascii_strtoull(slash + 1, &end, 10);
-  task->attempt.v = mm_json_count(item, W_ATTEMPT, 0);
-  task->saved = mm_json_flag(item, W_SAVED);
+  task->attempt.v = mm_json_count(item, WIRE_ATTEMPT, 0);
+  task->saved = mm_json_flag(item, WIRE_SAVED);
   task->state = G_MAXUINT8;
   for (guint i = 0; i < G_N_ELEMENTS(states); i++)
     if (g_strcmp0(state, states[i]) == 0)
@@ -178,31 +178,31 @@
 gboolean
 mm_report_parse(MmReport *report, const json_t *body, const char **reason) {
   const json_t *tasks = mm_json_get(body, "kits");
-  const char *addr = mm_json_string(body, W_ADDR);
+  const char *addr = mm_json_string(body, WIRE_ADDR);
   size_t i;
   json_t *item;
 
   memset(report, 0, sizeof *report);
   report->tasks = g_array_new(FALSE, TRUE, sizeof(MmSeenTask));
-  if (!json_is_object(body) || mm_json_string(body, W_MACHINE) == NULL
-      || !json_is_integer(mm_json_get(body, W_SESSION))
-      || !json_is_integer(mm_json_get(body, W_SEQ))
+  if (!json_is_object(body) || mm_json_string(body, WIRE_MACHINE) == NULL
+      || !json_is_integer(mm_json_get(body, WIRE_SESSION))
+      || !json_is_integer(mm_json_get(body, WIRE_SEQ))
       || (tasks != NULL && (!json_is_array(tasks) || json_array_size(tasks) > TASKS_MAX))
-      || strlen(mm_json_string(body, W_MACHINE)) > MM_NAME_MAX) {
+      || strlen(mm_json_string(body, WIRE_MACHINE)) > MM_NAME_MAX) {
     *reason = "not a worker's report";
     return FALSE;
   }
-  report->machine = mm_name(mm_json_string(body, W_MACHINE));
+  report->machine = mm_name(mm_json_string(body, WIRE_MACHINE));
   if (addr != NULL)
     g_strlcpy(report->addr, addr, sizeof report->addr);
-  report->type = mm_name(mm_json_string(body, W_TYPE));
-  report->zone = mm_name(mm_json_string(body, W_ZONE));
-  report->spot = mm_json_flag(body, W_SPOT);
-  report->stamp.session = mm_json_count(body, W_SESSION, 0);
-  report->stamp.seq = mm_json_count(body, W_SEQ, 0);
-  report->token.v = mm_json_count(body, W_TOKEN, 0);
-  report->warned = mm_json_get(body, W_NOTICE) != NULL;
-  report->notice_s = mm_json_number(body, W_NOTICE, 0);
+  report->type = mm_name(mm_json_string(body, WIRE_TYPE));
+  report->zone = mm_name(mm_json_string(body, WIRE_ZONE));
+  report->spot = mm_json_flag(body, WIRE_SPOT);
+  report->stamp.session = mm_json_count(body, WIRE_SESSION, 0);
+  report->stamp.seq = mm_json_count(body, WIRE_SEQ, 0);
+  report->token.v = mm_json_count(body, WIRE_TOKEN, 0);
+  report->warned = mm_json_get(body, WIRE_NOTICE) != NULL;
+  report->notice_s = mm_json_number(body, WIRE_NOTICE, 0);
   json_array_foreach(tasks, i, item) {
     MmSeenTask task;
     if (!read_task(&task, item)) {
@@ -604,9 +604,9 @@
 
 /* ---- rooms ---- */
 
-MmRoom
+MmResources
 mm_machine_free(const MmRoster *roster, MmMachine *machine) {
-  MmRoom room = { 0 };
+  MmResources room = { 0 };
 
   if (machine->type == NULL)
     return room;
@@ -622,14 +622,14 @@
       continue;
     job = mm_book_find(roster->node->book, task->job.s);
     if (job == NULL)
-      return (MmRoom){ 0 };
-    room = mm_room_sub(room, job->spec.need);
+      return (MmResources){ 0 };
+    room = mm_resources_sub(room, job->spec.need);
   }
   for (guint i = 0; i < machine->placed->len; i++) {
     const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
     guint8 state = placed->job->tasks[placed->number].state;
     if (state == MM_TASK_ISSUED || state == MM_TASK_RESERVED)
-      room = mm_room_sub(room, placed->job->spec.need);
+      room = mm_resources_sub(room, placed->job->spec.need);
   }
   machine->free = room;
   return room;
@@ -666,13 +666,13 @@
 
 json_t *
 mm_command_to_json(const MmCommand *command) {
-  static const char *const ops[] = { W_START, W_STOP, W_FORGET };
+  static const char *const ops[] = { WIRE_START, WIRE_STOP, WIRE_FORGET };
   g_autofree char *task = g_strdup_printf("%s/%u", command->job.s, command->number);
-  json_t *json = json_pack("{s:s, s:s, s:I}", W_OP, ops[command->op], W_TASK, task, W_ATTEMPT,
-                           (json_int_t)command->attempt.v);
+  json_t *json = json_pack("{s:s, s:s, s:I}", WIRE_OP, ops[command->op], WIRE_TASK, task,
+                           WIRE_ATTEMPT, (json_int_t)command->attempt.v);
 
   if (command->op == MM_OP_STOP)
-    json_object_set_new(json, W_GRACE, json_real(command->grace_s));
+    json_object_set_new(json, WIRE_GRACE, json_real(command->grace_s));
   return json;
 }
 
--- a/src/checkin/roster.h
+++ b/src/checkin/roster.h
@@ -102,18 +102,18 @@
   MmTime probed;    /* when it was last asked directly for a sign of life, */
   guint unanswered; /* and how often since it last gave one */
   GArray *images;   /* MmCachedImage */
-  MmRoom free;      /* as last worked out, */
+  MmResources free; /* as last worked out, */
   guint64 free_as;  /* with the book's jobs of that time; 0: to be worked out anew */
   MmTime idle_since;
   guint index; /* place in the order of names */
 
   /* the owner's */
-  GPtrArray *placed; /* MmPlaced: tasks of parts held here that are or may be on it */
-  GArray *kept;      /* MmTaskRef: the kept-list of this machine */
-  MmTime clearing;   /* until when `promised` holds */
-  MmRoom promised;   /* room, free or being cleared, that is spoken for by work in a hurry */
-  MmTime echo_asked; /* when it was last asked to echo the term */
-  guint failed_jobs; /* that had errors here, with no success of any job between */
+  GPtrArray *placed;    /* MmPlaced: tasks of parts held here that are or may be on it */
+  GArray *kept;         /* MmTaskRef: the kept-list of this machine */
+  MmTime clearing;      /* until when `promised` holds */
+  MmResources promised; /* room, free or being cleared, that is spoken for by work in a hurry */
+  MmTime echo_asked;    /* when it was last asked to echo the term */
+  guint failed_jobs;    /* that had errors here, with no success of any job between */
   MmName last_failed_job;
   MmTime quarantined_until; /* it gets no work before */
   MmTime full_until;        /* it refused a start for lack of room */
@@ -184,7 +184,7 @@
 
 /* Room left beside everything reported and everything placed by this node's parts. Not more than
  * nothing when a task on it belongs to a job that is not known here. */
-MmRoom mm_machine_free(const MmRoster *roster, MmMachine *machine);
+MmResources mm_machine_free(const MmRoster *roster, MmMachine *machine);
 /* The task as the newest report shows it, or NULL. */
 const MmSeenTask *mm_machine_seen(const MmMachine *machine, const MmName *job, guint number,
                                   MmAttempt attempt);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -13,8 +13,8 @@
 
 typedef struct {
   MmName name;
-  MmRoom guaranteed; /* memory is never set: the settings speak of cores and accelerators */
-  MmRoom limit;      /* 0: none */
+  MmResources guaranteed; /* memory is never set: the settings speak of cores and accelerators */
+  MmResources limit;      /* 0: none */
 } MmTeamSettings;
 
 typedef enum {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -77,8 +77,8 @@
 static void
 take_listed(MmFleet *fleet, const json_t *item) {
   MmTime now = mm_node_now(fleet->node);
-  const char *id = mm_json_string(item, W_JOB_ID);
-  const char *state = mm_json_string(item, W_STATE);
+  const char *id = mm_json_string(item, WIRE_JOB_ID);
+  const char *state = mm_json_string(item, WIRE_STATE);
   MmListed *listed;
 
   if (id == NULL || id[0] == '\0' || strlen(id) > MM_NAME_MAX)
@@ -88,24 +88,24 @@
     MmOffer *offer;
     listed = g_new0(MmListed, 1);
     listed->id = mm_name(id);
-    listed->type = mm_name(mm_json_string(item, W_TYPE));
-    listed->zone = mm_name(mm_json_string(item, W_ZONE));
-    listed->spot = mm_json_flag(item, W_SPOT);
+    listed->type = mm_name(mm_json_string(item, WIRE_TYPE));
+    listed->zone = mm_name(mm_json_string(item, WIRE_ZONE));
+    listed->spot = mm_json_flag(item, WIRE_SPOT);
     listed->first = now;
     g_hash_table_insert(fleet->listed, listed->id.s, listed);
     offer = offer_for(fleet, &listed->type, &listed->zone, listed->spot);
     offer->asked -= offer->asked > 0;
   }
-  listed->running = g_strcmp0(state, W_RUNNING) == 0;
-  listed->failed = g_strcmp0(state, W_FAILED) == 0;
-  listed->age_s = mm_json_number(item, W_AGE, 0);
+  listed->running = g_strcmp0(state, WIRE_RUNNING) == 0;
+  listed->failed = g_strcmp0(state, WIRE_FAILED) == 0;
+  listed->age_s = mm_json_number(item, WIRE_AGE, 0);
   listed->listed = now;
 }
 
 static void
 listed_answered(gpointer data, int status, json_t *body) {
   MmFleet *fleet = data;
-  const json_t *items = mm_json_get(body, W_MACHINES);
+  const json_t *items = mm_json_get(body, WIRE_MACHINES);
   MmTime now = mm_node_now(fleet->node);
   double lag = MAX(fleet->node->settings->cloud_list_lag_s, 1);
   size_t i;
@@ -120,9 +120,9 @@
   }
   json_array_foreach(items, i, item) {
     take_listed(fleet, item);
-    last = mm_json_string(item, W_JOB_ID);
+    last = mm_json_string(item, WIRE_JOB_ID);
   }
-  if (mm_json_flag(body, W_MORE) && last != NULL) {
+  if (mm_json_flag(body, WIRE_MORE) && last != NULL) {
     list(fleet, last);
     return;
   }
@@ -131,9 +131,9 @@
 
 static void
 list(MmFleet *fleet, const char *after) {
-  g_autofree char *path
-      = g_strdup_printf(W_MACHINES_PATH "?%s%s%s" W_LIMIT "=%d", after != NULL ? W_AFTER "=" : "",
-                        after != NULL ? after : "", after != NULL ? "&" : "", LIST_PAGE);
+  g_autofree char *path = g_strdup_printf(
+      WIRE_MACHINES_PATH "?%s%s%s" WIRE_LIMIT "=%d", after != NULL ? WIRE_AFTER "=" : "",
+      after != NULL ? after : "", after != NULL ? "&" : "", LIST_PAGE);
 
   fleet->listing = TRUE;
   fleet->node->port.request(fleet->node->port.self, MM_TARGET_CLOUD, NULL, "GET", path, NULL, 3000,
@@ -191,7 +191,7 @@
 probe_answered(gpointer data, int status, json_t *body) {
   MmFleet *fleet = data;
   MmRoster *roster = fleet->node->roster;
-  const char *id = mm_json_string(body, W_MACHINE);
+  const char *id = mm_json_string(body, WIRE_MACHINE);
   MmMachine *machine = id != NULL ? mm_roster_find(roster, id) : NULL;
 
   if (status == 200)
@@ -213,8 +213,8 @@
   fleet->probes--;
   machine->probed = now;
   machine->unanswered++;
-  node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "GET", W_STATUS_PATH, NULL,
-                     1500, probe_answered, fleet);
+  node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "GET", WIRE_STATUS_PATH,
+                     NULL, 1500, probe_answered, fleet);
 }
 
 static gint64
@@ -447,10 +447,10 @@
     json_array_append_new(names, json_string(listed->id.s));
   }
   if (release->ids->len > 0) {
-    g_autoptr(json_t) body = json_pack("{s:o}", W_MACHINES, names);
+    g_autoptr(json_t) body = json_pack("{s:o}", WIRE_MACHINES, names);
     fleet->releasing = TRUE;
-    node->port.request(node->port.self, MM_TARGET_CLOUD, NULL, "POST", W_RELEASE_PATH, body, 5000,
-                       release_answered, release);
+    node->port.request(node->port.self, MM_TARGET_CLOUD, NULL, "POST", WIRE_RELEASE_PATH, body,
+                       5000, release_answered, release);
     return;
   }
   json_decref(names);
@@ -474,7 +474,7 @@
   MmFleet *fleet = rent->fleet;
   MmOffer *offer = offer_for(fleet, &rent->type, &rent->zone, rent->spot);
   MmTime now = mm_node_now(fleet->node);
-  guint got = (guint)json_array_size(mm_json_get(body, W_MACHINES));
+  guint got = (guint)json_array_size(mm_json_get(body, WIRE_MACHINES));
 
   fleet->renting = FALSE;
   if (status == 200 && got > 0) {
@@ -501,14 +501,14 @@
   g_autofree char *name
       = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, node->settings->label.s,
                         node->claims->claim, ++fleet->requests);
-  g_autoptr(json_t) body
-      = json_pack("{s:s, s:s, s:s, s:b, s:I}", W_REQUEST, name, W_TYPE, type->name.s, W_ZONE,
-                  zone->s, W_SPOT, spot, W_COUNT, (json_int_t)MIN(count, RENT_MAX));
+  g_autoptr(json_t) body = json_pack("{s:s, s:s, s:s, s:b, s:I}", WIRE_REQUEST, name, WIRE_TYPE,
+                                     type->name.s, WIRE_ZONE, zone->s, WIRE_SPOT, spot, WIRE_COUNT,
+                                     (json_int_t)MIN(count, RENT_MAX));
   Rent *call = g_new(Rent, 1);
 
   *call = (Rent){ fleet, type->name, *zone, spot, MIN(count, RENT_MAX) };
   fleet->renting = TRUE;
-  node->port.request(node->port.self, MM_TARGET_CLOUD, NULL, "POST", W_MACHINES_PATH, body, 5000,
+  node->port.request(node->port.self, MM_TARGET_CLOUD, NULL, "POST", WIRE_MACHINES_PATH, body, 5000,
                      rent_answered, call);
 }
 
@@ -516,11 +516,11 @@
 static guint
 slots(MmFleet *fleet, const MmJob *job, const MmType *type) {
   const MmRank *rank = fleet->node->rank;
-  MmRoom room = type->room;
+  MmResources room = type->room;
   guint n = 1000;
 
   if (room.accelerators > 0 && job->spec.need.accelerators <= 0 && rank->accelerated)
-    room = mm_room_sub(room, (MmRoom){ rank->largest.cores, 0, rank->largest.memory_gb });
+    room = mm_resources_sub(room, (MmResources){ rank->largest.cores, 0, rank->largest.memory_gb });
   if (job->spec.need.cores > 0)
     n = MIN(n, (guint)MAX(room.cores / job->spec.need.cores + 1e-6, 0));
   if (job->spec.need.accelerators > 0)
@@ -663,7 +663,7 @@
 mm_fleet_tick(MmFleet *fleet) {
   MmNode *node = fleet->node;
   MmTime now = mm_node_now(node);
-  gboolean active = mm_claims_valid(node->claims) && mm_claims_holds(node->claims, MM_PART_FLEET);
+  gboolean active = mm_claims_valid(node->claims) && mm_claims_holds(node->claims, MM_SHARD_FLEET);
 
   if (active != fleet->active) {
     fleet->active = active;
--- a/src/fleet/types.c
+++ b/src/fleet/types.c
@@ -61,7 +61,7 @@
 mm_types_any_fits(const MmTypes *types, const MmSpec *spec) {
   for (guint i = 0; i < types->types->len; i++) {
     const MmType *type = g_ptr_array_index(types->types, i);
-    if (mm_spec_allows_type(spec, &type->name) && mm_room_fits(spec->need, type->room)
+    if (mm_spec_allows_type(spec, &type->name) && mm_resources_fits(spec->need, type->room)
         && (mm_name_is_empty(&spec->zone) || mm_type_in_zone(type, &spec->zone)))
       return TRUE;
   }
@@ -70,7 +70,7 @@
 
 static void
 read_type(MmTypes *types, const json_t *item) {
-  MmName name = mm_name(mm_json_string(item, W_TYPE_NAME));
+  MmName name = mm_name(mm_json_string(item, WIRE_TYPE_NAME));
   MmType *type = (MmType *)mm_types_find(types, &name);
   size_t i;
   json_t *zone;
@@ -83,15 +83,16 @@
     type->zones = g_array_new(FALSE, TRUE, sizeof(MmName));
     g_ptr_array_add(types->types, type);
   }
-  type->room = (MmRoom){ mm_json_number(item, W_CORES, 0), mm_json_number(item, W_ACCELERATORS, 0),
-                         mm_json_number(item, W_MEMORY, 0) };
-  type->cache_gb = mm_json_number(item, W_CACHE_GB, 0);
-  type->fetch_gb_per_s = MAX(mm_json_number(item, W_FETCH_RATE, 1), 1e-3);
-  type->price = mm_json_number(item, W_PRICE, 0);
-  type->spot_price = mm_json_number(item, W_SPOT_PRICE, type->price);
-  type->boot_s = mm_json_number(item, W_BOOT, 60);
+  type->room = (MmResources){ mm_json_number(item, WIRE_CORES, 0),
+                              mm_json_number(item, WIRE_ACCELERATORS, 0),
+                              mm_json_number(item, WIRE_MEMORY, 0) };
+  type->cache_gb = mm_json_number(item, WIRE_CACHE_GB, 0);
+  type->fetch_gb_per_s = MAX(mm_json_number(item, WIRE_FETCH_RATE, 1), 1e-3);
+  type->price = mm_json_number(item, WIRE_PRICE, 0);
+  type->spot_price = mm_json_number(item, WIRE_SPOT_PRICE, type->price);
+  type->boot_s = mm_json_number(item, WIRE_BOOT, 60);
   g_array_set_size(type->zones, 0);
-  json_array_foreach(mm_json_get(item, W_ZONES), i, zone) {
+  json_array_foreach(mm_json_get(item, WIRE_ZONES), i, zone) {
     MmName z = mm_name(json_string_value(zone));
     g_array_append_val(type->zones, z);
   }
@@ -106,8 +107,8 @@
   char *text, *kept;
 
   json_array_foreach(copy, i, item) {
-    json_object_del(item, W_PRICE);
-    json_object_del(item, W_SPOT_PRICE);
+    json_object_del(item, WIRE_PRICE);
+    json_object_del(item, WIRE_SPOT_PRICE);
   }
   text = json_dumps(copy, JSON_COMPACT | JSON_SORT_KEYS);
   kept = g_strdup(text);
@@ -117,7 +118,7 @@
 
 void
 mm_types_stored(MmTypes *types, const json_t *value, MmMark mark) {
-  const json_t *list = mm_json_get(value, W_TYPES);
+  const json_t *list = mm_json_get(value, WIRE_TYPES);
   size_t i;
   json_t *item;
 
@@ -145,7 +146,7 @@
   txn = mm_txn();
   /* One that is carried out late must not bring back what the cloud has changed since. */
   mm_txn_guard(&txn, MM_KEY_TYPES, "", types->mark);
-  mm_txn_put(&txn, MM_KEY_TYPES, "", json_pack("{s:O}", W_TYPES, list), 0);
+  mm_txn_put(&txn, MM_KEY_TYPES, "", json_pack("{s:O}", WIRE_TYPES, list), 0);
   /* Should it fail, the cloud's next answer is stored. */
   mm_store_commit(node->store, &txn, NULL, NULL);
 }
@@ -153,7 +154,7 @@
 static void
 answered(gpointer data, int status, json_t *body) {
   MmTypes *types = data;
-  const json_t *list = mm_json_get(body, W_TYPES);
+  const json_t *list = mm_json_get(body, WIRE_TYPES);
   MmTime now = mm_node_now(types->node);
   size_t i;
   json_t *item;
@@ -176,5 +177,5 @@
     return;
   types->asking = TRUE;
   types->node->port.request(types->node->port.self, MM_TARGET_CLOUD, NULL, "GET",
-                            W_MACHINE_TYPES_PATH, NULL, 3000, answered, types);
+                            WIRE_MACHINE_TYPES_PATH, NULL, 3000, answered, types);
 }
--- a/src/fleet/types.h
+++ b/src/fleet/types.h
@@ -6,7 +6,7 @@
 
 typedef struct {
   MmName name;
-  MmRoom room;
+  MmResources room;
   double cache_gb;
   double fetch_gb_per_s;
   double price;
--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -68,8 +68,8 @@
 
 static json_t *
 state_body(const char *id, const char *state, guint done, guint running) {
-  return json_pack("{s:s, s:s, s:I, s:I}", W_JOB_ID, id, W_STATE, state, W_DONE, (json_int_t)done,
-                   W_RUNNING, (json_int_t)running);
+  return json_pack("{s:s, s:s, s:I, s:I}", WIRE_JOB_ID, id, WIRE_STATE, state, WIRE_DONE,
+                   (json_int_t)done, WIRE_RUNNING, (json_int_t)running);
 }
 
 /* Whether every node that may still answer a worker knows of the job's cancellation, so that from
@@ -104,7 +104,7 @@
   MmTime now = mm_node_now(call->node);
 
   if (all_know(call)) {
-    finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
+    finish(call, 200, state_body(call->id.s, WIRE_CANCELLED, 0, 0), 0);
     return;
   }
   call->deadline = mm_time_add_ms(now, KNOWN_MS);
@@ -120,7 +120,7 @@
   if (!all_know(call))
     return FALSE;
   g_queue_delete_link(api->waiting, link);
-  finish(call, 200, state_body(call->id.s, W_CANCELLED, 0, 0), 0);
+  finish(call, 200, state_body(call->id.s, WIRE_CANCELLED, 0, 0), 0);
   return TRUE;
 }
 
@@ -183,7 +183,7 @@
   MmJob *job = mm_book_find(call->node->book, call->id.s);
   guint running = mm_roster_running(call->node->roster, call->id.s);
   guint done = 0;
-  const char *state = W_PENDING;
+  const char *state = WIRE_PENDING;
 
   if (cancelled) {
     answer_cancelled(call);
@@ -192,14 +192,14 @@
   if (job != NULL)
     done = job->tasks != NULL ? job->done.count : job->recorded.count;
   if (running > 0)
-    state = W_RUNNING;
+    state = WIRE_RUNNING;
   finish(call, 200, state_body(call->id.s, state, done, running), 0);
 }
 
 static void
 final_read(gpointer data, int status, json_t *body) {
   Call *call = data;
-  const json_t *value = mm_json_get(body, W_VALUE);
+  const json_t *value = mm_json_get(body, WIRE_VALUE);
   const char *state = mm_json_string(value, "m");
 
   if (status == 404) {
@@ -226,7 +226,7 @@
     return;
   }
   /* The watch may be behind, or stop here. */
-  epoch = mm_json_count(body, W_REVISION, 0);
+  epoch = mm_json_count(body, WIRE_REVISION, 0);
   if (epoch > call->node->replica->epoch && call->node->replica->loaded)
     mm_book_put(call->node->book, call->id.s, call->record, (MmMark){ epoch });
   mm_owner_cancelled(call->node->owner, call->id.s);
@@ -252,14 +252,14 @@
     mm_store_get(call->node->store, MM_KEY_FINAL, call->id.s, final_read, call);
     return;
   }
-  if (status != 200 || !json_is_object(mm_json_get(body, W_VALUE))) {
+  if (status != 200 || !json_is_object(mm_json_get(body, WIRE_VALUE))) {
     give_up(call);
     return;
   }
   json_decref(call->record);
-  call->record = json_deep_copy(mm_json_get(body, W_VALUE));
+  call->record = json_deep_copy(mm_json_get(body, WIRE_VALUE));
   if (call->cancel && mm_json_count(call->record, "c", 0) == 0)
-    write_cancel(call, (MmMark){ mm_json_count(body, W_VERSION, 0) });
+    write_cancel(call, (MmMark){ mm_json_count(body, WIRE_VERSION, 0) });
   else
     answer_unfinished(call, mm_json_count(call->record, "c", 0) != 0);
 }
@@ -328,7 +328,8 @@
   if (status == 200) {
     mm_info("%s (%s of %s, %u tasks) is accepted", call->id.s, call->spec.job_class.s,
             call->spec.team.s, call->spec.tasks);
-    finish(call, 201, json_pack("{s:s, s:s}", W_JOB_ID, call->id.s, W_STATE, W_PENDING), 0);
+    finish(call, 201, json_pack("{s:s, s:s}", WIRE_JOB_ID, call->id.s, WIRE_STATE, WIRE_PENDING),
+           0);
   } else if (status == 409)
     lookup(call); /* known already: its state now */
   else
@@ -342,9 +343,9 @@
 
   if (team == NULL)
     return "unknown team";
-  if ((team->limit.cores > 0 && spec->need.cores * times > team->limit.cores + MM_ROOM_SLACK)
+  if ((team->limit.cores > 0 && spec->need.cores * times > team->limit.cores + MM_RESOURCES_SLACK)
       || (team->limit.accelerators > 0
-          && spec->need.accelerators * times > team->limit.accelerators + MM_ROOM_SLACK))
+          && spec->need.accelerators * times > team->limit.accelerators + MM_RESOURCES_SLACK))
     return "the job needs more than the team's limit";
   if (!mm_types_any_fits(node->types, spec))
     return "a task fits no allowed machine type";
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -75,7 +75,7 @@
       return;
     }
     job->submitted_ms = (gint64)mm_json_count(value, "at", 0);
-    job->part = mm_claims_part_of_team(&job->spec.team);
+    job->part = mm_claims_shard_of_team(&job->spec.team);
     job->team = mm_settings_team_index(book->node->settings, &job->spec.team);
     mm_done_set_init(&job->recorded, job->spec.tasks);
     g_hash_table_insert(book->jobs, job->spec.id.s, job);
@@ -135,8 +135,8 @@
 
 void
 mm_book_keep_final(MmBook *book, const char *id, const char *state, guint done) {
-  g_autoptr(json_t) answer = json_pack("{s:s, s:s, s:I, s:i}", W_JOB_ID, id, W_STATE, state, W_DONE,
-                                       (json_int_t)done, W_RUNNING, 0);
+  g_autoptr(json_t) answer = json_pack("{s:s, s:s, s:I, s:i}", WIRE_JOB_ID, id, WIRE_STATE, state,
+                                       WIRE_DONE, (json_int_t)done, WIRE_RUNNING, 0);
   char *text = json_dumps(answer, JSON_COMPACT);
 
   bounded_add(book->finals, book->final_order, FINALS_KEPT, id, g_strdup(text));
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -7,7 +7,7 @@
 #include "node/node.h"
 
 typedef struct MmMachine MmMachine;
-typedef struct MmHeld MmHeld;
+typedef struct MmOwnedShard MmOwnedShard;
 
 /* Where a task may be. Only the owner of its team knows. */
 typedef enum {
@@ -61,7 +61,7 @@
   MmDoneSet recorded; /* what the state service holds */
 
   /* The owner's view; NULL where the part is not held here. */
-  MmHeld *held;
+  MmOwnedShard *held;
   MmTask *tasks;
   MmDoneSet done;
   guint idle;       /* tasks in MM_TASK_IDLE */
--- a/src/jobs/spec.c
+++ b/src/jobs/spec.c
@@ -6,9 +6,9 @@
 
 gboolean
 mm_spec_id_is_valid(const char *id) {
-  gsize prefix = strlen(W_JOB_PREFIX);
+  gsize prefix = strlen(WIRE_JOB_PREFIX);
 
-  if (id == NULL || !g_str_has_prefix(id, W_JOB_PREFIX) || strlen(id) > MM_NAME_MAX
+  if (id == NULL || !g_str_has_prefix(id, WIRE_JOB_PREFIX) || strlen(id) > MM_NAME_MAX
       || id[prefix] == '\0')
     return FALSE;
   for (const char *c = id + prefix; *c != '\0'; c++)
@@ -54,7 +54,7 @@
 
 static gboolean
 read_types(const json_t *body, MmSpec *spec) {
-  const json_t *list = mm_json_get(body, W_TYPES);
+  const json_t *list = mm_json_get(body, WIRE_TYPES);
   size_t i;
   json_t *item;
 
@@ -87,60 +87,60 @@
   return FALSE;
 }
 
-static const char *const kinds[] = { W_KIND_ARRAY, W_KIND_GANG, W_KIND_SERVICE };
+static const char *const kinds[] = { WIRE_KIND_ARRAY, WIRE_KIND_GANG, WIRE_KIND_SERVICE };
 static const char *const priorities[] = { "low", "normal", "urgent", "critical" };
 
 gboolean
 mm_spec_parse(MmSpec *spec, const json_t *body, const char **reason) {
-  const json_t *tasks = mm_json_get(body, W_TASKS);
+  const json_t *tasks = mm_json_get(body, WIRE_TASKS);
   guint kind = 0, priority = 0;
 
   memset(spec, 0, sizeof *spec);
   if (!json_is_object(body))
     *reason = "the body must be a JSON object";
-  else if (!mm_spec_id_is_valid(mm_json_string(body, W_JOB_ID)))
-    *reason = W_JOB_ID " must be " W_JOB_PREFIX " and digits";
-  else if (!read_name(body, W_CLASS, &spec->job_class, TRUE))
-    *reason = W_CLASS " must be text";
-  else if (!read_name(body, W_TEAM, &spec->team, TRUE))
-    *reason = W_TEAM " must be text";
-  else if (!read_word(body, W_KIND, kinds, G_N_ELEMENTS(kinds), &kind))
-    *reason = W_KIND " must be array, group or service";
-  else if (!read_word(body, W_PRIORITY, priorities, G_N_ELEMENTS(priorities), &priority))
-    *reason = W_PRIORITY " must be critical, urgent, normal or low";
+  else if (!mm_spec_id_is_valid(mm_json_string(body, WIRE_JOB_ID)))
+    *reason = WIRE_JOB_ID " must be " WIRE_JOB_PREFIX " and digits";
+  else if (!read_name(body, WIRE_CLASS, &spec->job_class, TRUE))
+    *reason = WIRE_CLASS " must be text";
+  else if (!read_name(body, WIRE_TEAM, &spec->team, TRUE))
+    *reason = WIRE_TEAM " must be text";
+  else if (!read_word(body, WIRE_KIND, kinds, G_N_ELEMENTS(kinds), &kind))
+    *reason = WIRE_KIND " must be array, group or service";
+  else if (!read_word(body, WIRE_PRIORITY, priorities, G_N_ELEMENTS(priorities), &priority))
+    *reason = WIRE_PRIORITY " must be critical, urgent, normal or low";
   else if (!json_is_integer(tasks) || json_integer_value(tasks) < 1
            || json_integer_value(tasks) > MM_JOB_TASKS_MAX)
-    *reason = W_TASKS " must be a whole number from 1 to 100000";
-  else if (!read_amount(body, W_CORES, &spec->need.cores, NAN))
-    *reason = W_CORES " must be a number, 0 or more";
-  else if (!read_amount(body, W_ACCELERATORS, &spec->need.accelerators, NAN))
-    *reason = W_ACCELERATORS " must be a number, 0 or more";
-  else if (!read_amount(body, W_MEMORY, &spec->need.memory_gb, NAN))
-    *reason = W_MEMORY " must be a number, 0 or more";
-  else if (!read_name(body, W_IMAGE, &spec->image, TRUE))
-    *reason = W_IMAGE " must be text";
-  else if (!read_amount(body, W_IMAGE_GB, &spec->image_gb, NAN))
-    *reason = W_IMAGE_GB " must be a number, 0 or more";
+    *reason = WIRE_TASKS " must be a whole number from 1 to 100000";
+  else if (!read_amount(body, WIRE_CORES, &spec->need.cores, NAN))
+    *reason = WIRE_CORES " must be a number, 0 or more";
+  else if (!read_amount(body, WIRE_ACCELERATORS, &spec->need.accelerators, NAN))
+    *reason = WIRE_ACCELERATORS " must be a number, 0 or more";
+  else if (!read_amount(body, WIRE_MEMORY, &spec->need.memory_gb, NAN))
+    *reason = WIRE_MEMORY " must be a number, 0 or more";
+  else if (!read_name(body, WIRE_IMAGE, &spec->image, TRUE))
+    *reason = WIRE_IMAGE " must be text";
+  else if (!read_amount(body, WIRE_IMAGE_GB, &spec->image_gb, NAN))
+    *reason = WIRE_IMAGE_GB " must be a number, 0 or more";
   else if (!read_types(body, spec))
-    *reason = W_TYPES " must be null or a list of names";
-  else if (!read_name(body, W_ZONE, &spec->zone, FALSE))
-    *reason = W_ZONE " must be null or text";
-  else if (!read_flag(body, W_ONE_ZONE, &spec->one_zone))
-    *reason = W_ONE_ZONE " must be true or false";
-  else if (!read_flag(body, W_SPREAD, &spec->spread))
-    *reason = W_SPREAD " must be true or false";
-  else if (!read_flag(body, W_SPOT, &spec->spot))
-    *reason = W_SPOT " must be true or false";
-  else if (!read_amount(body, W_ESTIMATE, &spec->estimate_s, NAN))
-    *reason = W_ESTIMATE " must be a number, 0 or more";
-  else if (!read_amount(body, W_CHECKPOINT, &spec->checkpoint_s, NAN))
-    *reason = W_CHECKPOINT " must be a number, 0 or more";
-  else if (!read_amount(body, W_SAVE, &spec->save_s, NAN))
-    *reason = W_SAVE " must be a number, 0 or more";
-  else if (!read_amount(body, W_DEADLINE, &spec->deadline_s, -1))
-    *reason = W_DEADLINE " must be null or a number, 0 or more";
+    *reason = WIRE_TYPES " must be null or a list of names";
+  else if (!read_name(body, WIRE_ZONE, &spec->zone, FALSE))
+    *reason = WIRE_ZONE " must be null or text";
+  else if (!read_flag(body, WIRE_ONE_ZONE, &spec->one_zone))
+    *reason = WIRE_ONE_ZONE " must be true or false";
+  else if (!read_flag(body, WIRE_SPREAD, &spec->spread))
+    *reason = WIRE_SPREAD " must be true or false";
+  else if (!read_flag(body, WIRE_SPOT, &spec->spot))
+    *reason = WIRE_SPOT " must be true or false";
+  else if (!read_amount(body, WIRE_ESTIMATE, &spec->estimate_s, NAN))
+    *reason = WIRE_ESTIMATE " must be a number, 0 or more";
+  else if (!read_amount(body, WIRE_CHECKPOINT, &spec->checkpoint_s, NAN))
+    *reason = WIRE_CHECKPOINT " must be a number, 0 or more";
+  else if (!read_amount(body, WIRE_SAVE, &spec->save_s, NAN))
+    *reason = WIRE_SAVE " must be a number, 0 or more";
+  else if (!read_amount(body, WIRE_DEADLINE, &spec->deadline_s, -1))
+    *reason = WIRE_DEADLINE " must be null or a number, 0 or more";
   else {
-    spec->id = mm_name(mm_json_string(body, W_JOB_ID));
+    spec->id = mm_name(mm_json_string(body, WIRE_JOB_ID));
     spec->kind = (MmKind)kind;
     spec->priority = (MmPriority)priority;
     spec->tasks = (guint)json_integer_value(tasks);
@@ -157,22 +157,22 @@
 
   for (guint i = 0; i < spec->n_types; i++)
     json_array_append_new(types, json_string(spec->types[i].s));
-  body = json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:f, s:f, s:f, s:s, s:f, s:o}", W_JOB_ID,
-                   spec->id.s, W_CLASS, spec->job_class.s, W_TEAM, spec->team.s, W_KIND,
-                   kinds[spec->kind], W_PRIORITY, priorities[spec->priority], W_TASKS,
-                   (json_int_t)spec->tasks, W_CORES, spec->need.cores, W_ACCELERATORS,
-                   spec->need.accelerators, W_MEMORY, spec->need.memory_gb, W_IMAGE, spec->image.s,
-                   W_IMAGE_GB, spec->image_gb, W_TYPES, types);
+  body = json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:f, s:f, s:f, s:s, s:f, s:o}", WIRE_JOB_ID,
+                   spec->id.s, WIRE_CLASS, spec->job_class.s, WIRE_TEAM, spec->team.s, WIRE_KIND,
+                   kinds[spec->kind], WIRE_PRIORITY, priorities[spec->priority], WIRE_TASKS,
+                   (json_int_t)spec->tasks, WIRE_CORES, spec->need.cores, WIRE_ACCELERATORS,
+                   spec->need.accelerators, WIRE_MEMORY, spec->need.memory_gb, WIRE_IMAGE,
+                   spec->image.s, WIRE_IMAGE_GB, spec->image_gb, WIRE_TYPES, types);
   if (!mm_name_is_empty(&spec->zone))
-    json_object_set_new(body, W_ZONE, json_string(spec->zone.s));
-  json_object_set_new(body, W_ONE_ZONE, json_boolean(spec->one_zone));
-  json_object_set_new(body, W_SPREAD, json_boolean(spec->spread));
-  json_object_set_new(body, W_SPOT, json_boolean(spec->spot));
-  json_object_set_new(body, W_ESTIMATE, json_real(spec->estimate_s));
-  json_object_set_new(body, W_CHECKPOINT, json_real(spec->checkpoint_s));
-  json_object_set_new(body, W_SAVE, json_real(spec->save_s));
+    json_object_set_new(body, WIRE_ZONE, json_string(spec->zone.s));
+  json_object_set_new(body, WIRE_ONE_ZONE, json_boolean(spec->one_zone));
+  json_object_set_new(body, WIRE_SPREAD, json_boolean(spec->spread));
+  json_object_set_new(body, WIRE_SPOT, json_boolean(spec->spot));
+  json_object_set_new(body, WIRE_ESTIMATE, json_real(spec->estimate_s));
+  json_object_set_new(body, WIRE_CHECKPOINT, json_real(spec->checkpoint_s));
+  json_object_set_new(body, WIRE_SAVE, json_real(spec->save_s));
   if (spec->deadline_s >= 0)
-    json_object_set_new(body, W_DEADLINE, json_real(spec->deadline_s));
+    json_object_set_new(body, WIRE_DEADLINE, json_real(spec->deadline_s));
   return body;
 }
 
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -17,7 +17,7 @@
   MmKind kind;
   MmPriority priority;
   guint tasks;
-  MmRoom need;
+  MmResources need;
   MmName image;
   double image_gb;
   MmName *types; /* allowed machine types; none: any */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -140,7 +140,7 @@
       wrong_method(exchange);
     else if (!shed(node, SHED_POLLS_MS, exchange))
       mm_api_status(node, rest, exchange);
-  } else if (strcmp(slash + 1, W_CANCEL_WORD) == 0) {
+  } else if (strcmp(slash + 1, WIRE_CANCEL_WORD) == 0) {
     g_autofree char *id = g_strndup(rest, (gsize)(slash - rest));
     if (strcmp(method, "POST") == 0)
       mm_api_cancel(node, id, exchange);
@@ -154,18 +154,18 @@
 void
 mm_node_handle(MmNode *node, const char *method, const char *path, json_t *body,
                MmExchange *exchange) {
-  if (strcmp(path, W_REPORT_PATH) == 0) {
+  if (strcmp(path, WIRE_REPORT_PATH) == 0) {
     if (strcmp(method, "POST") == 0)
       mm_checkin_report(node->checkin, body, exchange);
     else
       wrong_method(exchange);
-  } else if (strcmp(path, W_JOBS_PATH) == 0) {
+  } else if (strcmp(path, WIRE_JOBS_PATH) == 0) {
     if (strcmp(method, "POST") != 0)
       wrong_method(exchange);
     else if (!shed(node, SHED_SUBMISSIONS_MS, exchange))
       mm_api_submit(node, body, exchange);
-  } else if (g_str_has_prefix(path, W_JOBS_PATH "/")) {
-    handle_job(node, method, path + strlen(W_JOBS_PATH "/"), exchange);
+  } else if (g_str_has_prefix(path, WIRE_JOBS_PATH "/")) {
+    handle_job(node, method, path + strlen(WIRE_JOBS_PATH "/"), exchange);
   } else if (strcmp(path, "/healthz") == 0) {
     if (strcmp(method, "GET") != 0)
       wrong_method(exchange);
--- a/src/node/port.h
+++ b/src/node/port.h
@@ -1,5 +1,5 @@
-/* The edges of a node: clock, outgoing requests, links and timers. The program fills them with
- * sockets, the tests with a simulated world. */
+/* What a node needs of the outside: clock, outgoing requests, links and timers. The program fills
+ * them with sockets, the tests with a simulated world. */
 #pragma once
 
 #include <jansson.h>
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -17,7 +17,7 @@
 #define OUTLOOK_OLD_MS 2000
 
 MmAttempt
-mm_owner_next_attempt(MmOwner *owner, const MmHeld *held) {
+mm_owner_next_attempt(MmOwner *owner, const MmOwnedShard *held) {
   /* Terms never come twice and the sequence starts anew with the process, which takes a new term
    * before it approves anything: so no attempt is ever given out twice, with no write per start. */
   return (MmAttempt){ held->term.v << 24 | (++owner->sequence & 0xffffff) };
@@ -27,7 +27,7 @@
  * machine that the job may not use, there is none of its tasks, heard or not. So services need not
  * wait for a spot machine that was taken, nor gangs for one without accelerators. */
 static gboolean
-may_be_unheard(const MmHeld *held, const MmJob *job) {
+may_be_unheard(const MmOwnedShard *held, const MmJob *job) {
   for (guint i = 0; i < held->unheard_kinds->len; i++) {
     const MmMachineKind *kind = &g_array_index(held->unheard_kinds, MmMachineKind, i);
     if (mm_name_is_empty(&kind->type)
@@ -39,7 +39,7 @@
 
 gboolean
 mm_owner_knows(MmOwner *owner, const MmJob *job) {
-  MmHeld *held = mm_owner_held(owner, job);
+  MmOwnedShard *held = mm_owner_held(owner, job);
 
   if (held->ready || job->known_after_claim)
     return TRUE;
@@ -194,7 +194,7 @@
 }
 
 static void
-add_kind(MmHeld *held, const MmMachine *machine) {
+add_kind(MmOwnedShard *held, const MmMachine *machine) {
   /* Of one that is not known, everything may be true. */
   MmMachineKind kind = machine != NULL
                            ? (MmMachineKind){ machine->type_name, machine->zone, machine->spot }
@@ -210,7 +210,7 @@
 }
 
 void
-mm_owner_sum_unheard(MmOwner *owner, MmHeld *held) {
+mm_owner_sum_unheard(MmOwner *owner, MmOwnedShard *held) {
   GHashTableIter iter;
   gpointer id;
   guint kinds = held->unheard_kinds->len;
@@ -220,7 +220,7 @@
   held->unheard_changed = FALSE;
   g_array_set_size(held->unheard_kinds, 0);
   held->unheard_any = FALSE;
-  held->unheard_room = (MmRoom){ 0 };
+  held->unheard_room = (MmResources){ 0 };
   g_hash_table_iter_init(&iter, held->unheard);
   while (g_hash_table_iter_next(&iter, &id, NULL)) {
     const MmMachine *machine = mm_roster_find(owner->node->roster, id);
@@ -228,7 +228,7 @@
     if (machine == NULL || machine->type == NULL)
       held->unheard_any = held->unheard_changed = TRUE; /* its type may become known */
     else
-      held->unheard_room = mm_room_add(held->unheard_room, machine->type->room);
+      held->unheard_room = mm_resources_add(held->unheard_room, machine->type->room);
   }
   if (held->unheard_kinds->len < kinds)
     mm_rank_changed(owner->node->rank);
@@ -239,27 +239,27 @@
  * machines that lay idle. */
 static gboolean
 within(double limit, double used, double need) {
-  return limit <= 0 || need <= 0 || used + need <= limit + MM_ROOM_SLACK;
+  return limit <= 0 || need <= 0 || used + need <= limit + MM_RESOURCES_SLACK;
 }
 
 /* What the team's tasks take or might take: all that may be on a machine, stops under way included,
  * and on a machine that has not been heard whatever fits there. */
 gboolean
-mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks) {
-  MmRoom limit = held->team->limit;
-  MmRoom used;
+mm_owner_quota_allows(MmOwner *owner, MmOwnedShard *held, const MmJob *job, guint tasks) {
+  MmResources limit = held->team->limit;
+  MmResources used;
 
   if (limit.cores <= 0 && limit.accelerators <= 0)
     return TRUE;
   mm_owner_sum_unheard(owner, held);
   if (held->unheard_any)
     return FALSE;
-  used = mm_room_add(held->used, held->unheard_room);
+  used = mm_resources_add(held->used, held->unheard_room);
   /* Else small jobs take what is left of the limit one by one: a large one never begins, and work
    * of higher priority waits for lower. */
   if (held->owed_to != NULL && held->owed_to != job
       && mm_owner_compare_pressing(&held->owed_to, &job) < 0)
-    used = mm_room_add(used, held->owed);
+    used = mm_resources_add(used, held->owed);
   return within(limit.cores, used.cores, tasks * job->spec.need.cores)
          && within(limit.accelerators, used.accelerators, tasks * job->spec.need.accelerators);
 }
@@ -369,7 +369,7 @@
 /* What holds for all tasks of the job alike. */
 static gboolean
 job_may_start(MmOwner *owner, const MmJob *job, const MmAsk *ask) {
-  return mm_room_fits(job->spec.need, ask->room) && !mm_owner_yields(owner, job)
+  return mm_resources_fits(job->spec.need, ask->room) && !mm_owner_yields(owner, job)
          && mm_owner_place_allowed(job, ask->machine)
          && mm_owner_quota_allows(owner, job->held, job, 1);
 }
@@ -387,7 +387,7 @@
 }
 
 static void
-approve(MmOwner *owner, MmHeld *held, MmJob *job, guint number, const MmAsk *ask,
+approve(MmOwner *owner, MmOwnedShard *held, MmJob *job, guint number, const MmAsk *ask,
         MmApproval *approval) {
   MmAttempt attempt = mm_owner_next_attempt(owner, held);
 
@@ -511,12 +511,12 @@
     return FALSE;
   if (mm_owner_reserved(owner, ask, approval))
     return TRUE;
-  ask->room = mm_room_least(ask->room, mm_machine_free(owner->node->roster, ask->machine));
+  ask->room = mm_resources_least(ask->room, mm_machine_free(owner->node->roster, ask->machine));
   pressing = mm_owner_pressing(owner);
   jobs = g_ptr_array_sized_new(pressing->len);
   for (guint i = 0; i < pressing->len; i++) {
     MmJob *job = g_ptr_array_index(pressing, i);
-    if (job->idle > 0 && mm_room_fits(job->spec.need, ask->room) && mm_owner_open(owner, job)
+    if (job->idle > 0 && mm_resources_fits(job->spec.need, ask->room) && mm_owner_open(owner, job)
         && mm_owner_quota_allows(owner, job->held, job, 1))
       g_ptr_array_add(jobs, job);
   }
--- a/src/owner/command.c
+++ b/src/owner/command.c
@@ -101,13 +101,13 @@
 send_direct(MmOwner *owner, MmMachine *machine, json_t *commands) {
   MmNode *node = owner->node;
   g_autoptr(json_t) body
-      = json_pack("{s:I, s:I, s:o}", W_TOKEN, (json_int_t)node->replica->term.v, W_SESSION,
-                  (json_int_t)MAX(machine->stamp.session, 1), W_COMMANDS, commands);
+      = json_pack("{s:I, s:I, s:o}", WIRE_TOKEN, (json_int_t)node->replica->term.v, WIRE_SESSION,
+                  (json_int_t)MAX(machine->stamp.session, 1), WIRE_COMMANDS, commands);
 
   if (machine->addr[0] == '\0' || !mm_claims_may_answer(node->claims))
     return;
-  node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "POST", W_DIRECT_PATH, body,
-                     2000, direct_answered, owner);
+  node->port.request(node->port.self, MM_TARGET_WORKER, machine->addr, "POST", WIRE_DIRECT_PATH,
+                     body, 2000, direct_answered, owner);
 }
 
 void
@@ -127,8 +127,8 @@
 
   for (guint i = 0; i < node->claims->names->len; i++) {
     const char *name = g_ptr_array_index(node->claims->names, i);
-    const MmPart *part = mm_replica_part(node->replica, name);
-    if (part != NULL && strcmp(name, MM_PART_FLEET) != 0)
+    const MmShard *part = mm_replica_shard(node->replica, name);
+    if (part != NULL && strcmp(name, MM_SHARD_FLEET) != 0)
       newest.v = MAX(newest.v, part->term.v);
   }
   return newest;
@@ -141,7 +141,7 @@
 
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value))
-    if (g_hash_table_contains(((MmHeld *)value)->unheard, machine->id.s))
+    if (g_hash_table_contains(((MmOwnedShard *)value)->unheard, machine->id.s))
       return TRUE;
   return FALSE;
 }
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -10,7 +10,7 @@
 
 typedef struct {
   MmMachine *machine;
-  MmRoom room;
+  MmResources room;
 } Place;
 
 static void
@@ -52,7 +52,7 @@
         || (zone != NULL && !mm_name_equal(&place.machine->zone, zone)))
       continue;
     place.room = mm_machine_free(roster, place.machine);
-    if (mm_room_fits(job->spec.need, place.room))
+    if (mm_resources_fits(job->spec.need, place.room))
       g_array_append_val(places, place);
   }
   return places;
@@ -60,7 +60,7 @@
 
 /* Reserves places for the whole gang; FALSE, with nothing reserved, when they do not suffice. */
 static gboolean
-reserve(MmOwner *owner, MmHeld *held, MmJob *job, const MmName *zone) {
+reserve(MmOwner *owner, MmOwnedShard *held, MmJob *job, const MmName *zone) {
   g_autoptr(GArray) places = open_places(owner, job, zone);
   g_autoptr(GPtrArray) chosen = g_ptr_array_new();
   MmAttempt attempt;
@@ -71,7 +71,7 @@
       /* First where the image is, then anywhere. */
       if (pass == 0 && !mm_machine_caches(place->machine, &job->spec.image))
         continue;
-      while (chosen->len < job->spec.tasks && mm_room_fits(job->spec.need, place->room)) {
+      while (chosen->len < job->spec.tasks && mm_resources_fits(job->spec.need, place->room)) {
         if (job->spec.spread) {
           guint here = 0;
           for (guint k = 0; k < chosen->len; k++)
@@ -80,7 +80,7 @@
           if (here >= mm_spec_zone_limit(&job->spec))
             break;
         }
-        place->room = mm_room_sub(place->room, job->spec.need);
+        place->room = mm_resources_sub(place->room, job->spec.need);
         g_ptr_array_add(chosen, place->machine);
       }
     }
@@ -94,7 +94,7 @@
 }
 
 static void
-plan(MmOwner *owner, MmHeld *held, MmJob *job) {
+plan(MmOwner *owner, MmOwnedShard *held, MmJob *job) {
   MmNode *node = owner->node;
 
   if (mm_owner_yields(owner, job) || !mm_owner_quota_allows(owner, held, job, job->spec.tasks))
@@ -126,7 +126,7 @@
   g_ptr_array_sort(jobs, mm_owner_compare_pressing);
   for (guint i = 0; i < jobs->len; i++) {
     MmJob *job = g_ptr_array_index(jobs, i);
-    MmHeld *held = mm_owner_held(owner, job);
+    MmOwnedShard *held = mm_owner_held(owner, job);
     guint started = 0;
     gboolean late = FALSE, paused = FALSE;
 
@@ -153,14 +153,14 @@
   for (guint i = 0; i < ask->machine->placed->len; i++) {
     const MmPlaced *placed = g_ptr_array_index(ask->machine->placed, i);
     MmTask *task = &placed->job->tasks[placed->number];
-    MmHeld *held = mm_owner_held(owner, placed->job);
-    MmRoom need = placed->job->spec.need;
+    MmOwnedShard *held = mm_owner_held(owner, placed->job);
+    MmResources need = placed->job->spec.need;
     /* Own requests have its room taken off already. Compared without it, no gang ever began that
      * had a place on a machine which reports to its owner. */
-    MmRoom room = ask->own ? mm_room_add(ask->room, need) : ask->room;
+    MmResources room = ask->own ? mm_resources_add(ask->room, need) : ask->room;
 
     if (task->state != MM_TASK_RESERVED || held == NULL || placed->job->cancelled
-        || !mm_room_fits(need, room))
+        || !mm_resources_fits(need, room))
       continue;
     mm_owner_place(owner, placed->job, placed->number, ask->machine, MM_TASK_ISSUED, task->attempt);
     task->issued = ask->stamp;
--- a/src/owner/guarantee.c
+++ b/src/owner/guarantee.c
@@ -6,13 +6,14 @@
 #define EVERY_MS 1000
 
 static gboolean
-fits(const MmRoom *guaranteed, const MmRoom *sum, const MmSpec *spec) {
+fits(const MmResources *guaranteed, const MmResources *sum, const MmSpec *spec) {
   /* An amount of 0 is no guarantee at all. */
-  if (spec->need.accelerators > 0 && sum->accelerators > guaranteed->accelerators + MM_ROOM_SLACK)
+  if (spec->need.accelerators > 0
+      && sum->accelerators > guaranteed->accelerators + MM_RESOURCES_SLACK)
     return FALSE;
   if (guaranteed->cores <= 0)
     return spec->need.accelerators > 0;
-  return sum->cores <= guaranteed->cores + MM_ROOM_SLACK;
+  return sum->cores <= guaranteed->cores + MM_RESOURCES_SLACK;
 }
 
 void
@@ -20,7 +21,7 @@
   MmNode *node = owner->node;
   const GArray *teams = node->settings->teams;
   MmTime now = mm_node_now(node);
-  g_autofree MmRoom *sums = NULL;
+  g_autofree MmResources *sums = NULL;
   gboolean timed = FALSE;
 
   if (mm_time_before(now, owner->next_guarantees))
@@ -28,7 +29,7 @@
   owner->next_guarantees = mm_time_add_ms(now, EVERY_MS);
   for (guint i = 0; i < node->settings->aims->len; i++)
     timed = timed || g_array_index(node->settings->aims, MmAim, i).kind == MM_AIM_GUARANTEE;
-  sums = g_new0(MmRoom, teams->len);
+  sums = g_new0(MmResources, teams->len);
   memset(owner->team_used, 0, teams->len * sizeof *owner->team_used);
   for (guint i = 0; i < node->book->order->len; i++) {
     MmJob *job = g_ptr_array_index(node->book->order, i);
@@ -49,7 +50,7 @@
       const MmJob *job
           = seen->state != MM_SEEN_ENDED ? mm_book_find(node->book, seen->job.s) : NULL;
       if (job != NULL && job->team >= 0)
-        owner->team_used[job->team] = mm_room_add(owner->team_used[job->team], job->spec.need);
+        owner->team_used[job->team] = mm_resources_add(owner->team_used[job->team], job->spec.need);
     }
   }
 }
@@ -57,13 +58,13 @@
 gboolean
 mm_owner_may_reclaim(const MmOwner *owner, const MmJob *job, const MmJob *from) {
   const MmTeamSettings *team;
-  MmRoom left;
+  MmResources left;
 
   if (!job->within || from->team < 0 || from->team == job->team || from->within
       || from->spec.kind == MM_KIND_SERVICE || from->spec.priority > job->spec.priority)
     return FALSE;
   team = &g_array_index(owner->node->settings->teams, MmTeamSettings, from->team);
-  left = mm_room_sub(owner->team_used[from->team], from->spec.need);
-  return left.cores >= team->guaranteed.cores - MM_ROOM_SLACK
-         && left.accelerators >= team->guaranteed.accelerators - MM_ROOM_SLACK;
+  left = mm_resources_sub(owner->team_used[from->team], from->spec.need);
+  return left.cores >= team->guaranteed.cores - MM_RESOURCES_SLACK
+         && left.accelerators >= team->guaranteed.accelerators - MM_RESOURCES_SLACK;
 }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -15,7 +15,7 @@
 
 static void
 held_free(gpointer data) {
-  MmHeld *held = data;
+  MmOwnedShard *held = data;
 
   g_hash_table_unref(held->unheard);
   g_array_unref(held->unheard_kinds);
@@ -29,7 +29,7 @@
 
   owner->node = node;
   owner->pressing = g_ptr_array_new();
-  owner->team_used = g_new0(MmRoom, node->settings->teams->len);
+  owner->team_used = g_new0(MmResources, node->settings->teams->len);
   owner->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
   owner->guesses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return owner;
@@ -44,7 +44,7 @@
   g_free(owner);
 }
 
-MmHeld *
+MmOwnedShard *
 mm_owner_held(const MmOwner *owner, const MmJob *job) {
   return job->held != NULL ? job->held : g_hash_table_lookup(owner->held, job->part);
 }
@@ -75,10 +75,10 @@
   job->idle += state == MM_TASK_IDLE;
   job->live += mm_task_is_live(state);
   if (mm_task_is_live(state) != mm_task_is_live(task->state)) {
-    MmHeld *held = mm_owner_held(owner, job);
+    MmOwnedShard *held = mm_owner_held(owner, job);
     if (held != NULL)
-      held->used = mm_task_is_live(state) ? mm_room_add(held->used, job->spec.need)
-                                          : mm_room_sub(held->used, job->spec.need);
+      held->used = mm_task_is_live(state) ? mm_resources_add(held->used, job->spec.need)
+                                          : mm_resources_sub(held->used, job->spec.need);
   }
   task->state = state;
   task->since = mm_node_now(owner->node);
@@ -99,9 +99,9 @@
     g_ptr_array_add(machine->placed, placed);
     task->machine = machine;
     if (state == MM_TASK_ISSUED) {
-      machine->promised = mm_room_sub(machine->promised, job->spec.need);
+      machine->promised = mm_resources_sub(machine->promised, job->spec.need);
       if (machine->promised.cores < 0)
-        machine->promised = (MmRoom){ 0 };
+        machine->promised = (MmResources){ 0 };
     }
   }
   if (task->attempt.v != attempt.v)
@@ -125,7 +125,7 @@
 
 static void
 drop_job(MmOwner *owner, MmJob *job) {
-  MmHeld *held = mm_owner_held(owner, job);
+  MmOwnedShard *held = mm_owner_held(owner, job);
 
   if (held != NULL && held->owed_to == job)
     held->owed_to = NULL;
@@ -145,7 +145,7 @@
 }
 
 static void
-adopt_job(MmOwner *owner, MmHeld *held, MmJob *job) {
+adopt_job(MmOwner *owner, MmOwnedShard *held, MmJob *job) {
   MmTime now = mm_node_now(owner->node);
 
   job->held = held;
@@ -183,7 +183,7 @@
 }
 
 void
-mm_owner_check_ready(MmOwner *owner, MmHeld *held) {
+mm_owner_check_ready(MmOwner *owner, MmOwnedShard *held) {
   if (held->ready || g_hash_table_size(held->unheard) > 0)
     return;
   held->ready = TRUE;
@@ -193,9 +193,9 @@
 }
 
 static void
-adopt_part(MmOwner *owner, const char *name, const MmTeamSettings *team, const MmPart *part) {
+adopt_part(MmOwner *owner, const char *name, const MmTeamSettings *team, const MmShard *part) {
   MmNode *node = owner->node;
-  MmHeld *held = g_new0(MmHeld, 1);
+  MmOwnedShard *held = g_new0(MmOwnedShard, 1);
 
   held->name = g_strdup(name);
   held->term = part->term;
@@ -235,10 +235,10 @@
 
   for (guint i = 0; i < node->settings->teams->len; i++) {
     const MmTeamSettings *team = &g_array_index(node->settings->teams, MmTeamSettings, i);
-    g_autofree char *name = mm_claims_part_of_team(&team->name);
-    MmHeld *held = g_hash_table_lookup(owner->held, name);
+    g_autofree char *name = mm_claims_shard_of_team(&team->name);
+    MmOwnedShard *held = g_hash_table_lookup(owner->held, name);
     gboolean holds = mm_claims_holds(node->claims, name);
-    const MmPart *part = mm_replica_part(node->replica, name);
+    const MmShard *part = mm_replica_shard(node->replica, name);
 
     if (held != NULL && (!holds || part->term.v != held->term.v)) {
       drop_part(owner, name);
@@ -251,7 +251,7 @@
 
 void
 mm_owner_job_changed(MmOwner *owner, MmJob *job) {
-  MmHeld *held = mm_owner_held(owner, job);
+  MmOwnedShard *held = mm_owner_held(owner, job);
 
   mm_owner_set_due(owner, job);
 
@@ -369,20 +369,21 @@
 
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    MmHeld *held = value;
-    held->used = held->owed = (MmRoom){ 0 };
+    MmOwnedShard *held = value;
+    held->used = held->owed = (MmResources){ 0 };
     held->owed_to = NULL;
     mm_owner_sum_unheard(owner, held);
   }
   for (guint i = 0; i < book->order->len; i++) {
     const MmJob *job = g_ptr_array_index(book->order, i);
-    MmHeld *held = job->tasks != NULL ? job->held : NULL;
+    MmOwnedShard *held = job->tasks != NULL ? job->held : NULL;
     if (held != NULL && job->idle > 0 && (job->aged || job->spec.priority >= MM_URGENT)
         && mm_owner_open(owner, job)
         && (held->owed_to == NULL || mm_owner_compare_pressing(&job, &held->owed_to) < 0)) {
       guint tasks = mm_job_is_gang(job) ? job->spec.tasks : MIN(job->idle, OWED_TASKS);
       held->owed_to = job;
-      held->owed = (MmRoom){ tasks * job->spec.need.cores, tasks * job->spec.need.accelerators, 0 };
+      held->owed
+          = (MmResources){ tasks * job->spec.need.cores, tasks * job->spec.need.accelerators, 0 };
     }
     if (held == NULL || job->live == 0)
       continue;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -12,17 +12,17 @@
 #include "peers.pb-c.h"
 #include "rank/rank.h"
 
-struct MmHeld {
+struct MmOwnedShard {
   char *name;
   MmTerm term;
   MmMark mark;
   MmTime taken;
   const MmTeamSettings *team;
-  MmRoom used;          /* by tasks that are or may be on machines */
-  const MmJob *owed_to; /* the most pressing job that waits and is in a hurry, */
-  MmRoom owed;          /* and what it needs of the team's limit */
-  MmRoom unheard_room;  /* what unheard machines might hold beside them */
-  gboolean unheard_any; /* one of them is of an unknown type: that may be anything */
+  MmResources used;         /* by tasks that are or may be on machines */
+  const MmJob *owed_to;     /* the most pressing job that waits and is in a hurry, */
+  MmResources owed;         /* and what it needs of the team's limit */
+  MmResources unheard_room; /* what unheard machines might hold beside them */
+  gboolean unheard_any;     /* one of them is of an unknown type: that may be anything */
   gboolean unheard_changed;
   GArray *unheard_kinds; /* MmMachineKind: each kind of machine that some of them are of */
   GHashTable *unheard;   /* ids of machines that may hold tasks that are not known of */
@@ -42,14 +42,14 @@
 
 struct MmOwner {
   MmNode *node;
-  GHashTable *held;    /* part name -> MmHeld */
+  GHashTable *held;    /* part name -> MmOwnedShard */
   GHashTable *guesses; /* class -> MmGuesses: how far users' guesses are off */
   guint64 sequence;    /* of attempts */
   gboolean writing;
   guint solo;          /* so many of the next writes carry one job only */
   GPtrArray *pressing; /* MmJob of the parts held here, most pressing first */
   gboolean pressing_stale;
-  MmRoom *team_used; /* by the settings' teams, on all machines, as seen a moment ago */
+  MmResources *team_used; /* by the settings' teams, on all machines, as seen a moment ago */
   MmTime next_guarantees;
   const MmJob *yield; /* the most pressing gang that waits for accelerators, anywhere */
   guint64 looked;     /* machines looked at for some job, ever */
@@ -62,7 +62,7 @@
 typedef struct {
   MmMachine *machine;
   MmStamp stamp;
-  MmRoom room;  /* free for this request; */
+  MmResources room; /* free for this request; */
   gboolean own; /* asked by the owner's node itself, which has taken off what it keeps for gangs */
   gboolean pull;
   guint n;
@@ -101,12 +101,12 @@
 /* Lowers the request's room to what is free as seen here. */
 gboolean mm_owner_ask(MmOwner *owner, MmAsk *ask, MmApproval *approval);
 void mm_owner_peer_ask(MmOwner *owner, guint peer, const Mm__Ask *message);
-MmHeld *mm_owner_held(const MmOwner *owner, const MmJob *job);
+MmOwnedShard *mm_owner_held(const MmOwner *owner, const MmJob *job);
 /* Whether all is known that earlier holders of its part may have started of the job: every machine
  * has been heard that it was ever allowed on. */
 gboolean mm_owner_knows(MmOwner *owner, const MmJob *job);
 /* Takes up which machines are still to be heard, if that has changed. */
-void mm_owner_sum_unheard(MmOwner *owner, MmHeld *held);
+void mm_owner_sum_unheard(MmOwner *owner, MmOwnedShard *held);
 /* Whether the job's tasks may be given out at all at the moment. */
 gboolean mm_owner_open(MmOwner *owner, const MmJob *job);
 /* Whether the job leaves its places to a gang that presses more. */
@@ -121,8 +121,8 @@
 gboolean mm_owner_place_allowed(const MmJob *job, const MmMachine *machine);
 /* The same, counting also places that are being cleared for the job's waiting tasks. */
 gboolean mm_owner_place_hoped(const MmOwner *owner, const MmJob *job, const MmMachine *machine);
-gboolean mm_owner_quota_allows(MmOwner *owner, MmHeld *held, const MmJob *job, guint tasks);
-MmAttempt mm_owner_next_attempt(MmOwner *owner, const MmHeld *held);
+gboolean mm_owner_quota_allows(MmOwner *owner, MmOwnedShard *held, const MmJob *job, guint tasks);
+MmAttempt mm_owner_next_attempt(MmOwner *owner, const MmOwnedShard *held);
 
 /* owner.c */
 static inline gboolean
@@ -134,7 +134,7 @@
                     MmAttempt attempt);
 void mm_owner_unplace(MmOwner *owner, MmJob *job, guint number);
 /* Notes when nothing is left to hear for the part. */
-void mm_owner_check_ready(MmOwner *owner, MmHeld *held);
+void mm_owner_check_ready(MmOwner *owner, MmOwnedShard *held);
 
 /* reports.c */
 /* Places what the machine's newest report shows, of one part only unless that is NULL. */
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -52,11 +52,11 @@
 /* The tasks to stop on the machine so that the job's task fits: how many, or -1 when that is not to
  * be had. */
 static gint
-victims_on(MmOwner *owner, const MmJob *job, const MmMachine *machine, MmRoom room,
+victims_on(MmOwner *owner, const MmJob *job, const MmMachine *machine, MmResources room,
            Victim chosen[VICTIMS_MAX]) {
   guint able = 0, n = 0;
 
-  if (mm_room_fits(job->spec.need, room))
+  if (mm_resources_fits(job->spec.need, room))
     return 0;
   for (guint i = 0; i < machine->tasks->len && able < VICTIMS_MAX; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
@@ -70,9 +70,9 @@
       chosen[able++] = (Victim){ seen, other };
   }
   qsort(chosen, able, sizeof *chosen, cheapest_first);
-  while (n < able && !mm_room_fits(job->spec.need, room))
-    room = mm_room_add(room, chosen[n++].job->spec.need);
-  return mm_room_fits(job->spec.need, room) ? (gint)n : -1;
+  while (n < able && !mm_resources_fits(job->spec.need, room))
+    room = mm_resources_add(room, chosen[n++].job->spec.need);
+  return mm_resources_fits(job->spec.need, room) ? (gint)n : -1;
 }
 
 double
@@ -89,7 +89,7 @@
   MmTime now = mm_node_now(node);
   gint64 period_ms = (gint64)(node->settings->report_s * 1000);
   gint64 silent_ms = mm_time_ms_since(now, machine->reported);
-  MmRoom room;
+  MmResources room;
 
   owner->looked++;
   if (silent_ms > 2 * period_ms || machine->addr[0] == '\0'
@@ -100,7 +100,7 @@
   if (mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE)
     return -1;
   if (mm_time_before(now, machine->clearing))
-    room = mm_room_sub(room, machine->promised);
+    room = mm_resources_sub(room, machine->promised);
   *n_victims = victims_on(owner, job, machine, room, victims);
   if (*n_victims < 0)
     return -1;
@@ -136,7 +136,7 @@
             machine->id.s, job->spec.id.s);
     if (victim->job->team >= 0)
       owner->team_used[victim->job->team]
-          = mm_room_sub(owner->team_used[victim->job->team], victim->job->spec.need);
+          = mm_resources_sub(owner->team_used[victim->job->team], victim->job->spec.need);
     mm_owner_stop(owner, machine, &victim->job->spec.id, victim->seen->number,
                   victim->seen->attempt, victim_grace_s(job, victim->job));
   }
@@ -149,8 +149,8 @@
   gint64 period_ms = (gint64)(owner->node->settings->report_s * 1000);
 
   if (!mm_time_before(now, machine->clearing))
-    machine->promised = (MmRoom){ 0 };
-  machine->promised = mm_room_add(machine->promised, job->spec.need);
+    machine->promised = (MmResources){ 0 };
+  machine->promised = mm_resources_add(machine->promised, job->spec.need);
   machine->clearing = mm_time_add_ms(now, 2 * period_ms);
   task->claimed = mm_time_add_ms(now, period_ms);
   task->claimed_on = machine->id;
@@ -243,7 +243,7 @@
   for (guint i = 0; i < node->roster->order->len && homes > 0; i++) {
     MmMachine *machine
         = g_ptr_array_index(node->roster->order, (from + i) % node->roster->order->len);
-    MmRoom room = mm_machine_free(node->roster, machine);
+    MmResources room = mm_machine_free(node->roster, machine);
 
     if (!mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->clearing)
         || !mm_owner_place_hoped(owner, job, machine)
@@ -257,7 +257,8 @@
 
       if (other == job || other->cancelled || other->spec.kind != MM_KIND_SERVICE
           || other->spec.priority > job->spec.priority || moved->state != MM_TASK_RUNNING
-          || moved->stopping || !mm_room_fits(job->spec.need, mm_room_add(room, other->spec.need)))
+          || moved->stopping
+          || !mm_resources_fits(job->spec.need, mm_resources_add(room, other->spec.need)))
         continue;
       if (homes-- == 0)
         return FALSE;
--- a/src/owner/record.c
+++ b/src/owner/record.c
@@ -29,7 +29,7 @@
   Write *write = data;
   MmOwner *owner = write->owner;
   MmNode *node = owner->node;
-  guint64 epoch = mm_json_count(body, W_REVISION, 0);
+  guint64 epoch = mm_json_count(body, WIRE_REVISION, 0);
 
   owner->writing = FALSE;
   if (status == 409)
@@ -39,7 +39,7 @@
     MmJob *job = mm_book_find(node->book, w->id.s);
 
     if (status == 200 && w->final)
-      mm_book_keep_final(node->book, w->id.s, w->cancelled ? W_CANCELLED : W_DONE,
+      mm_book_keep_final(node->book, w->id.s, w->cancelled ? WIRE_CANCELLED : WIRE_DONE,
                          job != NULL && job->tasks != NULL ? job->done.count : 0);
     if (job == NULL)
       continue;
@@ -75,18 +75,19 @@
 }
 
 static void
-add_to_write(MmOwner *owner, MmTxn *txn, Write *write, MmHeld *held, MmJob *job, gboolean final) {
+add_to_write(MmOwner *owner, MmTxn *txn, Write *write, MmOwnedShard *held, MmJob *job,
+             gboolean final) {
   Written w = { .id = job->spec.id, .final = final, .cancelled = job->cancelled };
 
   mm_txn_guard(txn, MM_KEY_JOB, job->spec.id.s, job->mark);
-  mm_txn_guard(txn, MM_KEY_PART, held->name, held->mark);
+  mm_txn_guard(txn, MM_KEY_SHARD, held->name, held->mark);
   if (final) {
     mm_info("%s (%s, %u tasks, guess %.0f s) is %s after %.1f s, due %.0f s, runs seen %.0f s",
             job->spec.id.s, job->spec.job_class.s, job->spec.tasks, job->spec.estimate_s,
-            job->cancelled ? W_CANCELLED : W_DONE, mm_job_waited_s(owner->node, job),
+            job->cancelled ? WIRE_CANCELLED : WIRE_DONE, mm_job_waited_s(owner->node, job),
             job->spec.deadline_s, job->seen_n > 0 ? job->seen_s / job->seen_n : 0);
     mm_txn_put(txn, MM_KEY_FINAL, job->spec.id.s,
-               json_pack("{s:s, s:I}", "m", job->cancelled ? W_CANCELLED : W_DONE, "n",
+               json_pack("{s:s, s:I}", "m", job->cancelled ? WIRE_CANCELLED : WIRE_DONE, "n",
                          (json_int_t)job->done.count),
                0);
     mm_txn_delete(txn, MM_KEY_JOB, job->spec.id.s);
@@ -118,7 +119,7 @@
   g_array_set_clear_func(write->jobs, written_clear);
   for (guint i = 0; i < node->book->order->len; i++) {
     MmJob *job = g_ptr_array_index(node->book->order, i);
-    MmHeld *held = job->tasks != NULL ? mm_owner_held(owner, job) : NULL;
+    MmOwnedShard *held = job->tasks != NULL ? mm_owner_held(owner, job) : NULL;
     gboolean final;
 
     if (held == NULL || job->writing)
--- a/src/owner/reports.c
+++ b/src/owner/reports.c
@@ -210,7 +210,7 @@
  * when the part was taken: the old session's tasks are gone, and starts for the new one need an
  * entry that only who has seen the part's term can believe. */
 static gboolean
-is_heard(const MmHeld *held, const MmMachine *machine) {
+is_heard(const MmOwnedShard *held, const MmMachine *machine) {
   gpointer session;
 
   return machine->token.v >= held->term.v
@@ -230,7 +230,7 @@
   miss_tasks(owner, machine, report);
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    MmHeld *held = value;
+    MmOwnedShard *held = value;
     if (!held->ready && is_heard(held, machine)
         && g_hash_table_remove(held->unheard, machine->id.s)) {
       held->unheard_changed = TRUE;
@@ -252,7 +252,7 @@
   }
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    MmHeld *held = value;
+    MmOwnedShard *held = value;
     if (g_hash_table_remove(held->unheard, machine->id.s)) {
       held->unheard_changed = TRUE;
       mm_owner_check_ready(owner, held);
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -25,11 +25,11 @@
   claims->node = node;
   claims->names = g_ptr_array_new_with_free_func(g_free);
   claims->free_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  g_ptr_array_add(claims->names, g_strdup(MM_PART_FLEET));
+  g_ptr_array_add(claims->names, g_strdup(MM_SHARD_FLEET));
   for (guint i = 0; i < node->settings->teams->len; i++)
     g_ptr_array_add(
         claims->names,
-        mm_claims_part_of_team(&g_array_index(node->settings->teams, MmTeamSettings, i).name));
+        mm_claims_shard_of_team(&g_array_index(node->settings->teams, MmTeamSettings, i).name));
   return claims;
 }
 
@@ -41,7 +41,7 @@
 }
 
 char *
-mm_claims_part_of_team(const MmName *team) {
+mm_claims_shard_of_team(const MmName *team) {
   return g_uri_escape_string(team->s, NULL, FALSE);
 }
 
@@ -85,7 +85,7 @@
 
 gboolean
 mm_claims_holds(const MmClaims *claims, const char *name) {
-  const MmPart *part = mm_replica_part(claims->node->replica, name);
+  const MmShard *part = mm_replica_shard(claims->node->replica, name);
 
   return part != NULL && claims->claim != 0 && part->claim == claims->claim
          && mm_name_equal(&part->holder, &claims->node->settings->label);
@@ -97,7 +97,7 @@
   const MmLinks *links = claims->node->links;
 
   for (guint i = 0; i < claims->names->len; i++) {
-    const MmPart *part = mm_replica_part(replica, g_ptr_array_index(claims->names, i));
+    const MmShard *part = mm_replica_shard(replica, g_ptr_array_index(claims->names, i));
     const MmNodeClaim *holder
         = part != NULL ? g_hash_table_lookup(replica->nodes, part->holder.s) : NULL;
     if (holder == NULL || holder->claim != part->claim)
@@ -135,7 +135,7 @@
   claims->asking = FALSE;
   if (status == 200) {
     claims->claim = call->claim;
-    claims->announced.v = mm_json_count(body, W_REVISION, 0);
+    claims->announced.v = mm_json_count(body, WIRE_REVISION, 0);
     claims->valid = valid_from(claims, call->sent);
     claims->next = mm_node_now(claims->node);
     mm_info("claim %" G_GUINT64_FORMAT " taken", call->claim);
@@ -149,7 +149,7 @@
 granted(gpointer data, int status, json_t *body) {
   Call *call = data;
   MmClaims *claims = call->claims;
-  guint64 claim = mm_json_count(body, W_LEASE, 0);
+  guint64 claim = mm_json_count(body, WIRE_LEASE, 0);
 
   if (status == 200 && claim != 0) {
     MmTxn txn = mm_txn();
@@ -179,9 +179,9 @@
     claims->next = mm_time_add_ms(mm_node_now(claims->node), 150);
     return;
   }
-  claims->key.v = status == 200 ? mm_json_count(body, W_VERSION, 0) : 0;
-  grant = json_pack("{s:I}", W_TTL, (json_int_t)ttl_ms(claims));
-  mm_store_request(claims->node->store, "POST", W_LEASES_PATH, grant, 1000, granted,
+  claims->key.v = status == 200 ? mm_json_count(body, WIRE_VERSION, 0) : 0;
+  grant = json_pack("{s:I}", WIRE_TTL, (json_int_t)ttl_ms(claims));
+  mm_store_request(claims->node->store, "POST", WIRE_LEASES_PATH, grant, 1000, granted,
                    call_new(claims, 0));
 }
 
@@ -256,7 +256,7 @@
                  claims);
   } else {
     g_autofree char *path
-        = g_strdup_printf(W_LEASES_PATH "/%" G_GUINT64_FORMAT "/renew", claims->claim);
+        = g_strdup_printf(WIRE_LEASES_PATH "/%" G_GUINT64_FORMAT "/renew", claims->claim);
     mm_store_request(claims->node->store, "POST", path, NULL, 1000, renewed,
                      call_new(claims, claims->claim));
   }
@@ -279,7 +279,7 @@
 
 /* Whose the part is to take: a life of the holder that has ended, or nobody's. */
 static gboolean
-is_free(const MmClaims *claims, const MmPart *part) {
+is_free(const MmClaims *claims, const MmShard *part) {
   return part == NULL
          || (mm_name_equal(&part->holder, &claims->node->settings->label)
              && part->claim != claims->claim);
@@ -313,9 +313,9 @@
   mm_txn_put(&txn, MM_KEY_TERM, "", json_pack("{s:I}", "t", (json_int_t)term), 0);
   for (guint i = 0; i < most; i++) {
     const char *name = g_ptr_array_index(wanted, i);
-    const MmPart *part = mm_replica_part(replica, name);
-    mm_txn_guard(&txn, MM_KEY_PART, name, part != NULL ? part->mark : (MmMark){ 0 });
-    mm_txn_put(&txn, MM_KEY_PART, name,
+    const MmShard *part = mm_replica_shard(replica, name);
+    mm_txn_guard(&txn, MM_KEY_SHARD, name, part != NULL ? part->mark : (MmMark){ 0 });
+    mm_txn_put(&txn, MM_KEY_SHARD, name,
                json_pack("{s:s, s:I, s:I}", "n", claims->node->settings->label.s, "c",
                          (json_int_t)claims->claim, "t", (json_int_t)term),
                claims->claim);
@@ -334,8 +334,8 @@
     const char *name = g_ptr_array_index(claims->names, i - 1);
     if (!mm_claims_holds(claims, name))
       continue;
-    mm_txn_guard(&txn, MM_KEY_PART, name, mm_replica_part(claims->node->replica, name)->mark);
-    mm_txn_delete(&txn, MM_KEY_PART, name);
+    mm_txn_guard(&txn, MM_KEY_SHARD, name, mm_replica_shard(claims->node->replica, name)->mark);
+    mm_txn_delete(&txn, MM_KEY_SHARD, name);
     if (txn.puts >= claims->node->settings->state_txn_ops)
       break;
     surplus--;
@@ -364,7 +364,7 @@
     if (strcmp(label, claims->node->settings->label.s) == 0)
       shares->me = n;
     for (guint i = 0; i < claims->names->len; i++) {
-      const MmPart *part = mm_replica_part(replica, g_ptr_array_index(claims->names, i));
+      const MmShard *part = mm_replica_shard(replica, g_ptr_array_index(claims->names, i));
       shares->held[n] += part != NULL && strcmp(label, part->holder.s) == 0;
     }
   }
@@ -393,7 +393,7 @@
 
   for (guint i = 0; i < claims->names->len; i++) {
     const char *name = g_ptr_array_index(claims->names, i);
-    const MmPart *part = mm_replica_part(claims->node->replica, name);
+    const MmShard *part = mm_replica_shard(claims->node->replica, name);
     gboolean unowned = is_free(claims, part);
     gint64 lying_ms = free_for_ms(claims, name, unowned);
     guint least;
--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -4,7 +4,7 @@
 
 #include "node/node.h"
 
-#define MM_PART_FLEET "=fleet"
+#define MM_SHARD_FLEET "=fleet"
 
 struct MmClaims {
   MmNode *node;
@@ -42,4 +42,4 @@
 /* Whether the replica shows this life of this node as holder of the part. */
 gboolean mm_claims_holds(const MmClaims *claims, const char *name);
 /* The part's name for a team: its name in a form that a key may have. */
-char *mm_claims_part_of_team(const MmName *team);
+char *mm_claims_shard_of_team(const MmName *team);
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -527,7 +527,7 @@
     introduce(links, index);
   switch (frame->body_case) {
   case MM__FRAME__BODY_HELLO:
-    break; /* the edge has used it to tell whose link this is */
+    break; /* the transport has used it to tell whose link this is */
   case MM__FRAME__BODY_PING:
     note_served(links, index, frame->ping->served_ms);
     answer_ping(links, index, frame->ping);
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -41,7 +41,8 @@
 void mm_links_free(MmLinks *links);
 void mm_links_tick(MmLinks *links);
 
-/* From the edge. A link is our own way to the peer; what it sends comes on its own link to us. */
+/* From the transport. A link is our own way to the peer; what it sends comes on its own link to us.
+ */
 /* The connection to the peer is open. That proves nothing yet: the peer may stand still. */
 void mm_links_connected(MmLinks *links, guint peer);
 void mm_links_down(MmLinks *links, guint peer);
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -184,15 +184,15 @@
 /* What work without accelerators takes of the machine: all that is taken, less the accelerated
  * tasks. Counting reported tasks alone once let one answer fill such a machine with services for
  * good. */
-static MmRoom
-others_take(const MmRank *rank, const MmMachine *machine, MmRoom room) {
-  MmRoom others = mm_room_sub(machine->type->room, room);
+static MmResources
+others_take(const MmRank *rank, const MmMachine *machine, MmResources room) {
+  MmResources others = mm_resources_sub(machine->type->room, room);
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
     if (seen->state != MM_SEEN_ENDED && there != NULL && there->spec.need.accelerators > 0)
-      others = mm_room_sub(others, there->spec.need);
+      others = mm_resources_sub(others, there->spec.need);
   }
   return others;
 }
@@ -206,20 +206,20 @@
 
 /* What accelerated work could not stop. Counting arrays as well once gave up every such machine at
  * the start of a day, and services joined them for good. */
-static MmRoom
+static MmResources
 lasting_take(const MmRank *rank, const MmMachine *machine) {
-  MmRoom taken = { 0 };
+  MmResources taken = { 0 };
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
     if (seen->state != MM_SEEN_ENDED && there != NULL && lasts(rank, there))
-      taken = mm_room_add(taken, there->spec.need);
+      taken = mm_resources_add(taken, there->spec.need);
   }
   for (guint i = 0; i < machine->placed->len; i++) {
     const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
     if (placed->job->tasks[placed->number].state == MM_TASK_ISSUED && lasts(rank, placed->job))
-      taken = mm_room_add(taken, placed->job->spec.need);
+      taken = mm_resources_add(taken, placed->job->spec.need);
   }
   return taken;
 }
@@ -236,13 +236,13 @@
  * as taken: after a restart of all nodes a second one was given up, since nothing was known of the
  * first. */
 static gboolean
-holds_largest(const MmRank *rank, const MmMachine *machine, MmRoom others) {
-  MmRoom room = machine->type->room;
+holds_largest(const MmRank *rank, const MmMachine *machine, MmResources others) {
+  MmResources room = machine->type->room;
 
   if (!rank->accelerated)
-    return others.cores <= MM_ROOM_SLACK;
-  return others.cores + rank->largest.cores <= room.cores + MM_ROOM_SLACK
-         && others.memory_gb + rank->largest.memory_gb <= room.memory_gb + MM_ROOM_SLACK;
+    return others.cores <= MM_RESOURCES_SLACK;
+  return others.cores + rank->largest.cores <= room.cores + MM_RESOURCES_SLACK
+         && others.memory_gb + rank->largest.memory_gb <= room.memory_gb + MM_RESOURCES_SLACK;
 }
 
 static gboolean
@@ -307,9 +307,9 @@
 }
 
 MmLeaves
-mm_rank_leaves(MmRank *rank, const MmJob *job, const MmMachine *machine, MmRoom room) {
+mm_rank_leaves(MmRank *rank, const MmJob *job, const MmMachine *machine, MmResources room) {
   gboolean given_up;
-  MmRoom others;
+  MmResources others;
 
   if (machine->type == NULL || machine->type->room.accelerators <= 0
       || job->spec.need.accelerators > 0)
@@ -321,7 +321,7 @@
   if (still_unknown(rank))
     return MM_WOULD_TAKE;
   others = others_take(rank, machine, room);
-  if (holds_largest(rank, machine, mm_room_add(others, job->spec.need)))
+  if (holds_largest(rank, machine, mm_resources_add(others, job->spec.need)))
     return MM_LEAVES;
   given_up = !holds_largest(rank, machine, lasting_take(rank, machine));
   /* Beside services that keep accelerated work away, other work takes nothing from it, and can be
@@ -386,19 +386,19 @@
 
 /* Gangs are listed for the fleet; their places are the owner's to pick. */
 static const MmJob *
-fitting(MmRank *rank, const MmWaiting *waiting, const MmMachine *machine, MmRoom room) {
+fitting(MmRank *rank, const MmWaiting *waiting, const MmMachine *machine, MmResources room) {
   const MmJob *job = mm_book_find(rank->node->book, waiting->job.s);
 
   return job != NULL && !job->cancelled && !mm_job_is_gang(job) && waiting->ranges->len > 0
-                 && mm_room_fits(job->spec.need, room) && mm_rank_allows(job, machine)
+                 && mm_resources_fits(job->spec.need, room) && mm_rank_allows(job, machine)
                  && mm_rank_leaves(rank, job, machine, room) != MM_MAY_NOT
              ? job
              : NULL;
 }
 
 static gboolean
-choose_first(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried, guint dry,
-             MmChoice *choice) {
+choose_first(MmRank *rank, const MmMachine *machine, MmResources room, const GArray *tried,
+             guint dry, MmChoice *choice) {
   const MmJob *best = NULL;
 
   for (guint v = 0; v < rank->n_views; v++) {
@@ -423,7 +423,7 @@
 
 /* The ordinary path: the machine's own order of the tasks whose image it caches. */
 static gboolean
-choose_cached(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried,
+choose_cached(MmRank *rank, const MmMachine *machine, MmResources room, const GArray *tried,
               MmChoice *choice) {
   g_autoptr(GArray) ranked = g_array_new(FALSE, FALSE, sizeof(Ranked));
   guint n = rank->node->roster->order->len, m = rank->n_views, f = 0, z = 0;
@@ -467,7 +467,7 @@
 
 /* A pull: an owner drawn in proportion to what it has unfinished. */
 static gboolean
-choose_pull(MmRank *rank, const MmMachine *machine, MmRoom room, guint dry, MmChoice *choice) {
+choose_pull(MmRank *rank, const MmMachine *machine, MmResources room, guint dry, MmChoice *choice) {
   g_autofree guint *weights = g_new0(guint, rank->n_views);
   guint total = 0, drawn;
 
@@ -502,7 +502,7 @@
 }
 
 MmChoice
-mm_rank_choose(MmRank *rank, const MmMachine *machine, MmRoom room, const GArray *tried,
+mm_rank_choose(MmRank *rank, const MmMachine *machine, MmResources room, const GArray *tried,
                guint dry) {
   MmChoice choice = { .view = -1 };
 
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -60,7 +60,7 @@
 
 static void
 put_part(MmReplica *replica, const char *name, const json_t *value, MmMark mark) {
-  MmPart *part = g_new0(MmPart, 1);
+  MmShard *part = g_new0(MmShard, 1);
 
   part->holder = mm_name(mm_json_string(value, "n"));
   part->claim = mm_json_count(value, "c", 0);
@@ -98,8 +98,8 @@
     replica->term_mark = mark;
   } else if (strcmp(key, MM_KEY_TYPES) == 0) {
     mm_types_stored(replica->node->types, value, mark);
-  } else if (g_str_has_prefix(key, MM_KEY_PART)) {
-    put_part(replica, key + strlen(MM_KEY_PART), value, mark);
+  } else if (g_str_has_prefix(key, MM_KEY_SHARD)) {
+    put_part(replica, key + strlen(MM_KEY_SHARD), value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_NODE)) {
     put_node(replica, key + strlen(MM_KEY_NODE), value);
   } else if (g_str_has_prefix(key, MM_KEY_PACK)) {
@@ -111,8 +111,8 @@
 
 static void
 apply_delete(MmReplica *replica, const char *key) {
-  if (g_str_has_prefix(key, MM_KEY_PART)) {
-    g_hash_table_remove(replica->parts, key + strlen(MM_KEY_PART));
+  if (g_str_has_prefix(key, MM_KEY_SHARD)) {
+    g_hash_table_remove(replica->parts, key + strlen(MM_KEY_SHARD));
   } else if (g_str_has_prefix(key, MM_KEY_NODE)) {
     if (g_hash_table_remove(replica->nodes, key + strlen(MM_KEY_NODE))) {
       node_gone(replica);
@@ -154,7 +154,7 @@
 static void
 revision_read(gpointer data, int status, json_t *body) {
   MmReplica *replica = data;
-  guint64 epoch = mm_json_count(body, W_REVISION, 0);
+  guint64 epoch = mm_json_count(body, WIRE_REVISION, 0);
   GList *next;
 
   replica->reading = FALSE;
@@ -250,7 +250,7 @@
 
   g_hash_table_iter_init(&iter, replica->parts);
   while (g_hash_table_iter_next(&iter, &key, NULL))
-    g_ptr_array_add(gone, g_strconcat(MM_KEY_PART, key, NULL));
+    g_ptr_array_add(gone, g_strconcat(MM_KEY_SHARD, key, NULL));
   g_hash_table_iter_init(&iter, replica->nodes);
   while (g_hash_table_iter_next(&iter, &key, NULL))
     g_ptr_array_add(gone, g_strconcat(MM_KEY_NODE, key, NULL));
@@ -284,7 +284,7 @@
 static void
 page_loaded(gpointer data, int status, json_t *body) {
   MmReplica *replica = data;
-  json_t *items = mm_json_get(body, W_ITEMS);
+  json_t *items = mm_json_get(body, WIRE_ITEMS);
   size_t i;
   json_t *item;
 
@@ -294,19 +294,19 @@
   }
   /* The first page's revision: the watch from there repeats what later pages may already show. */
   if (replica->loading_epoch == 0)
-    replica->loading_epoch = mm_json_count(body, W_REVISION, 0);
+    replica->loading_epoch = mm_json_count(body, WIRE_REVISION, 0);
   json_array_foreach(items, i, item) {
-    const char *key = mm_json_string(item, W_KEY);
+    const char *key = mm_json_string(item, WIRE_KEY);
     if (key == NULL)
       continue;
     g_hash_table_add(replica->seen, g_strdup(key));
-    replica->newest_mark = MAX(replica->newest_mark, mm_json_count(item, W_VERSION, 0));
-    apply_put(replica, key, mm_json_get(item, W_VALUE),
-              (MmMark){ mm_json_count(item, W_VERSION, 0) });
+    replica->newest_mark = MAX(replica->newest_mark, mm_json_count(item, WIRE_VERSION, 0));
+    apply_put(replica, key, mm_json_get(item, WIRE_VALUE),
+              (MmMark){ mm_json_count(item, WIRE_VERSION, 0) });
     g_free(replica->after);
     replica->after = g_strdup(key);
   }
-  if (mm_json_flag(body, W_MORE)) {
+  if (mm_json_flag(body, WIRE_MORE)) {
     mm_store_list(replica->node->store, MM_KEY_ROOT, replica->after, PAGE, page_loaded, replica);
     return;
   }
@@ -339,7 +339,7 @@
   Watch *w = data;
   MmReplica *replica = w->replica;
   MmTime sent = w->sent;
-  json_t *events = mm_json_get(body, W_EVENTS);
+  json_t *events = mm_json_get(body, WIRE_EVENTS);
   size_t i;
   json_t *event;
   gint64 pause_ms;
@@ -350,20 +350,20 @@
     load(replica);
     return;
   }
-  if (status != 200 || mm_json_get(body, W_REVISION) == NULL) {
+  if (status != 200 || mm_json_get(body, WIRE_REVISION) == NULL) {
     replica->node->port.later(replica->node->port.self, RETRY_MS, watch, replica);
     return;
   }
   json_array_foreach(events, i, event) {
-    const char *put = mm_json_string(event, W_PUT);
-    const char *gone = mm_json_string(event, W_DELETE);
+    const char *put = mm_json_string(event, WIRE_PUT);
+    const char *gone = mm_json_string(event, WIRE_DELETE);
     if (put != NULL)
-      apply_put(replica, put, mm_json_get(event, W_VALUE),
-                (MmMark){ mm_json_count(event, W_VERSION, 0) });
+      apply_put(replica, put, mm_json_get(event, WIRE_VALUE),
+                (MmMark){ mm_json_count(event, WIRE_VERSION, 0) });
     else if (gone != NULL)
       apply_delete(replica, gone);
   }
-  replica->epoch = MAX(replica->epoch, mm_json_count(body, W_REVISION, 0));
+  replica->epoch = MAX(replica->epoch, mm_json_count(body, WIRE_REVISION, 0));
   replica->fresh = mm_time_max(replica->fresh, sent);
   replica->ticked = mm_node_now(replica->node);
   replica->stale_us = replica->ticked.us - sent.us;
@@ -396,8 +396,8 @@
   load(replica);
 }
 
-const MmPart *
-mm_replica_part(const MmReplica *replica, const char *name) {
+const MmShard *
+mm_replica_shard(const MmReplica *replica, const char *name) {
   return g_hash_table_lookup(replica->parts, name);
 }
 
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -12,7 +12,7 @@
   guint64 claim;
   MmTerm term;
   MmMark mark;
-} MmPart;
+} MmShard;
 
 typedef struct {
   guint64 claim;
@@ -29,7 +29,7 @@
   MmTerm term;
   MmTerm first_term; /* when this life of the node had loaded it */
   MmMark term_mark;
-  GHashTable *parts; /* name -> MmPart */
+  GHashTable *parts; /* name -> MmShard */
   GHashTable *nodes; /* label -> MmNodeClaim */
   MmTime node_gone;  /* when a node's claim was last seen to have gone */
   MmTime loading;    /* since when */
@@ -59,6 +59,6 @@
 void mm_replica_when_current(MmReplica *replica, MmCurrent call, gpointer data);
 /* For how long this node can't have read what changed, proved outages aside. */
 gint64 mm_replica_staleness_us(const MmReplica *replica);
-const MmPart *mm_replica_part(const MmReplica *replica, const char *name);
+const MmShard *mm_replica_shard(const MmReplica *replica, const char *name);
 /* The live nodes' labels in order; free the container only. */
 GPtrArray *mm_replica_live(const MmReplica *replica);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -82,16 +82,16 @@
   g_autofree char *path = g_strconcat(prefix, key, NULL);
 
   json_array_append_new(txn->guards,
-                        json_pack("{s:s, s:I}", W_KEY, path, W_VERSION, (json_int_t)mark.v));
+                        json_pack("{s:s, s:I}", WIRE_KEY, path, WIRE_VERSION, (json_int_t)mark.v));
 }
 
 void
 mm_txn_put(MmTxn *txn, const char *prefix, const char *key, json_t *value, guint64 claim) {
   g_autofree char *path = g_strconcat(prefix, key, NULL);
-  json_t *put = json_pack("{s:s, s:o}", W_PUT, path, W_VALUE, value);
+  json_t *put = json_pack("{s:s, s:o}", WIRE_PUT, path, WIRE_VALUE, value);
 
   if (claim != 0)
-    json_object_set_new(put, W_LEASE, json_integer((json_int_t)claim));
+    json_object_set_new(put, WIRE_LEASE, json_integer((json_int_t)claim));
   json_array_append_new(txn->apply, put);
   txn->puts++;
 }
@@ -100,14 +100,14 @@
 mm_txn_delete(MmTxn *txn, const char *prefix, const char *key) {
   g_autofree char *path = g_strconcat(prefix, key, NULL);
 
-  json_array_append_new(txn->apply, json_pack("{s:s}", W_DELETE, path));
+  json_array_append_new(txn->apply, json_pack("{s:s}", WIRE_DELETE, path));
   txn->puts++;
 }
 
 void
 mm_store_get(MmStore *store, const char *prefix, const char *key, MmAnswered answered,
              gpointer data) {
-  g_autofree char *path = g_strconcat(W_KEYS_PATH "/", prefix, key, NULL);
+  g_autofree char *path = g_strconcat(WIRE_KEYS_PATH "/", prefix, key, NULL);
 
   mm_store_request(store, "GET", path, NULL, REQUEST_TIMEOUT_MS, answered, data);
 }
@@ -116,8 +116,8 @@
 mm_store_list(MmStore *store, const char *prefix, const char *after, guint most,
               MmAnswered answered, gpointer data) {
   g_autofree char *path
-      = g_strdup_printf(W_KEYS_PATH "?" W_PREFIX "=%s%s%s&" W_LIMIT "=%u", prefix,
-                        after != NULL ? "&" W_AFTER "=" : "", after != NULL ? after : "", most);
+      = g_strdup_printf(WIRE_KEYS_PATH "?" WIRE_PREFIX "=%s%s%s&" WIRE_LIMIT "=%u", prefix,
+                        after != NULL ? "&" WIRE_AFTER "=" : "", after != NULL ? after : "", most);
 
   mm_store_request(store, "GET", path, NULL, REQUEST_TIMEOUT_MS, answered, data);
 }
@@ -125,8 +125,8 @@
 void
 mm_store_watch(MmStore *store, const char *prefix, guint64 since, guint wait_ms,
                MmAnswered answered, gpointer data) {
-  g_autofree char *path = g_strdup_printf(W_WATCH_PATH "?" W_PREFIX "=%s&" W_AFTER
-                                                       "=%" G_GUINT64_FORMAT "&" W_WAIT "=%u",
+  g_autofree char *path = g_strdup_printf(WIRE_WATCH_PATH "?" WIRE_PREFIX "=%s&" WIRE_AFTER
+                                                          "=%" G_GUINT64_FORMAT "&" WIRE_WAIT "=%u",
                                           prefix, since, wait_ms);
 
   mm_store_request(store, "GET", path, NULL, wait_ms + REQUEST_TIMEOUT_MS, answered, data);
@@ -134,10 +134,10 @@
 
 void
 mm_store_commit(MmStore *store, MmTxn *txn, MmAnswered answered, gpointer data) {
-  g_autoptr(json_t) body = json_pack("{s:o, s:o}", W_IF, txn->guards, W_THEN, txn->apply);
+  g_autoptr(json_t) body = json_pack("{s:o, s:o}", WIRE_IF, txn->guards, WIRE_THEN, txn->apply);
 
   store->writes += txn->puts;
-  mm_store_request(store, "POST", W_TXN_PATH, body, REQUEST_TIMEOUT_MS, answered, data);
+  mm_store_request(store, "POST", WIRE_TXN_PATH, body, REQUEST_TIMEOUT_MS, answered, data);
   *txn = (MmTxn){ 0 };
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -29,7 +29,7 @@
 #define MM_KEY_TYPES MM_KEY_ROOT "a-types"
 #define MM_KEY_TERM MM_KEY_ROOT "term"
 #define MM_KEY_NODE MM_KEY_ROOT "n/"
-#define MM_KEY_PART MM_KEY_ROOT "p/"
+#define MM_KEY_SHARD MM_KEY_ROOT "p/"
 #define MM_KEY_PACK MM_KEY_ROOT "m/"
 #define MM_KEY_JOB MM_KEY_ROOT "j/"
 #define MM_KEY_NONE "mm/none"
--- a/src/edge/http-client.c
+++ b/src/transport/http-client.c
@@ -1,4 +1,4 @@
-#include "edge/edge.h"
+#include "transport/transport.h"
 
 #include <libsoup/soup.h>
 
--- a/src/edge/http-server.c
+++ b/src/transport/http-server.c
@@ -1,7 +1,7 @@
 /* The server for users, workers and health checks. libmicrohttpd in place of libsoup, its nearest
  * kin: docs/design.md has the figures of both. One epoll descriptor of its own hangs in GLib's main
  * loop; no thread is started. */
-#include "edge/edge.h"
+#include "transport/transport.h"
 
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -189,7 +189,7 @@
 
 MmHttpServer *
 mm_http_server_new(MmNode *node, const char *listen, GError **error) {
-  g_autoptr(GSocketAddress) address = mm_edge_address(listen);
+  g_autoptr(GSocketAddress) address = mm_transport_address(listen);
   MmHttpServer *self = g_new0(MmHttpServer, 1);
   guint most = node->settings->max_sockets;
   struct sockaddr_in native;
--- a/src/edge/main.c
+++ b/src/transport/main.c
@@ -2,41 +2,41 @@
 #include <stdlib.h>
 
 #include "base/clock.h"
-#include "edge/edge.h"
+#include "transport/transport.h"
 
 #define EXIT_USAGE 2
 
 typedef struct {
   MmHttpClient *client;
   MmPeerSockets *peers;
-} Edge;
+} Transport;
 
 static MmTime
-edge_now(gpointer self) {
+transport_now(gpointer self) {
   return mm_clock_now();
 }
 
 static gint64
-edge_wall_ms(gpointer self) {
+transport_wall_ms(gpointer self) {
   return mm_clock_wall_ms();
 }
 
 static void
-edge_request(gpointer self, MmTarget target, const char *address, const char *method,
-             const char *path, const json_t *body, guint timeout_ms, MmAnswered answered,
-             gpointer data) {
-  mm_http_client_request(((Edge *)self)->client, target, address, method, path, body, timeout_ms,
-                         answered, data);
+transport_request(gpointer self, MmTarget target, const char *address, const char *method,
+                  const char *path, const json_t *body, guint timeout_ms, MmAnswered answered,
+                  gpointer data) {
+  mm_http_client_request(((Transport *)self)->client, target, address, method, path, body,
+                         timeout_ms, answered, data);
 }
 
 static void
-edge_send(gpointer self, guint peer, const Mm__Frame *frame) {
-  mm_peer_sockets_send(((Edge *)self)->peers, peer, frame);
+transport_send(gpointer self, guint peer, const Mm__Frame *frame) {
+  mm_peer_sockets_send(((Transport *)self)->peers, peer, frame);
 }
 
 static void
-edge_reconnect(gpointer self, guint peer) {
-  mm_peer_sockets_reconnect(((Edge *)self)->peers, peer);
+transport_reconnect(gpointer self, guint peer) {
+  mm_peer_sockets_reconnect(((Transport *)self)->peers, peer);
 }
 
 typedef struct {
@@ -54,7 +54,7 @@
 }
 
 static void
-edge_later(gpointer self, guint ms, void (*call)(gpointer data), gpointer data) {
+transport_later(gpointer self, guint ms, void (*call)(gpointer data), gpointer data) {
   Later *later = g_new(Later, 1);
 
   *later = (Later){ call, data };
@@ -69,14 +69,14 @@
 
 static int
 run(const MmSettings *settings, const MmOperators *operators) {
-  Edge edge = { mm_http_client_new(settings), mm_peer_sockets_new(settings) };
-  MmPort port
-      = { &edge, edge_now, edge_wall_ms, edge_request, edge_send, edge_reconnect, edge_later };
+  Transport transport = { mm_http_client_new(settings), mm_peer_sockets_new(settings) };
+  MmPort port = { &transport,     transport_now,       transport_wall_ms, transport_request,
+                  transport_send, transport_reconnect, transport_later };
   MmNode *node = mm_node_new(settings, operators, &port, g_random_int());
   g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
   g_autoptr(GError) error = NULL;
 
-  if (!mm_peer_sockets_start(edge.peers, node, &error)
+  if (!mm_peer_sockets_start(transport.peers, node, &error)
       || mm_http_server_new(node, settings->front, &error) == NULL) {
     mm_error("cannot listen: %s", error->message);
     return EXIT_FAILURE;
--- a/src/edge/peer-socket.c
+++ b/src/transport/peer-socket.c
@@ -1,7 +1,7 @@
 /* Links between nodes: each node sends on connections of its own making and receives on those that
  * the others made. A frame is its length in four bytes, then the message. What is sent within one
  * turn of the main loop goes out in one write. */
-#include "edge/edge.h"
+#include "transport/transport.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -49,7 +49,7 @@
 static void connect_out(Out *out);
 
 GSocketAddress *
-mm_edge_address(const char *text) {
+mm_transport_address(const char *text) {
   const char *colon = strrchr(text, ':');
   g_autofree char *host = NULL;
 
@@ -225,7 +225,7 @@
 
 static void
 connect_out(Out *out) {
-  g_autoptr(GSocketAddress) address = mm_edge_address(out->endpoint);
+  g_autoptr(GSocketAddress) address = mm_transport_address(out->endpoint);
 
   if (address == NULL) {
     mm_error("peer address %s is not usable", out->endpoint);
@@ -329,7 +329,7 @@
 
 gboolean
 mm_peer_sockets_start(MmPeerSockets *sockets, MmNode *node, GError **error) {
-  g_autoptr(GSocketAddress) address = mm_edge_address(sockets->settings->cluster_listen);
+  g_autoptr(GSocketAddress) address = mm_transport_address(sockets->settings->cluster_listen);
 
   sockets->node = node;
   sockets->service = g_socket_service_new();
--- a/src/edge/edge.h
+++ b/src/transport/transport.h
@@ -10,7 +10,7 @@
 typedef struct MmPeerSockets MmPeerSockets;
 
 /* "10.0.0.1:8080" as an address; NULL when it is not one. */
-GSocketAddress *mm_edge_address(const char *text);
+GSocketAddress *mm_transport_address(const char *text);
 
 MmHttpServer *mm_http_server_new(MmNode *node, const char *listen, GError **error);
 
--- a/tests/test-broken.c
+++ b/tests/test-broken.c
@@ -16,7 +16,7 @@
     world_start(world);
     world_run(world, 3);
     for (guint i = 0; i < 4; i++)
-      world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 6, W_KIND, W_KIND_SERVICE), 30);
+      world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE), 30);
     for (guint round = 0; round < 12 && !broken; round++) {
       for (guint i = 0; i < 3; i++) {
         WorldMachine *machine
@@ -66,7 +66,7 @@
     world_run(world, 3);
     for (guint second = 0; second < 60 && !broken; second++) {
       if (second % 2 == 0)
-        world_submit(world, json_pack("{s:i}", W_TASKS, 3), world_uniform(world, 1, 6));
+        world_submit(world, json_pack("{s:i}", WIRE_TASKS, 3), world_uniform(world, 1, 6));
       if (second % 20 == 10)
         world_kill_node(world, second / 20, 0.3);
       world_run(world, 1);
@@ -107,7 +107,8 @@
     world_add_machine(world, "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
   world_start(world);
   world_run(world, 3);
-  service = world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 8, W_KIND, W_KIND_SERVICE), 0);
+  service = world_submit(world,
+                         json_pack("{s:i, s:s}", WIRE_TASKS, 8, WIRE_KIND, WIRE_KIND_SERVICE), 0);
   world_run(world, 12);
   deaf = first_that_runs(world);
   deaf->deaf_until_us = world->now_us + 3600 * (gint64)G_USEC_PER_SEC;
@@ -117,7 +118,7 @@
     world_kill_node(world, i, 0.2);
   /* An older job needs the parts to be taken in full: nothing of it runs, all machines are heard.
    */
-  later = world_submit(world, json_pack("{s:i}", W_TASKS, 3), 2);
+  later = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 3), 2);
   world_run(world, 90);
   g_assert_cmpuint(world->broken->len, ==, 0);
   /* No task runs twice, as the rules' check has shown: so many are all of them. */
@@ -155,7 +156,7 @@
     world_start(world);
     world_run(world, 3);
     for (guint i = 0; i < 2; i++)
-      world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 3, W_KIND, W_KIND_SERVICE), 30);
+      world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 3, WIRE_KIND, WIRE_KIND_SERVICE), 30);
     world_run(world, 8);
     world->cloud_down_until_us = G_MAXINT64;
     for (guint i = 0; i < WORLD_NODES && !broken; i++) {
--- a/tests/test-health.c
+++ b/tests/test-health.c
@@ -32,7 +32,7 @@
     g_assert_nonnull(s.machines[i]);
   }
   for (guint i = 0; i < JOBS; i++)
-    s.jobs[i] = mm_name(world_submit(s.world, json_pack("{s:i}", W_TASKS, MACHINES), 5)->id);
+    s.jobs[i] = mm_name(world_submit(s.world, json_pack("{s:i}", WIRE_TASKS, MACHINES), 5)->id);
   world_run(s.world, 0.5);
   return s;
 }
--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -29,9 +29,9 @@
   g_autofree char *image = g_strdup_printf("web-%d", g_rand_int_range(world->rand, 0, 20));
 
   world_submit(world,
-               json_pack("{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:f}", W_TEAM, team, W_KIND,
-                         W_KIND_SERVICE, W_PRIORITY, "critical", W_IMAGE, image, W_TASKS, tasks,
-                         W_SPREAD, 1, W_SPOT, 0, W_MEMORY, 7.2),
+               json_pack("{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:f}", WIRE_TEAM, team, WIRE_KIND,
+                         WIRE_KIND_SERVICE, WIRE_PRIORITY, "critical", WIRE_IMAGE, image,
+                         WIRE_TASKS, tasks, WIRE_SPREAD, 1, WIRE_SPOT, 0, WIRE_MEMORY, 7.2),
                0);
 }
 
@@ -41,8 +41,8 @@
   g_autofree char *image = g_strdup_printf("array-%d", g_rand_int_range(world->rand, 0, 16));
 
   world_submit(world,
-               json_pack("{s:s, s:s, s:s, s:i, s:f}", W_TEAM, team, W_KIND, W_KIND_ARRAY, W_IMAGE,
-                         image, W_TASKS, tasks, W_MEMORY, 3.7),
+               json_pack("{s:s, s:s, s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_ARRAY,
+                         WIRE_IMAGE, image, WIRE_TASKS, tasks, WIRE_MEMORY, 3.7),
                run_s);
 }
 
@@ -153,7 +153,7 @@
     g_hash_table_iter_init(&iter, world->nodes[i].node->owner->held);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
       held++;
-      if (!((MmHeld *)value)->ready)
+      if (!((MmOwnedShard *)value)->ready)
         return FALSE;
     }
   }
@@ -200,7 +200,7 @@
   WorldJob *array;
 
   world_run(world, 3);
-  array = world_submit(world, json_pack("{s:i}", W_TASKS, 40), 4);
+  array = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 40), 4);
   world_run(world, 4);
   g_assert_cmpint(array->told, ==, ACCEPTED);
   for (guint i = 0; i < WORLD_NODES; i++)
@@ -216,7 +216,7 @@
     gpointer value;
     g_hash_table_iter_init(&iter, world->nodes[i].node->owner->held);
     while (g_hash_table_iter_next(&iter, NULL, &value))
-      g_assert_true(((MmHeld *)value)->ready);
+      g_assert_true(((MmOwnedShard *)value)->ready);
   }
   world_assert_rules(world);
   world_free(world);
@@ -247,7 +247,8 @@
   WorldJob *job;
 
   world_run(world, 8);
-  job = world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 6, W_KIND, W_KIND_SERVICE), 0);
+  job = world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE),
+                     0);
   world_run(world, 6);
   for (gint i = 0; i < WORLD_NODES; i++)
     if (mm_claims_holds(world->nodes[i].node->claims, "team-0"))
@@ -281,21 +282,24 @@
   world_run(world, 3);
   for (guint second = 0; second < 300; second++) {
     g_autofree char *team = g_strdup_printf("team-%u", second % 2);
-    world_submit(world,
-                 json_pack("{s:s, s:i, s:s}", W_TEAM, team, W_TASKS, 6, W_PRIORITY, "urgent"), 15);
+    world_submit(
+        world,
+        json_pack("{s:s, s:i, s:s}", WIRE_TEAM, team, WIRE_TASKS, 6, WIRE_PRIORITY, "urgent"), 15);
     if (second % 3 == 0)
       world_submit(world,
-                   json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", W_TEAM, team, W_KIND, W_KIND_GANG,
-                             W_TASKS, 1, W_ACCELERATORS, 2.0, W_CORES, 6.0, W_PRIORITY, "urgent"),
+                   json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, team, WIRE_KIND,
+                             WIRE_KIND_GANG, WIRE_TASKS, 1, WIRE_ACCELERATORS, 2.0, WIRE_CORES, 6.0,
+                             WIRE_PRIORITY, "urgent"),
                    20);
     for (guint i = 0; i < 6 && second == 30; i++) {
       g_autofree char *its = g_strdup_printf("team-%u", i % 2);
-      json_t *job
-          = i < 2   ? json_pack("{s:s, s:i, s:s}", W_TEAM, its, W_TASKS, 120, W_PRIORITY, "low")
-            : i < 4 ? json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", W_TEAM, its, W_KIND, W_KIND_GANG,
-                                W_TASKS, 2, W_ACCELERATORS, 2.0, W_CORES, 6.0, W_PRIORITY, "urgent")
-                    : json_pack("{s:s, s:s, s:i, s:b}", W_TEAM, its, W_KIND, W_KIND_SERVICE,
-                                W_TASKS, 12, W_SPREAD, 1);
+      json_t *job = i < 2   ? json_pack("{s:s, s:i, s:s}", WIRE_TEAM, its, WIRE_TASKS, 120,
+                                        WIRE_PRIORITY, "low")
+                    : i < 4 ? json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, its, WIRE_KIND,
+                                        WIRE_KIND_GANG, WIRE_TASKS, 2, WIRE_ACCELERATORS, 2.0,
+                                        WIRE_CORES, 6.0, WIRE_PRIORITY, "urgent")
+                            : json_pack("{s:s, s:s, s:i, s:b}", WIRE_TEAM, its, WIRE_KIND,
+                                        WIRE_KIND_SERVICE, WIRE_TASKS, 12, WIRE_SPREAD, 1);
       big[i] = world_submit(world, job, 20);
     }
     world_run(world, 1);
@@ -327,16 +331,18 @@
   world_start(world);
   world_run(world, 8);
   world_submit(world,
-               json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", W_TEAM, "team-1", W_KIND, W_KIND_GANG,
-                         W_TASKS, 1, W_ACCELERATORS, 2.0, W_CORES, 16.0, W_PRIORITY, "urgent"),
+               json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, "team-1", WIRE_KIND,
+                         WIRE_KIND_GANG, WIRE_TASKS, 1, WIRE_ACCELERATORS, 2.0, WIRE_CORES, 16.0,
+                         WIRE_PRIORITY, "urgent"),
                60);
   world_run(world, 6);
   /* More than the small machines hold. */
-  world_submit(
-      world,
-      json_pack("{s:i, s:s, s:s}", W_TASKS, 10, W_KIND, W_KIND_SERVICE, W_PRIORITY, "critical"), 0);
+  world_submit(world,
+               json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 10, WIRE_KIND, WIRE_KIND_SERVICE,
+                         WIRE_PRIORITY, "critical"),
+               0);
   world_run(world, 20);
-  world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 300, W_PRIORITY, "normal"), 90);
+  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 300, WIRE_PRIORITY, "normal"), 90);
   world_run(world, 12);
   for (guint i = 0; i < world->machines->len; i++) {
     const WorldMachine *machine = g_ptr_array_index(world->machines, i);
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -31,7 +31,8 @@
 submit_many(World *world, guint n, const char *kind, guint tasks, double run_s) {
   for (guint i = 0; i < n; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i % 4);
-    world_submit(world, json_pack("{s:i, s:s, s:s}", W_TASKS, tasks, W_KIND, kind, W_TEAM, team),
+    world_submit(world,
+                 json_pack("{s:i, s:s, s:s}", WIRE_TASKS, tasks, WIRE_KIND, kind, WIRE_TEAM, team),
                  run_s);
   }
 }
@@ -119,7 +120,7 @@
 /* A command is held up for seconds, and its machine goes on meanwhile. */
 static guint
 held_commands(World *world) {
-  submit_many(world, 4, W_KIND_ARRAY, 4, 30);
+  submit_many(world, 4, WIRE_KIND_ARRAY, 4, 30);
   world_run(world, 8);
   with_tasks(world, 3, cut, 6);
   cancel_all(world);
@@ -131,11 +132,11 @@
 
 static guint
 zone_cut_with_node(World *world) {
-  submit_many(world, 4, W_KIND_SERVICE, 3, 0);
+  submit_many(world, 4, WIRE_KIND_SERVICE, 3, 0);
   world_run(world, 8);
   world_cut_zone(world, 0, world->lease_s + 8, TRUE);
   world_run(world, 5);
-  submit_many(world, 2, W_KIND_ARRAY, 4, 5);
+  submit_many(world, 2, WIRE_KIND_ARRAY, 4, 5);
   world_run(world, world->lease_s + 15);
   return sessions_ended(world, "a");
 }
@@ -144,15 +145,15 @@
  * register only, and proves their sessions over as the zone comes back. */
 static guint
 zone_cut_and_restart(World *world) {
-  submit_many(world, 4, W_KIND_SERVICE, 3, 0);
-  submit_many(world, 8, W_KIND_ARRAY, 6, 12);
+  submit_many(world, 4, WIRE_KIND_SERVICE, 3, 0);
+  submit_many(world, 8, WIRE_KIND_ARRAY, 6, 12);
   world_run(world, 6);
   world_cut_zone(world, 0, 2 * world->lease_s + world_uniform(world, 1, 4), TRUE);
   world_run(world, world_uniform(world, 2, world->lease_s + 2));
   world_kill_node(world, 1, world_uniform(world, 0.3, 3));
   for (guint i = 0; i < 12; i++) {
     world_run(world, 3);
-    submit_many(world, 2, W_KIND_ARRAY, 5, 12);
+    submit_many(world, 2, WIRE_KIND_ARRAY, 5, 12);
   }
   return sessions_ended(world, "a");
 }
@@ -162,7 +163,7 @@
 all_end_one_returns(World *world) {
   guint64 before;
 
-  submit_many(world, 4, W_KIND_ARRAY, 5, 25);
+  submit_many(world, 4, WIRE_KIND_ARRAY, 5, 25);
   world_run(world, 6);
   before = newest_term(world);
   for (guint round = 0; round < 3; round++) {
@@ -179,7 +180,7 @@
 static guint
 old_reports(World *world) {
   world->copies = 0.3;
-  submit_many(world, 6, W_KIND_ARRAY, 3, 12);
+  submit_many(world, 6, WIRE_KIND_ARRAY, 3, 12);
   for (guint round = 0; round < 3; round++) {
     world_run(world, 6);
     with_tasks(world, 2, round % 2 == 0 ? cut : deafen, world->lease_s + 3);
@@ -196,7 +197,7 @@
 late_writes(World *world) {
   world->late_writes = 0.3;
   for (guint round = 0; round < 8; round++) {
-    submit_many(world, 2, W_KIND_ARRAY, 3, 5);
+    submit_many(world, 2, WIRE_KIND_ARRAY, 3, 5);
     world_run(world, 4);
     world_cancel(job_at(world, round * 2));
     if (round % 3 == 1)
@@ -215,7 +216,7 @@
 late_announcements(World *world) {
   guint before;
 
-  submit_many(world, 3, W_KIND_ARRAY, 4, 20);
+  submit_many(world, 3, WIRE_KIND_ARRAY, 4, 20);
   world_run(world, 6);
   before = world->late_void;
   for (guint round = 0; round < 8; round++) {
@@ -236,7 +237,7 @@
 mute_machines(World *world) {
   guint heard = 0;
 
-  submit_many(world, 4, W_KIND_ARRAY, 4, 40);
+  submit_many(world, 4, WIRE_KIND_ARRAY, 4, 40);
   world_run(world, 8);
   with_tasks(world, 4, silence, world->lease_s + 12);
   world_run(world, 0.5);
@@ -254,7 +255,7 @@
   guint old = world_leader(world), met = 0;
   guint64 before = newest_term(world);
 
-  submit_many(world, 5, W_KIND_ARRAY, 3, 6);
+  submit_many(world, 5, WIRE_KIND_ARRAY, 3, 6);
   world_run(world, 4);
   for (guint i = 0; i < world->machines->len; i++) {
     machine_at(world, i)->copy_at_us = world->now_us + 9 * SECOND + (gint64)i * SECOND / 3;
@@ -263,7 +264,7 @@
   world_run(world, 1.5);
   world_kill_node(world, old, 20);
   world_run(world, 6.5);
-  submit_many(world, 5, W_KIND_ARRAY, 3, 6);
+  submit_many(world, 5, WIRE_KIND_ARRAY, 3, 6);
   for (guint i = 0; i < world->machines->len; i++)
     met += machine_at(world, i)->copy_at_us == 0 && machine_at(world, i)->token > before;
   world_run(world, 20);
@@ -279,7 +280,7 @@
   for (guint i = 0; i < world->machines->len; i++)
     machine_at(world, i)->faulty = 0;
   for (guint i = 0; i < 6; i++)
-    world_submit(world, json_pack("{s:i}", W_TASKS, 2 + i % 2), 2)->stagger_s = 14;
+    world_submit(world, json_pack("{s:i}", WIRE_TASKS, 2 + i % 2), 2)->stagger_s = 14;
   for (guint i = 0; i < 3; i++) {
     world_run(world, 8);
     world_kill_node(world, world_leader(world), i % 2 == 0 ? 0.3 : 3);
@@ -300,7 +301,7 @@
 
   world->cancelled_at_end = 0.7;
   for (guint i = 0; i < 12; i++) {
-    submit_many(world, 2, W_KIND_ARRAY, 1 + i % 3, 1 + i % 4);
+    submit_many(world, 2, WIRE_KIND_ARRAY, 1 + i % 3, 1 + i % 4);
     world_run(world, 2);
     world_odd_requests(world);
   }
@@ -319,8 +320,8 @@
 gap(World *world) {
   guint leader, met;
 
-  submit_many(world, 6, W_KIND_ARRAY, 4, 300);
-  submit_many(world, 2, W_KIND_SERVICE, 2, 0);
+  submit_many(world, 6, WIRE_KIND_ARRAY, 4, 300);
+  submit_many(world, 2, WIRE_KIND_SERVICE, 2, 0);
   world_run(world, 8);
   leader = world_leader(world);
   refuse(world, leader, 14);
@@ -344,7 +345,7 @@
   guint leader, met = 0;
   const MmNode *other;
 
-  submit_many(world, 8, W_KIND_ARRAY, 3, 300);
+  submit_many(world, 8, WIRE_KIND_ARRAY, 3, 300);
   world_run(world, 8);
   leader = world_leader(world);
   other = world->nodes[(leader + 1) % WORLD_NODES].node;
@@ -360,9 +361,9 @@
   world_store_outage(world, world->cancel_s + 12);
   world_run(world, 0.5);
   for (guint i = 0; i < world->jobs->len; i++) {
-    g_autofree char *part = mm_claims_part_of_team(&job_at(world, i)->spec.team);
+    g_autofree char *part = mm_claims_shard_of_team(&job_at(world, i)->spec.team);
     met += job_at(world, i)->told == TOLD_CANCELLED
-           && mm_replica_part(other->replica, part) == NULL;
+           && mm_replica_shard(other->replica, part) == NULL;
   }
   world_run(world, world->cancel_s + 20);
   return met;
@@ -375,8 +376,8 @@
 
   for (guint i = 0; i < 6; i++)
     world_submit(world,
-                 json_pack("{s:i, s:s, s:s}", W_TASKS, 3, W_ZONE, "b", W_KIND,
-                           i % 3 == 0 ? W_KIND_SERVICE : W_KIND_ARRAY),
+                 json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 3, WIRE_ZONE, "b", WIRE_KIND,
+                           i % 3 == 0 ? WIRE_KIND_SERVICE : WIRE_KIND_ARRAY),
                  12);
   world_run(world, 8);
   for (guint i = 0; i < world->machines->len && lost < 2; i++) {
@@ -396,7 +397,7 @@
 leader_apart(World *world) {
   guint leader, met = 0;
 
-  submit_many(world, 6, W_KIND_ARRAY, 4, 300);
+  submit_many(world, 6, WIRE_KIND_ARRAY, 4, 300);
   world_run(world, 8);
   leader = world_leader(world);
   world_cut_node(world, leader, world->cancel_s + 10, FALSE);
@@ -421,10 +422,10 @@
   world->capacity = 1;
   for (guint i = 0; i < 36; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i % 4);
-    world_submit(
-        world,
-        json_pack("{s:i, s:s, s:s}", W_TASKS, 5, W_PRIORITY, priorities[i / 4 % 4], W_TEAM, team),
-        20);
+    world_submit(world,
+                 json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 5, WIRE_PRIORITY, priorities[i / 4 % 4],
+                           WIRE_TEAM, team),
+                 20);
   }
   world_run(world, 30);
   for (guint i = 0; i < world->jobs->len; i++)
@@ -441,7 +442,7 @@
   guint met = 0;
   guint64 before;
 
-  submit_many(world, 5, W_KIND_ARRAY, 4, 35);
+  submit_many(world, 5, WIRE_KIND_ARRAY, 4, 35);
   world_run(world, 8);
   before = newest_term(world);
   met += with_tasks(world, 2, cut, world->lease_s - 2);
@@ -459,7 +460,7 @@
   guint64 before;
   WorldJob *after;
 
-  submit_many(world, 6, W_KIND_ARRAY, 4, 30);
+  submit_many(world, 6, WIRE_KIND_ARRAY, 4, 30);
   world_run(world, 6);
   before = newest_term(world);
   for (guint i = 0; i < 11; i++) {
@@ -467,10 +468,10 @@
     if (i == 4)
       world_store_outage(world, 8);
     /* So that machines are kept. */
-    submit_many(world, 2, W_KIND_ARRAY, 2, 5);
+    submit_many(world, 2, WIRE_KIND_ARRAY, 2, 5);
     world_run(world, 10.5);
   }
-  after = world_submit(world, json_pack("{s:i}", W_TASKS, 2), 3);
+  after = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 2), 3);
   world_run(world, 25);
   g_assert_cmpint(after->began_us, >, 0);
   return newest_term(world) >= before + 10;
@@ -484,7 +485,7 @@
 
   world->slow_s = 0.8;
   world->slow_until_us = world->now_us + 30 * SECOND;
-  submit_many(world, 6, W_KIND_ARRAY, 4, 200);
+  submit_many(world, 6, WIRE_KIND_ARRAY, 4, 200);
   world_run(world, 15);
   cancel_all(world);
   refuse(world, world_leader(world), 10);
@@ -500,8 +501,8 @@
 
 static guint
 all_away(World *world) {
-  submit_many(world, 4, W_KIND_ARRAY, 4, 30);
-  submit_many(world, 2, W_KIND_SERVICE, 3, 0);
+  submit_many(world, 4, WIRE_KIND_ARRAY, 4, 30);
+  submit_many(world, 2, WIRE_KIND_SERVICE, 3, 0);
   world_run(world, 8);
   for (guint i = 0; i < WORLD_NODES; i++)
     world_kill_node(world, i, world->lease_s + 6);
@@ -516,7 +517,7 @@
   guint running = 0;
 
   for (guint i = 0; i < 5; i++)
-    world_submit(world, json_pack("{s:i}", W_TASKS, 6), 25);
+    world_submit(world, json_pack("{s:i}", WIRE_TASKS, 6), 25);
   world_run(world, 10);
   for (guint i = 0; i < 5; i++)
     running += world_running(world, job_at(world, i), NULL);
@@ -533,7 +534,7 @@
 called_off_and_hung(World *world) {
   guint met;
 
-  submit_many(world, 8, W_KIND_ARRAY, 3, 200);
+  submit_many(world, 8, WIRE_KIND_ARRAY, 3, 200);
   world_run(world, 10);
   cancel_all(world);
   world_run(world, 0.1);
@@ -548,7 +549,7 @@
 stale_node(World *world) {
   guint node;
 
-  submit_many(world, 6, W_KIND_ARRAY, 4, 300);
+  submit_many(world, 6, WIRE_KIND_ARRAY, 4, 300);
   world_run(world, 8);
   node = world_leader(world);
   world->nodes[node].unread_until_us = world->now_us + 60 * SECOND;
@@ -569,7 +570,7 @@
 fleet_cut_from_workers(World *world) {
   guint holder = 0, n, up = 0, left = 0;
 
-  submit_many(world, 6, W_KIND_SERVICE, 2, 0);
+  submit_many(world, 6, WIRE_KIND_SERVICE, 2, 0);
   world_run(world, 8);
   while (!world->nodes[holder].node->fleet->active)
     holder++;
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -24,7 +24,7 @@
   for (guint i = 0; i < 2; i++)
     ((WorldMachine *)g_ptr_array_index(s.world->machines, i))->hung_until_us
         = s.world->now_us + 100 * (gint64)G_USEC_PER_SEC;
-  job = world_submit(s.world, json_pack("{s:i}", W_TASKS, (int)tasks), 5);
+  job = world_submit(s.world, json_pack("{s:i}", WIRE_TASKS, (int)tasks), 5);
   world_run(s.world, 0.5);
   for (guint i = 0; i < WORLD_NODES; i++) {
     MmNode *node = s.world->nodes[i].node;
@@ -105,13 +105,13 @@
 static void
 test_owes_what_is_limited(void) {
   Setting s = set_up(2);
-  MmHeld *held = mm_owner_held(s.owner, s.job);
+  MmOwnedShard *held = mm_owner_held(s.owner, s.job);
   MmTeamSettings team = *held->team;
   MmJob starving = { .aged = TRUE, .spec = { .need = { 43, 8, 310 }, .tasks = 1 } };
 
-  team.limit = (MmRoom){ 0, 13, 0 };
+  team.limit = (MmResources){ 0, 13, 0 };
   held->team = &team;
-  held->used = (MmRoom){ 43, 8, 310 };
+  held->used = (MmResources){ 43, 8, 310 };
   held->owed = starving.spec.need;
   held->owed_to = &starving;
   g_assert_true(mm_owner_quota_allows(s.owner, held, s.job, 2));
@@ -189,7 +189,7 @@
 static void
 test_waits_where_it_may_be(void) {
   Setting s = set_up(2);
-  MmHeld *held = mm_owner_held(s.owner, s.job);
+  MmOwnedShard *held = mm_owner_held(s.owner, s.job);
   MmMachine *spot = s.machines[0];
 
   s.job->known_after_claim = FALSE;
@@ -303,7 +303,7 @@
   job->within = TRUE;
   from.team = 1;
   from.within = FALSE;
-  s.owner->team_used[1] = (MmRoom){ 6, 0, 0 };
+  s.owner->team_used[1] = (MmResources){ 6, 0, 0 };
   g_assert_true(mm_owner_may_reclaim(s.owner, job, &from));
   s.owner->team_used[1].cores = 5; /* would fall below its own guarantee */
   g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
@@ -332,11 +332,12 @@
   world_start(world);
   world_run(world, 5);
   world_submit(world,
-               json_pack("{s:i, s:f, s:s, s:f, s:f}", W_TASKS, 4, W_CORES, 1.0, W_PRIORITY, "low",
-                         W_CHECKPOINT, 30.0, W_SAVE, 3.0),
+               json_pack("{s:i, s:f, s:s, s:f, s:f}", WIRE_TASKS, 4, WIRE_CORES, 1.0, WIRE_PRIORITY,
+                         "low", WIRE_CHECKPOINT, 30.0, WIRE_SAVE, 3.0),
                300);
   world_run(world, 6);
-  job = world_submit(world, json_pack("{s:i, s:s}", W_TASKS, (int)tasks, W_PRIORITY, priority), 30);
+  job = world_submit(world,
+                     json_pack("{s:i, s:s}", WIRE_TASKS, (int)tasks, WIRE_PRIORITY, priority), 30);
   world_run(world, wait_s);
   g_assert_cmpuint(world_running(world, job, NULL), >, 0);
   g_assert_cmpuint(world->stops, >, 0);
@@ -375,8 +376,8 @@
   for (guint team = 0; team < 4; team++) {
     g_autofree char *name = g_strdup_printf("team-%u", team);
     WorldJob *job = world_submit(world,
-                                 json_pack("{s:i, s:s, s:s, s:f}", W_TASKS, 2, W_KIND, W_KIND_GANG,
-                                           W_TEAM, name, W_CORES, 12.0),
+                                 json_pack("{s:i, s:s, s:s, s:f}", WIRE_TASKS, 2, WIRE_KIND,
+                                           WIRE_KIND_GANG, WIRE_TEAM, name, WIRE_CORES, 12.0),
                                  60);
     world_run(world, 8);
     g_assert_cmpuint(world_running(world, job, NULL), ==, 2);
@@ -416,18 +417,19 @@
   world_start(world);
   world_run(world, 5);
   first = world_submit(world,
-                       json_pack("{s:i, s:s, s:f, s:f}", W_TASKS, 1, W_PRIORITY, "urgent", W_CORES,
-                                 16.0, W_ACCELERATORS, 2.0),
+                       json_pack("{s:i, s:s, s:f, s:f}", WIRE_TASKS, 1, WIRE_PRIORITY, "urgent",
+                                 WIRE_CORES, 16.0, WIRE_ACCELERATORS, 2.0),
                        3);
   world_run(world, 8);
   g_assert_cmpuint(first->n_done, ==, 1);
-  array = world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 60, W_TEAM, "team-1"), 300);
+  array = world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 60, WIRE_TEAM, "team-1"), 300);
   world_run(world, 12);
   g_assert_cmpuint(world_running(world, array, NULL), >, 0);
   g_assert_cmpuint(machines_in_use(world), <=, 3);
   gang = world_submit(world,
-                      json_pack("{s:i, s:s, s:s, s:f, s:f}", W_TASKS, 6, W_KIND, W_KIND_GANG,
-                                W_PRIORITY, "urgent", W_CORES, 16.0, W_ACCELERATORS, 2.0),
+                      json_pack("{s:i, s:s, s:s, s:f, s:f}", WIRE_TASKS, 6, WIRE_KIND,
+                                WIRE_KIND_GANG, WIRE_PRIORITY, "urgent", WIRE_CORES, 16.0,
+                                WIRE_ACCELERATORS, 2.0),
                       30);
   world_run(world, 10);
   g_assert_cmpuint(world_running(world, gang, NULL), ==, 6);
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -6,20 +6,21 @@
 
 static json_t *
 random_job(World *world) {
-  static const char *const kinds[] = { W_KIND_ARRAY, W_KIND_ARRAY, W_KIND_SERVICE, W_KIND_GANG };
+  static const char *const kinds[]
+      = { WIRE_KIND_ARRAY, WIRE_KIND_ARRAY, WIRE_KIND_SERVICE, WIRE_KIND_GANG };
   static const char *const priorities[] = { "low", "normal", "urgent", "critical" };
   guint kind = (guint)g_rand_int_range(world->rand, 0, 4);
   g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
   g_autofree char *image = g_strdup_printf("img-%d", g_rand_int_range(world->rand, 0, 5));
   gint most = kind < 2 ? 9 : 5;
   json_t *job = json_pack(
-      "{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:b}", W_TEAM, team, W_KIND, kinds[kind], W_IMAGE, image,
-      W_PRIORITY, priorities[g_rand_int_range(world->rand, 0, 4)], W_TASKS,
-      g_rand_int_range(world->rand, 1, most), W_SPOT, g_rand_boolean(world->rand), W_SPREAD,
-      kind == 2, W_ONE_ZONE, kind == 3 && g_rand_boolean(world->rand));
+      "{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:b}", WIRE_TEAM, team, WIRE_KIND, kinds[kind],
+      WIRE_IMAGE, image, WIRE_PRIORITY, priorities[g_rand_int_range(world->rand, 0, 4)], WIRE_TASKS,
+      g_rand_int_range(world->rand, 1, most), WIRE_SPOT, g_rand_boolean(world->rand), WIRE_SPREAD,
+      kind == 2, WIRE_ONE_ZONE, kind == 3 && g_rand_boolean(world->rand));
 
   if (world_uniform(world, 0, 1) < 0.2)
-    json_object_set_new(job, W_ZONE, json_string("b"));
+    json_object_set_new(job, WIRE_ZONE, json_string("b"));
   return job;
 }
 
@@ -299,7 +300,7 @@
   for (guint i = 0; i < WORLD_NODES; i++)
     world_kill_node(world, i, 0.5);
   world_run(world, 3);
-  job = world_submit(world, json_pack("{s:i}", W_TASKS, 4), 2);
+  job = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 4), 2);
   world_run(world, 25);
   world_assert_rules(world);
   g_assert_cmpint(job->told, ==, TOLD_DONE);
@@ -317,7 +318,7 @@
     world_add_machine(world, "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
   world_start(world);
   world_run(world, 3);
-  world_submit(world, json_pack("{s:i, s:s}", W_TASKS, 6, W_KIND, W_KIND_SERVICE), 0);
+  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE), 0);
   world_run(world, 10);
   world->nodes[0].refused_until_us = world->nodes[1].refused_until_us = world->now_us + 30 * second;
   world_run(world, 8);
@@ -374,21 +375,21 @@
 test_cut_node_answers(void) {
   World *world = world_new(7);
   int submitted = -1, health = -1, polled = -1;
-  json_t *body = json_pack("{s:s}", W_JOB_ID, "run-000001");
+  json_t *body = json_pack("{s:s}", WIRE_JOB_ID, "run-000001");
 
   for (guint i = 0; i < 6; i++)
     world_add_machine(world, "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
   world_start(world);
   world_run(world, 8);
-  world_submit(world, json_pack("{s:i}", W_TASKS, 4), 5);
+  world_submit(world, json_pack("{s:i}", WIRE_TASKS, 4), 5);
   world_run(world, 2);
   json_object_update(body, ((WorldJob *)g_ptr_array_index(world->jobs, 0))->body);
-  json_object_set_new(body, W_JOB_ID, json_string("run-000001"));
+  json_object_set_new(body, WIRE_JOB_ID, json_string("run-000001"));
   world_cut_node(world, 1, 20, FALSE);
   world_run(world, 4);
   g_assert_false(mm_claims_may_answer(world->nodes[1].node->claims));
-  world_ask_node(world, 1, NULL, "POST", W_JOBS_PATH, body, 100000, note_status, &submitted);
-  world_ask_node(world, 1, NULL, "GET", W_JOBS_PATH "/run-000001", NULL, 100000, note_status,
+  world_ask_node(world, 1, NULL, "POST", WIRE_JOBS_PATH, body, 100000, note_status, &submitted);
+  world_ask_node(world, 1, NULL, "GET", WIRE_JOBS_PATH "/run-000001", NULL, 100000, note_status,
                  &polled);
   world_ask_node(world, 1, NULL, "GET", "/healthz", NULL, 100000, note_status, &health);
   world_run(world, 0.2);
@@ -418,15 +419,15 @@
 static void
 test_sheds_in_order(void) {
   World *world = world_new(8);
-  const char *poll = W_JOBS_PATH "/run-555555";
+  const char *poll = WIRE_JOBS_PATH "/run-555555";
 
   world_add_machine(world, "small", "a", FALSE, 0.1);
   world_start(world);
   world_run(world, 8);
   g_assert_cmpint(status_late(world, 0, "GET", poll, NULL), ==, 404);
   g_assert_cmpint(status_late(world, 1400, "GET", poll, NULL), ==, 503);
-  g_assert_cmpint(status_late(world, 1400, "POST", W_JOBS_PATH, json_object()), ==, 400);
-  g_assert_cmpint(status_late(world, 100000, "POST", W_JOBS_PATH, json_object()), ==, 503);
+  g_assert_cmpint(status_late(world, 1400, "POST", WIRE_JOBS_PATH, json_object()), ==, 400);
+  g_assert_cmpint(status_late(world, 100000, "POST", WIRE_JOBS_PATH, json_object()), ==, 503);
   g_assert_cmpint(status_late(world, 100000, "GET", "/healthz", NULL), ==, 200);
   world_run(world, 2);
   g_assert_cmpint(status_late(world, 0, "GET", poll, NULL), ==, 404);
--- a/tests/world/cloud.c
+++ b/tests/world/cloud.c
@@ -62,21 +62,21 @@
 
   for (guint i = 0; i < G_N_ELEMENTS(types); i++)
     json_array_append_new(
-        list,
-        json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:[s,s,s]}", W_TYPE_NAME,
-                  types[i].name, W_CORES, types[i].cores, W_ACCELERATORS, types[i].accelerators,
-                  W_MEMORY, types[i].memory_gb, W_CACHE_GB, 10.0, W_FETCH_RATE, 1.0, W_PRICE,
-                  types[i].cores * 0.05, W_SPOT_PRICE, types[i].cores * 0.02, W_BOOT,
-                  types[i].boot_s, W_ZONES, zones[0], zones[1], zones[2]));
-  return json_pack("{s:o}", W_TYPES, list);
+        list, json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:[s,s,s]}", WIRE_TYPE_NAME,
+                        types[i].name, WIRE_CORES, types[i].cores, WIRE_ACCELERATORS,
+                        types[i].accelerators, WIRE_MEMORY, types[i].memory_gb, WIRE_CACHE_GB, 10.0,
+                        WIRE_FETCH_RATE, 1.0, WIRE_PRICE, types[i].cores * 0.05, WIRE_SPOT_PRICE,
+                        types[i].cores * 0.02, WIRE_BOOT, types[i].boot_s, WIRE_ZONES, zones[0],
+                        zones[1], zones[2]));
+  return json_pack("{s:o}", WIRE_TYPES, list);
 }
 
 static int
 rent(World *world, const json_t *body, json_t **answer) {
-  const char *hire = mm_json_string(body, W_REQUEST), *type = mm_json_string(body, W_TYPE);
-  const char *zone = mm_json_string(body, W_ZONE);
-  gboolean spot = mm_json_flag(body, W_SPOT);
-  guint count = (guint)mm_json_count(body, W_COUNT, 0), there = 0;
+  const char *hire = mm_json_string(body, WIRE_REQUEST), *type = mm_json_string(body, WIRE_TYPE);
+  const char *zone = mm_json_string(body, WIRE_ZONE);
+  gboolean spot = mm_json_flag(body, WIRE_SPOT);
+  guint count = (guint)mm_json_count(body, WIRE_COUNT, 0), there = 0;
   json_t *names;
   double boot_s = 0;
 
@@ -103,7 +103,7 @@
                           json_string(world_add_machine(world, type, zone, spot,
                                                         boot_s * world_uniform(world, 0.6, 1.5))
                                           ->id));
-  *answer = json_pack("{s:o}", W_MACHINES, names);
+  *answer = json_pack("{s:o}", WIRE_MACHINES, names);
   g_hash_table_insert(world->hires, g_strdup(hire), json_incref(*answer));
   return 200;
 }
@@ -113,7 +113,7 @@
   size_t i;
   json_t *name;
 
-  json_array_foreach(json_object_get(body, W_MACHINES), i, name) {
+  json_array_foreach(json_object_get(body, WIRE_MACHINES), i, name) {
     for (guint k = 0; k < world->machines->len; k++) {
       WorldMachine *machine = g_ptr_array_index(world->machines, k);
       if (strcmp(machine->id, json_string_value(name)) == 0) {
@@ -136,15 +136,16 @@
     /* The list lags. */
     if (machine->gone || age_s < 2)
       continue;
-    json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:f}", W_JOB_ID,
-                                          machine->id, W_ADDR, machine->addr, W_TYPE, machine->type,
-                                          W_ZONE, machine->zone, W_SPOT, machine->spot, W_STATE,
-                                          machine->failed ? W_FAILED
-                                          : machine->up   ? W_RUNNING
-                                                          : W_BOOTING,
-                                          W_AGE, age_s));
+    json_array_append_new(list,
+                          json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:f}", WIRE_JOB_ID, machine->id,
+                                    WIRE_ADDR, machine->addr, WIRE_TYPE, machine->type, WIRE_ZONE,
+                                    machine->zone, WIRE_SPOT, machine->spot, WIRE_STATE,
+                                    machine->failed ? WIRE_FAILED
+                                    : machine->up   ? WIRE_RUNNING
+                                                    : WIRE_BOOTING,
+                                    WIRE_AGE, age_s));
   }
-  return json_pack("{s:o, s:b}", W_MACHINES, list, W_MORE, FALSE);
+  return json_pack("{s:o, s:b}", WIRE_MACHINES, list, WIRE_MORE, FALSE);
 }
 
 int
@@ -154,11 +155,11 @@
     *answer = mm_json_error("trouble");
     return 503;
   }
-  if (strcmp(path, W_MACHINE_TYPES_PATH) == 0) {
+  if (strcmp(path, WIRE_MACHINE_TYPES_PATH) == 0) {
     *answer = type_list();
     return 200;
   }
-  if (strcmp(path, W_RELEASE_PATH) == 0)
+  if (strcmp(path, WIRE_RELEASE_PATH) == 0)
     return release(world, body, answer);
   if (strcmp(method, "POST") == 0)
     return rent(world, body, answer);
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -72,7 +72,7 @@
 record(World *world, const char *path, json_t *event) {
   Change *change = g_new(Change, 1);
 
-  json_object_set_new(event, W_VERSION, json_integer((json_int_t)world->epoch));
+  json_object_set_new(event, WIRE_VERSION, json_integer((json_int_t)world->epoch));
   *change = (Change){ world->epoch, g_strdup(path), event };
   g_ptr_array_add(world->changes, change);
 }
@@ -80,7 +80,7 @@
 static void
 delete_key(World *world, const char *path) {
   if (g_tree_remove(world->keys, path))
-    record(world, path, json_pack("{s:s}", W_DELETE, path));
+    record(world, path, json_pack("{s:s}", WIRE_DELETE, path));
 }
 
 static void
@@ -89,7 +89,7 @@
 
   *key = (WorldKey){ json_incref(value), world->epoch, lease };
   g_tree_replace(world->keys, g_strdup(path), key);
-  record(world, path, json_pack("{s:s, s:O}", W_PUT, path, W_VALUE, value));
+  record(world, path, json_pack("{s:s, s:O}", WIRE_PUT, path, WIRE_VALUE, value));
 }
 
 static void
@@ -114,7 +114,7 @@
       json_decref(events);
       continue;
     }
-    answer = json_pack("{s:I, s:o}", W_REVISION, (json_int_t)world->epoch, W_EVENTS, events);
+    answer = json_pack("{s:I, s:o}", WIRE_REVISION, (json_int_t)world->epoch, WIRE_EVENTS, events);
     watch->over = TRUE;
     watch->answered(watch->data, 200, answer);
   }
@@ -150,9 +150,10 @@
   Watch *watch = g_new0(Watch, 1);
 
   watch->node = node;
-  watch->prefix = query_text(path, W_PREFIX);
-  watch->since = g_ascii_strtoull(query(path, W_AFTER), NULL, 10);
-  watch->until_us = world->now_us + (gint64)g_ascii_strtoull(query(path, W_WAIT), NULL, 10) * 1000;
+  watch->prefix = query_text(path, WIRE_PREFIX);
+  watch->since = g_ascii_strtoull(query(path, WIRE_AFTER), NULL, 10);
+  watch->until_us
+      = world->now_us + (gint64)g_ascii_strtoull(query(path, WIRE_WAIT), NULL, 10) * 1000;
   watch->answered = answered;
   watch->data = data;
   g_ptr_array_add(world->watches, watch);
@@ -226,7 +227,7 @@
 
 static int
 transact(World *world, const json_t *body, json_t **answer) {
-  const json_t *guards = json_object_get(body, W_IF), *apply = json_object_get(body, W_THEN);
+  const json_t *guards = json_object_get(body, WIRE_IF), *apply = json_object_get(body, WIRE_THEN);
   json_t *failed = json_array();
   size_t i;
   json_t *item;
@@ -234,37 +235,39 @@
   g_assert_cmpuint(json_array_size(apply), <=, 12);
   g_assert_cmpuint(json_array_size(guards), <=, 48);
   json_array_foreach(guards, i, item) {
-    const char *path = mm_json_string(item, W_KEY);
+    const char *path = mm_json_string(item, WIRE_KEY);
     WorldKey *key = g_tree_lookup(world->keys, path);
-    if ((key != NULL ? key->mark : 0) != mm_json_count(item, W_VERSION, 0))
+    if ((key != NULL ? key->mark : 0) != mm_json_count(item, WIRE_VERSION, 0))
       json_array_append_new(failed, json_string(path));
   }
   if (json_array_size(failed) > 0) {
-    *answer = json_pack("{s:o, s:I}", W_CONFLICT, failed, W_REVISION, (json_int_t)world->epoch);
+    *answer
+        = json_pack("{s:o, s:I}", WIRE_CONFLICT, failed, WIRE_REVISION, (json_int_t)world->epoch);
     world->conflicts++;
     return 409;
   }
   json_decref(failed);
   json_array_foreach(apply, i, item) {
-    guint64 lease = mm_json_count(item, W_LEASE, 0);
+    guint64 lease = mm_json_count(item, WIRE_LEASE, 0);
     if (lease != 0 && g_hash_table_lookup(world->leases, &lease) == NULL) {
       *answer = mm_json_error("no such lease");
       return 400;
     }
-    if (mm_json_string(item, W_PUT) != NULL)
-      g_assert_cmpuint(json_dumpb(json_object_get(item, W_VALUE), NULL, 0, JSON_COMPACT), <=, 4096);
+    if (mm_json_string(item, WIRE_PUT) != NULL)
+      g_assert_cmpuint(json_dumpb(json_object_get(item, WIRE_VALUE), NULL, 0, JSON_COMPACT), <=,
+                       4096);
   }
   if (json_array_size(apply) > 0)
     world->epoch++;
   json_array_foreach(apply, i, item) {
     world->writes++;
-    if (mm_json_string(item, W_PUT) != NULL)
-      put_key(world, mm_json_string(item, W_PUT), json_object_get(item, W_VALUE),
-              mm_json_count(item, W_LEASE, 0));
+    if (mm_json_string(item, WIRE_PUT) != NULL)
+      put_key(world, mm_json_string(item, WIRE_PUT), json_object_get(item, WIRE_VALUE),
+              mm_json_count(item, WIRE_LEASE, 0));
     else
-      delete_key(world, mm_json_string(item, W_DELETE));
+      delete_key(world, mm_json_string(item, WIRE_DELETE));
   }
-  *answer = json_pack("{s:I}", W_REVISION, (json_int_t)world->epoch);
+  *answer = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->epoch);
   answer_watches(world);
   return 200;
 }
@@ -289,45 +292,46 @@
     listing->more = TRUE;
     return TRUE;
   }
-  json_array_append_new(listing->items, json_pack("{s:s, s:O, s:I}", W_KEY, path, W_VALUE,
-                                                  key->value, W_VERSION, (json_int_t)key->mark));
+  json_array_append_new(listing->items, json_pack("{s:s, s:O, s:I}", WIRE_KEY, path, WIRE_VALUE,
+                                                  key->value, WIRE_VERSION, (json_int_t)key->mark));
   return FALSE;
 }
 
 int
 world_store_handle(World *world, const char *method, const char *path, const json_t *body,
                    json_t **answer) {
-  if (strcmp(path, W_TXN_PATH) == 0)
+  if (strcmp(path, WIRE_TXN_PATH) == 0)
     return transact(world, body, answer);
-  if (g_str_has_prefix(path, W_KEYS_PATH "?")) {
-    g_autofree char *prefix = query_text(path, W_PREFIX);
-    g_autofree char *after = query_text(path, W_AFTER);
+  if (g_str_has_prefix(path, WIRE_KEYS_PATH "?")) {
+    g_autofree char *prefix = query_text(path, WIRE_PREFIX);
+    g_autofree char *after = query_text(path, WIRE_AFTER);
     /* Small pages, so that reading goes on over several. */
     Listing listing = { prefix, after, 7, json_array(), FALSE };
     g_tree_foreach(world->keys, list_key, &listing);
-    *answer = json_pack("{s:o, s:b, s:I}", W_ITEMS, listing.items, W_MORE, listing.more, W_REVISION,
-                        (json_int_t)world->epoch);
+    *answer = json_pack("{s:o, s:b, s:I}", WIRE_ITEMS, listing.items, WIRE_MORE, listing.more,
+                        WIRE_REVISION, (json_int_t)world->epoch);
     return 200;
   }
-  if (g_str_has_prefix(path, W_KEYS_PATH "/")) {
-    const WorldKey *key = g_tree_lookup(world->keys, path + strlen(W_KEYS_PATH "/"));
+  if (g_str_has_prefix(path, WIRE_KEYS_PATH "/")) {
+    const WorldKey *key = g_tree_lookup(world->keys, path + strlen(WIRE_KEYS_PATH "/"));
     if (key == NULL) {
-      *answer = json_pack("{s:I}", W_REVISION, (json_int_t)world->epoch);
+      *answer = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->epoch);
       return 404;
     }
-    *answer = json_pack("{s:O, s:I}", W_VALUE, key->value, W_VERSION, (json_int_t)key->mark);
+    *answer = json_pack("{s:O, s:I}", WIRE_VALUE, key->value, WIRE_VERSION, (json_int_t)key->mark);
     return 200;
   }
-  if (strcmp(path, W_LEASES_PATH) == 0) {
+  if (strcmp(path, WIRE_LEASES_PATH) == 0) {
     WorldLease *lease = g_new(WorldLease, 1);
-    *lease = (WorldLease){ ++world->next_lease, (gint64)mm_json_count(body, W_TTL, 0) * 1000, 0 };
+    *lease
+        = (WorldLease){ ++world->next_lease, (gint64)mm_json_count(body, WIRE_TTL, 0) * 1000, 0 };
     lease->ends_us = world->now_us + lease->ttl_us;
     g_hash_table_insert(world->leases, &lease->id, lease);
-    *answer = json_pack("{s:I}", W_LEASE, (json_int_t)lease->id);
+    *answer = json_pack("{s:I}", WIRE_LEASE, (json_int_t)lease->id);
     return 200;
   }
-  if (g_str_has_prefix(path, W_LEASES_PATH "/")) {
-    guint64 id = g_ascii_strtoull(path + strlen(W_LEASES_PATH "/"), NULL, 10);
+  if (g_str_has_prefix(path, WIRE_LEASES_PATH "/")) {
+    guint64 id = g_ascii_strtoull(path + strlen(WIRE_LEASES_PATH "/"), NULL, 10);
     WorldLease *lease = g_hash_table_lookup(world->leases, &id);
     if (lease == NULL)
       return 404;
--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -51,7 +51,7 @@
 static void
 odd_answered(gpointer data, int status, json_t *body) {
   Expected *expected = data;
-  const char *state = mm_json_string(body, W_STATE);
+  const char *state = mm_json_string(body, WIRE_STATE);
 
   if (status == expected->status
       && (expected->state == NULL || g_strcmp0(state, expected->state) == 0))
@@ -78,7 +78,7 @@
   json_t *body = json_deep_copy(like->body);
   g_autofree char *id = g_strdup_printf("run-9%08u", ++world->next_job);
 
-  json_object_set_new(body, W_JOB_ID, json_string(id));
+  json_object_set_new(body, WIRE_JOB_ID, json_string(id));
   return body;
 }
 
@@ -89,40 +89,40 @@
   const char *field;
   json_t *value;
 
-  json_object_set_new(body, W_CORES, json_real(17));
-  ask_odd(world, "POST", W_JOBS_PATH, body, 422, NULL, "a job that fits no machine");
+  json_object_set_new(body, WIRE_CORES, json_real(17));
+  ask_odd(world, "POST", WIRE_JOBS_PATH, body, 422, NULL, "a job that fits no machine");
   json_object_foreach(like->body, field, value) {
     /* May be null, so absent too. */
-    if (strcmp(field, W_ZONE) == 0)
+    if (strcmp(field, WIRE_ZONE) == 0)
       continue;
     body = fresh_body(world, like);
     json_object_del(body, field);
-    ask_odd(world, "POST", W_JOBS_PATH, body, 400, NULL, field);
+    ask_odd(world, "POST", WIRE_JOBS_PATH, body, 400, NULL, field);
   }
-  ask_odd(world, "GET", W_JOBS_PATH "/run-555555555", NULL, 404, NULL, "a job nobody submitted");
-  ask_odd(world, "POST", W_JOBS_PATH "/run-555555555/" W_CANCEL_WORD, NULL, 404, NULL,
+  ask_odd(world, "GET", WIRE_JOBS_PATH "/run-555555555", NULL, 404, NULL, "a job nobody submitted");
+  ask_odd(world, "POST", WIRE_JOBS_PATH "/run-555555555/" WIRE_CANCEL_WORD, NULL, 404, NULL,
           "a cancellation of a job nobody submitted");
   for (guint i = 0; i < world->jobs->len; i++) {
     const WorldJob *job = g_ptr_array_index(world->jobs, i);
-    g_autofree char *path = g_strdup_printf(W_JOBS_PATH "/%s/" W_CANCEL_WORD, job->id);
+    g_autofree char *path = g_strdup_printf(WIRE_JOBS_PATH "/%s/" WIRE_CANCEL_WORD, job->id);
     if (job->told == TOLD_DONE)
-      ask_odd(world, "POST", path, NULL, 200, W_DONE, job->id);
+      ask_odd(world, "POST", path, NULL, 200, WIRE_DONE, job->id);
     else if (job->ever_accepted)
-      ask_odd(world, "POST", W_JOBS_PATH, json_deep_copy(job->body), 200, NULL, job->id);
+      ask_odd(world, "POST", WIRE_JOBS_PATH, json_deep_copy(job->body), 200, NULL, job->id);
   }
 }
 
 /* ---- waiting ---- */
 
-static MmRoom
+static MmResources
 free_room(const WorldMachine *machine) {
   double cores = strcmp(machine->type, "small") == 0 ? 4 : 16;
-  MmRoom room = { cores, 0, cores * 4 };
+  MmResources room = { cores, 0, cores * 4 };
 
   for (guint k = 0; k < machine->tasks->len; k++) {
     const WorldTask *task = g_ptr_array_index(machine->tasks, k);
     if (task->state != MM_SEEN_ENDED)
-      room = mm_room_sub(room, task->job->spec.need);
+      room = mm_resources_sub(room, task->job->spec.need);
   }
   return room;
 }
@@ -137,7 +137,7 @@
         && world->now_us >= MAX(machine->deaf_until_us, machine->mute_until_us)
         && mm_spec_allows_type(spec, &type) && (!machine->spot || spec->spot)
         && (mm_name_is_empty(&spec->zone) || strcmp(spec->zone.s, machine->zone) == 0)
-        && mm_room_fits(spec->need, free_room(machine)))
+        && mm_resources_fits(spec->need, free_room(machine)))
       return TRUE;
   }
   return FALSE;
--- a/tests/world/users.c
+++ b/tests/world/users.c
@@ -45,17 +45,17 @@
 told(const Ask *ask, const json_t *body) {
   WorldJob *job = ask->job;
   World *world = job->world;
-  const char *state = mm_json_string(body, W_STATE);
+  const char *state = mm_json_string(body, WIRE_STATE);
 
   job->answered_us = world->now_us;
-  if (g_strcmp0(state, W_DONE) == 0) {
+  if (g_strcmp0(state, WIRE_DONE) == 0) {
     if (job->n_done < job->spec.tasks)
       world_break(world, "not_done: %s is called done with %u of %u tasks", job->id, job->n_done,
                   job->spec.tasks);
     if (job->told == TOLD_CANCELLED)
       world_break(world, "went_back: %s from cancelled to done", job->id);
     job->told = TOLD_DONE;
-  } else if (g_strcmp0(state, W_CANCELLED) == 0) {
+  } else if (g_strcmp0(state, WIRE_CANCELLED) == 0) {
     if (!job->asked_cancel || job->told == TOLD_DONE)
       world_break(world, "went_back: %s is called cancelled", job->id);
     if (job->told != TOLD_CANCELLED)
@@ -92,7 +92,7 @@
 
   if (job->world->closing)
     return;
-  world_ask_node(job->world, any_node(job->world), NULL, "POST", W_JOBS_PATH,
+  world_ask_node(job->world, any_node(job->world), NULL, "POST", WIRE_JOBS_PATH,
                  json_deep_copy(job->body), 5 * (gint64)G_USEC_PER_SEC, submitted, ask_new(job));
 }
 
@@ -119,7 +119,7 @@
     world_break(world, "forgotten: %s gets 404", job->id);
   /* Those that are over are asked for again, more rarely, and now and then submitted again. */
   if (world_uniform(world, 0, 1) < 0.05)
-    world_ask_node(world, any_node(world), NULL, "POST", W_JOBS_PATH, json_deep_copy(job->body),
+    world_ask_node(world, any_node(world), NULL, "POST", WIRE_JOBS_PATH, json_deep_copy(job->body),
                    5 * (gint64)G_USEC_PER_SEC, ignore_submitted, ask_new(job));
   world_at(world, world->now_us + (job->told >= TOLD_CANCELLED ? 9 : 3) * (gint64)G_USEC_PER_SEC,
            poll, job);
@@ -128,7 +128,7 @@
 static void
 poll(gpointer data) {
   WorldJob *job = data;
-  g_autofree char *path = g_strdup_printf(W_JOBS_PATH "/%s", job->id);
+  g_autofree char *path = g_strdup_printf(WIRE_JOBS_PATH "/%s", job->id);
 
   if (!job->world->closing)
     world_ask_node(job->world, any_node(job->world), NULL, "GET", path, NULL,
@@ -149,7 +149,7 @@
 static void
 cancel(gpointer data) {
   WorldJob *job = data;
-  g_autofree char *path = g_strdup_printf(W_JOBS_PATH "/%s/" W_CANCEL_WORD, job->id);
+  g_autofree char *path = g_strdup_printf(WIRE_JOBS_PATH "/%s/" WIRE_CANCEL_WORD, job->id);
 
   if (job->world->closing)
     return;
@@ -184,17 +184,17 @@
   g_snprintf(job->id, sizeof job->id, "run-%06u", (++world->next_job * 7919) % 1000000);
   job->body = json_pack(
       "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:b, s:b, s:b, s:f, s:f, s:f}",
-      W_JOB_ID, job->id, W_CLASS, "work", W_TEAM, "team-0", W_KIND, W_KIND_ARRAY, W_PRIORITY,
-      "normal", W_TASKS, 4, W_CORES, 2.0, W_ACCELERATORS, 0.0, W_MEMORY, 4.0, W_IMAGE, "img-1",
-      W_IMAGE_GB, 1.0, W_ONE_ZONE, 0, W_SPREAD, 0, W_SPOT, 1, W_ESTIMATE, run_s, W_CHECKPOINT, 0.0,
-      W_SAVE, 0.0);
+      WIRE_JOB_ID, job->id, WIRE_CLASS, "work", WIRE_TEAM, "team-0", WIRE_KIND, WIRE_KIND_ARRAY,
+      WIRE_PRIORITY, "normal", WIRE_TASKS, 4, WIRE_CORES, 2.0, WIRE_ACCELERATORS, 0.0, WIRE_MEMORY,
+      4.0, WIRE_IMAGE, "img-1", WIRE_IMAGE_GB, 1.0, WIRE_ONE_ZONE, 0, WIRE_SPREAD, 0, WIRE_SPOT, 1,
+      WIRE_ESTIMATE, run_s, WIRE_CHECKPOINT, 0.0, WIRE_SAVE, 0.0);
   json_object_update(job->body, overrides);
   json_decref(overrides);
   g_assert_true(mm_spec_parse(&job->spec, job->body, &reason));
   job->done = g_new0(gboolean, job->spec.tasks);
   g_ptr_array_add(world->jobs, job);
   submit(job);
-  world_ask_node(world, any_node(world), NULL, "GET", W_JOBS_PATH "/run-77777777", NULL,
+  world_ask_node(world, any_node(world), NULL, "GET", WIRE_JOBS_PATH "/run-77777777", NULL,
                  2 * (gint64)G_USEC_PER_SEC, nobody_submitted, world);
   return job;
 }
--- a/tests/world/worker.c
+++ b/tests/world/worker.c
@@ -47,18 +47,19 @@
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WorldTask *task = g_ptr_array_index(machine->tasks, i);
     g_autofree char *name = g_strdup_printf("%s/%u", task->job->id, task->number);
-    json_t *item = json_pack("{s:s, s:I, s:s}", W_TASK, name, W_ATTEMPT, (json_int_t)task->attempt,
-                             W_STATE, states[task->state]);
+    json_t *item = json_pack("{s:s, s:I, s:s}", WIRE_TASK, name, WIRE_ATTEMPT,
+                             (json_int_t)task->attempt, WIRE_STATE, states[task->state]);
     if (task->state == MM_SEEN_ENDED)
-      json_object_set_new(item, W_CAUSE, json_string(causes[task->cause]));
+      json_object_set_new(item, WIRE_CAUSE, json_string(causes[task->cause]));
     json_array_append_new(tasks, item);
   }
-  report = json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:o}", W_MACHINE, machine->id,
-                     W_ADDR, machine->addr, W_TYPE, machine->type, W_ZONE, machine->zone, W_SPOT,
-                     machine->spot, W_SESSION, (json_int_t)machine->session, W_SEQ,
-                     (json_int_t)machine->seq, W_TOKEN, (json_int_t)machine->token, "kits", tasks);
+  report
+      = json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:o}", WIRE_MACHINE, machine->id,
+                  WIRE_ADDR, machine->addr, WIRE_TYPE, machine->type, WIRE_ZONE, machine->zone,
+                  WIRE_SPOT, machine->spot, WIRE_SESSION, (json_int_t)machine->session, WIRE_SEQ,
+                  (json_int_t)machine->seq, WIRE_TOKEN, (json_int_t)machine->token, "kits", tasks);
   if (machine->warned_us != 0)
-    json_object_set_new(report, W_NOTICE,
+    json_object_set_new(report, WIRE_NOTICE,
                         json_real((double)(machine->taken_us - world->now_us) / G_USEC_PER_SEC));
   return report;
 }
@@ -173,22 +174,22 @@
   json_t *item;
 
   json_array_foreach(commands, i, item) {
-    const char *op = mm_json_string(item, W_OP), *text = mm_json_string(item, W_TASK);
+    const char *op = mm_json_string(item, WIRE_OP), *text = mm_json_string(item, WIRE_TASK);
     const char *slash = strrchr(text, '/');
     g_autofree char *id = g_strndup(text, (gsize)(slash - text));
     guint number = (guint)atoi(slash + 1);
-    guint64 attempt = mm_json_count(item, W_ATTEMPT, 0);
+    guint64 attempt = mm_json_count(item, WIRE_ATTEMPT, 0);
     WorldJob *job = world_find_job(machine->world, id);
     WorldTask *task = job != NULL ? find(machine, job, number, attempt, FALSE) : NULL;
 
-    if (strcmp(op, W_START) == 0) {
+    if (strcmp(op, WIRE_START) == 0) {
       command_start(machine, job, number, attempt);
-    } else if (task != NULL && strcmp(op, W_STOP) == 0) {
+    } else if (task != NULL && strcmp(op, WIRE_STOP) == 0) {
       machine->world->stops++;
-      machine->world->stop_grace_s = mm_json_number(item, W_GRACE, 0);
+      machine->world->stop_grace_s = mm_json_number(item, WIRE_GRACE, 0);
       if (task->state != MM_SEEN_ENDED)
         end_task(machine, task, MM_CAUSE_STOPPED);
-    } else if (task != NULL && strcmp(op, W_FORGET) == 0 && task->state == MM_SEEN_ENDED) {
+    } else if (task != NULL && strcmp(op, WIRE_FORGET) == 0 && task->state == MM_SEEN_ENDED) {
       g_ptr_array_remove(machine->tasks, task);
       g_free(task);
       machine->changed = TRUE;
@@ -198,21 +199,21 @@
 
 int
 world_machine_direct(WorldMachine *machine, const json_t *body, json_t **answer) {
-  guint64 token = mm_json_count(body, W_TOKEN, 0);
+  guint64 token = mm_json_count(body, WIRE_TOKEN, 0);
   size_t i;
   json_t *item;
 
   /* Starts never travel this way: one could be carried out minutes late. */
-  json_array_foreach(json_object_get(body, W_COMMANDS), i,
-                     item) if (g_strcmp0(mm_json_string(item, W_OP), W_START) == 0)
+  json_array_foreach(json_object_get(body, WIRE_COMMANDS), i,
+                     item) if (g_strcmp0(mm_json_string(item, WIRE_OP), WIRE_START) == 0)
       world_break(machine->world, "a start was sent as a direct command to %s", machine->id);
-  if (token < machine->token || mm_json_count(body, W_SESSION, 0) != machine->session) {
+  if (token < machine->token || mm_json_count(body, WIRE_SESSION, 0) != machine->session) {
     *answer = world_machine_report(machine);
     return 409;
   }
   machine->changed = machine->changed || token > machine->token;
   machine->token = token;
-  carry_out(machine, json_object_get(body, W_COMMANDS));
+  carry_out(machine, json_object_get(body, WIRE_COMMANDS));
   *answer = world_machine_report(machine);
   return 200;
 }
@@ -231,8 +232,8 @@
   Flight *flight = data;
   WorldMachine *machine = flight->machine;
   World *world = machine->world;
-  guint64 token = mm_json_count(body, W_TOKEN, 0);
-  const char *other = mm_json_string(body, W_REPORT_TO);
+  guint64 token = mm_json_count(body, WIRE_TOKEN, 0);
+  const char *other = mm_json_string(body, WIRE_REPORT_TO);
 
   if (machine->up && machine->flight == flight->flight) {
     machine->in_flight = FALSE;
@@ -240,7 +241,7 @@
       if (machine->session == flight->session && token != 0 && token >= machine->token) {
         machine->token = token;
         machine->lease_from_us = flight->sent_us;
-        carry_out(machine, json_object_get(body, W_COMMANDS));
+        carry_out(machine, json_object_get(body, WIRE_COMMANDS));
       }
     } else if (status == 421 && other != NULL) {
       machine->node = (guint)atoi(other + 2);
@@ -274,7 +275,7 @@
   if (world->now_us < machine->mute_until_us)
     world_at(world, world->now_us + 500000, unconnected, flight);
   else
-    world_ask_node(world, machine->node, machine, "POST", W_REPORT_PATH,
+    world_ask_node(world, machine->node, machine, "POST", WIRE_REPORT_PATH,
                    world_machine_report(machine), TIMEOUT_US, report_answered, flight);
 }
 
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -76,7 +76,7 @@
   world->now_us = until;
 }
 
-/* ---- the nodes' edges ---- */
+/* ---- what the nodes need of the outside ---- */
 
 typedef struct {
   World *world;
@@ -184,7 +184,7 @@
   WorldNode *self = &world->nodes[call->node];
   gboolean refused
       = world->now_us < world->outage_until_us || world->now_us < self->refused_until_us;
-  gboolean watch = call->target == MM_TARGET_STORE && g_str_has_prefix(call->path, W_WATCH_PATH);
+  gboolean watch = call->target == MM_TARGET_STORE && g_str_has_prefix(call->path, WIRE_WATCH_PATH);
   WorldMachine *machine;
   gint64 held_until;
 
@@ -217,7 +217,7 @@
     }
     world->held += call->held;
     machine->heard_mute += world->now_us < machine->mute_until_us;
-    if (strcmp(call->path, W_STATUS_PATH) == 0) {
+    if (strcmp(call->path, WIRE_STATUS_PATH) == 0) {
       call->status = 200;
       call->body = world_machine_report(machine);
     } else {
@@ -281,15 +281,15 @@
 
 static gboolean
 is_to_be_late(World *world, const char *path, const json_t *body) {
-  const json_t *apply = mm_json_get(body, W_THEN);
+  const json_t *apply = mm_json_get(body, WIRE_THEN);
   size_t i;
   json_t *item;
 
-  if (strcmp(path, W_TXN_PATH) != 0)
+  if (strcmp(path, WIRE_TXN_PATH) != 0)
     return FALSE;
   json_array_foreach(apply, i, item) {
-    const char *key = mm_json_string(item, W_PUT);
-    if (world->late_takings && key != NULL && g_str_has_prefix(key, MM_KEY_PART))
+    const char *key = mm_json_string(item, WIRE_PUT);
+    if (world->late_takings && key != NULL && g_str_has_prefix(key, MM_KEY_SHARD))
       return TRUE;
   }
   return world->late_writes > 0 && world_uniform(world, 0, 1) < world->late_writes;
@@ -542,7 +542,7 @@
   visit->pending = TRUE;
   if (visit->copy_of != NULL)
     visit->world->old_sessions
-        += mm_json_count(visit->request, W_SESSION, 0) < visit->copy_of->session;
+        += mm_json_count(visit->request, WIRE_SESSION, 0) < visit->copy_of->session;
   mm_node_handle(node->node, visit->method, visit->path, visit->request, &visit->exchange);
 }
 
@@ -616,8 +616,8 @@
 
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    g_hash_table_remove_all(((MmHeld *)value)->unheard);
-    ((MmHeld *)value)->ready = TRUE;
+    g_hash_table_remove_all(((MmOwnedShard *)value)->unheard);
+    ((MmOwnedShard *)value)->ready = TRUE;
   }
 }
 
@@ -642,7 +642,7 @@
     machine->unacknowledged = 0;
     g_hash_table_iter_init(&iter, node->owner->held);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-      MmHeld *held = value;
+      MmOwnedShard *held = value;
       if (!machine->heard || machine->lost || machine->token.v >= held->term.v)
         continue;
       g_hash_table_insert(held->unheard, g_strdup(machine->id.s), GSIZE_TO_POINTER(G_MAXSIZE));
