--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -100,7 +100,9 @@
   if (mm_owner_yields(owner, job) || !mm_owner_quota_allows(owner, held, job, job->spec.tasks))
     return;
   if (!job->spec.one_zone) {
-    if (!reserve(owner, held, job, NULL) && job->spec.priority >= MM_URGENT)
+    /* Only where nothing else takes the places as they get free, one after another: machines with
+     * accelerators are lent no more while such a gang waits. */
+    if (!reserve(owner, held, job, NULL) && job->spec.need.accelerators > 0)
       mm_owner_clear_for_gang(owner, job, job->spec.tasks);
     return;
   }
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -268,6 +268,15 @@
   return FALSE;
 }
 
+static gboolean
+is_reserved(const MmRank *rank, const MmMachine *machine) {
+  for (guint v = 0; v < rank->n_views; v++)
+    for (guint i = 0; i < rank->views[v].reserved->len; i++)
+      if (mm_name_equal(&g_array_index(rank->views[v].reserved, MmName, i), &machine->id))
+        return TRUE;
+  return FALSE;
+}
+
 /* Machines that accelerated work could have at once, or after stopping what they are lent to. */
 static GPtrArray *
 idle_accelerated(const MmRank *rank, guint *all) {
@@ -281,7 +290,7 @@
         || (machine->spot && !rank->accelerated_spot))
       continue;
     ++*all;
-    if (!runs_accelerated_work(rank, machine)
+    if (!runs_accelerated_work(rank, machine) && !is_reserved(rank, machine)
         && holds_largest(rank, machine, lasting_take(rank, machine)))
       g_ptr_array_add(idle, machine);
   }
