--- a/src/base/wire.h
+++ b/src/base/wire.h
@@ -25,6 +25,7 @@
 #define WIRE_CHECKPOINT "cacheEveryS"
 #define WIRE_SAVE "cacheTakeS"
 #define WIRE_DEADLINE "dueS"
+#define WIRE_NEEDS "awaits"
 #define WIRE_STATE "mood"
 #define WIRE_DONE "done"
 #define WIRE_RUNNING "running"
--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -96,11 +96,9 @@
 static void
 confirmed(gpointer data, int status, json_t *body) {
   Confirm *confirm = data;
-  const json_t *value = mm_json_get(body, WIRE_VALUE);
 
-  if (status == 200 && mm_json_string(value, "m") != NULL)
-    mm_book_keep_final(confirm->checkin->node->book, confirm->job.s, mm_json_string(value, "m"),
-                       (guint)mm_json_count(value, "n", 0));
+  if (status == 200)
+    mm_book_keep_final(confirm->checkin->node->book, confirm->job.s, mm_json_get(body, WIRE_VALUE));
   g_hash_table_remove(confirm->checkin->confirming, confirm->job.s);
   g_free(confirm);
 }
--- a/src/checkin/register.c
+++ b/src/checkin/register.c
@@ -1,12 +1,14 @@
 #include "checkin/register.h"
-#include "checkin/health.h"
 
+#include "base/wire.h"
+#include "checkin/health.h"
 #include "store/replica.h"
 #include "store/store.h"
 
 #define EVERY_MS 250
 /* All nodes read a pack anew whenever it changes: a few dozen machines each. */
 #define PACK_BYTES 4096
+#define PACK_FRAME_BYTES 64
 
 static void
 pack_free(gpointer data) {
@@ -50,6 +52,21 @@
   return strlen(e->machine.s) + strlen(e->addr) + strlen(e->type.s) + strlen(e->zone.s) + 40;
 }
 
+static gsize
+entries_bytes(const GArray *entries) {
+  gsize bytes = 0;
+
+  for (guint i = 0; i < entries->len; i++)
+    bytes += entry_bytes(&g_array_index(entries, MmEntry, i));
+  return bytes;
+}
+
+/* What the entries of one pack may take. */
+static gsize
+pack_limit(const MmRegister *reg) {
+  return MIN(reg->node->settings->state_value_bytes, PACK_BYTES) - PACK_FRAME_BYTES;
+}
+
 static GArray *
 read_pack(const json_t *value) {
   GArray *entries = g_array_new(FALSE, TRUE, sizeof(MmEntry));
@@ -190,7 +207,7 @@
 static GArray *
 filled(const MmRegister *reg, const MmPack *pack, GPtrArray *list) {
   GArray *entries = g_array_new(FALSE, TRUE, sizeof(MmEntry));
-  gsize most = MIN(reg->node->settings->state_value_bytes, PACK_BYTES) - 64, bytes = 0;
+  gsize most = pack_limit(reg), bytes = 0;
 
   for (guint i = 0; pack != NULL && i < pack->entries->len; i++) {
     const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
@@ -266,6 +283,123 @@
   return machine->lost && (!machine->heard || e->session == machine->stamp.session);
 }
 
+/* The pack other than this one that holds the same session of the machine, or NULL. */
+static const char *
+find_copy(const MmRegister *reg, const MmPack *except, const MmEntry *e, MmMark *mark) {
+  GHashTableIter iter;
+  gpointer name, value;
+
+  g_hash_table_iter_init(&iter, reg->packs);
+  while (g_hash_table_iter_next(&iter, &name, &value)) {
+    const MmPack *pack = value;
+    const MmEntry *copy = pack != except ? find_entry(pack->entries, e->machine.s) : NULL;
+    if (copy != NULL && copy->session == e->session) {
+      *mark = pack->mark;
+      return name;
+    }
+  }
+  return NULL;
+}
+
+static gboolean
+is_guarded(const MmTxn *txn, const char *name) {
+  g_autofree char *path = g_strconcat(MM_KEY_PACK, name, NULL);
+  size_t i;
+  json_t *guard;
+
+  json_array_foreach(txn->guards, i,
+                     guard) if (g_strcmp0(mm_json_string(guard, WIRE_KEY), path) == 0) return TRUE;
+  return FALSE;
+}
+
+/* What stays in the pack: without the sessions that are over and, of a pack written under larger
+ * limits, without what has been copied to another pack. That pack must then stay as it is until
+ * this one is written: of two copies one has to remain. */
+static GArray *
+entries_kept(MmRegister *reg, const MmPack *pack, MmTxn *guards) {
+  GArray *kept = g_array_new(FALSE, TRUE, sizeof(MmEntry));
+  gboolean too_large = entries_bytes(pack->entries) > pack_limit(reg);
+
+  for (guint i = 0; i < pack->entries->len; i++) {
+    const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
+    const MmMachine *machine = mm_roster_find(reg->node->roster, e->machine.s);
+    const char *copied_to = NULL;
+    MmMark mark;
+    if (machine != NULL && is_over(machine, e))
+      continue;
+    if (too_large)
+      copied_to = find_copy(reg, pack, e, &mark);
+    if (copied_to == NULL)
+      g_array_append_val(kept, *e);
+    else if (!is_guarded(guards, copied_to))
+      mm_txn_guard(guards, MM_KEY_PACK, copied_to, mark);
+  }
+  return kept;
+}
+
+static char *
+unused_pack_name(const MmRegister *reg) {
+  for (guint k = 0;; k++) {
+    char *name = g_strdup_printf("%s/%u", reg->node->settings->label.s, k);
+    if (!g_hash_table_contains(reg->packs, name))
+      return name;
+    g_free(name);
+  }
+}
+
+/* Copies the last entries, which the pack has no room for under the limits that hold now, to a new
+ * pack. They leave this one once the replica shows the copies: no reader ever finds a machine in
+ * neither. */
+static void
+copy_overflow(MmRegister *reg, const char *name, const MmPack *pack, const GArray *kept,
+              MmTxn *txn) {
+  g_autoptr(GArray) moved = g_array_new(FALSE, TRUE, sizeof(MmEntry));
+  g_autofree char *to = unused_pack_name(reg);
+  gsize most = pack_limit(reg), left = entries_bytes(kept), bytes = 0;
+
+  for (guint i = kept->len; i > 0 && left > most; i--) {
+    const MmEntry *e = &g_array_index(kept, MmEntry, i - 1);
+    if (bytes + entry_bytes(e) > most)
+      break;
+    bytes += entry_bytes(e);
+    left -= entry_bytes(e);
+    g_array_append_val(moved, *e);
+  }
+  mm_txn_guard(txn, MM_KEY_PACK, name, pack->mark);
+  mm_txn_guard(txn, MM_KEY_PACK, to, (MmMark){ 0 });
+  mm_txn_put(txn, MM_KEY_PACK, to, pack_json(moved), 0);
+}
+
+static void
+write_kept(const char *name, const MmPack *pack, const GArray *kept, MmTxn *txn) {
+  mm_txn_guard(txn, MM_KEY_PACK, name, pack->mark);
+  if (kept->len > 0)
+    mm_txn_put(txn, MM_KEY_PACK, name, pack_json(kept), 0);
+  else
+    mm_txn_delete(txn, MM_KEY_PACK, name);
+}
+
+/* One pack a transaction where guards for copies are needed. */
+static void
+drop_from_pack(MmRegister *reg, const char *name, const MmPack *pack, MmTxn *txn) {
+  MmTxn guards = mm_txn();
+  g_autoptr(GArray) kept = entries_kept(reg, pack, &guards);
+  guint most_guards = 4 * reg->node->settings->state_txn_ops;
+  gboolean too_large = entries_bytes(kept) > pack_limit(reg);
+  gboolean alone = too_large || json_array_size(guards.guards) > 0;
+
+  if (kept->len < pack->entries->len && !(alone && txn->puts > 0)
+      && json_array_size(guards.guards) < most_guards && mm_store_may_write(reg->node->store, 1)) {
+    json_array_extend(txn->guards, guards.guards);
+    if (too_large)
+      copy_overflow(reg, name, pack, kept, txn);
+    else
+      write_kept(name, pack, kept, txn);
+  }
+  json_decref(guards.guards);
+  json_decref(guards.apply);
+}
+
 void
 mm_register_drop_lost(MmRegister *reg) {
   MmNode *node = reg->node;
@@ -277,23 +411,10 @@
     return;
   txn = mm_txn();
   g_hash_table_iter_init(&iter, reg->packs);
-  while (txn.puts < node->settings->state_txn_ops && g_hash_table_iter_next(&iter, &name, &value)) {
-    const MmPack *pack = value;
-    g_autoptr(GArray) kept = g_array_new(FALSE, TRUE, sizeof(MmEntry));
-    for (guint i = 0; i < pack->entries->len; i++) {
-      const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
-      const MmMachine *machine = mm_roster_find(node->roster, e->machine.s);
-      if (machine == NULL || !is_over(machine, e))
-        g_array_append_val(kept, *e);
-    }
-    if (kept->len == pack->entries->len || !mm_store_may_write(node->store, 1))
-      continue;
-    mm_txn_guard(&txn, MM_KEY_PACK, name, pack->mark);
-    if (kept->len > 0)
-      mm_txn_put(&txn, MM_KEY_PACK, name, pack_json(kept), 0);
-    else
-      mm_txn_delete(&txn, MM_KEY_PACK, name);
-  }
+  while (txn.puts < node->settings->state_txn_ops
+         && json_array_size(txn.guards) <= node->settings->state_txn_ops
+         && g_hash_table_iter_next(&iter, &name, &value))
+    drop_from_pack(reg, name, value, &txn);
   reg->dropping = txn.puts > 0;
   mm_store_commit_any(node->store, &txn, dropped, reg);
 }
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -163,15 +163,28 @@
     complain(check, "settings.workers.lease_s", "must exceed report_s");
 }
 
+/* A limit of the state service: the smaller of what holds now and what is announced, from the start
+ * on, since the change comes without notice. */
+static double
+state_limit(Check *check, const json_t *section, const char *key, double least, double most) {
+  const json_t *next = mm_json_get(section, "next");
+  double limit = number(check, section, "settings.state.", key, least, most);
+
+  if (mm_json_get(next, key) == NULL)
+    return limit;
+  return MIN(limit, number(check, next, "settings.state.next.", key, least, most));
+}
+
 static void
 read_state_service(Check *check, MmSettings *s, const json_t *settings) {
   const json_t *section = table(check, settings, "state", "settings.state");
 
-  s->state_rps = number(check, section, "settings.state.", "rps", 1, 1e9);
-  s->state_write_rps = number(check, section, "settings.state.", "write_rps", 1, 1e9);
-  s->state_value_bytes
-      = (guint)(number(check, section, "settings.state.", "value_kb", 1, 1e6) * 1024);
-  s->state_txn_ops = (guint)number(check, section, "settings.state.", "txn_ops", 2, 1e6);
+  if (mm_json_get(section, "next") != NULL)
+    table(check, section, "next", "settings.state.next");
+  s->state_rps = state_limit(check, section, "rps", 1, 1e9);
+  s->state_write_rps = state_limit(check, section, "write_rps", 1, 1e9);
+  s->state_value_bytes = (guint)(state_limit(check, section, "value_kb", 1, 1e6) * 1024);
+  s->state_txn_ops = (guint)state_limit(check, section, "txn_ops", 2, 1e6);
 }
 
 static void
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -49,6 +49,7 @@
   double gang_wait_s;
   double gang_peer_s;
   double cancel_s;
+  /* Limits of the state service: the smaller of those that hold and those that are announced. */
   double state_rps;
   double state_write_rps;
   guint state_value_bytes;
--- /dev/null
+++ b/src/dependencies/dependencies.h
@@ -0,0 +1,44 @@
+/* Dependencies between jobs, as this node knows them: the graph, fed by the job table and by final
+ * states, and what follows for the jobs. Final states that nobody has told are read from the state
+ * service, a few at a time. */
+#pragma once
+
+#include "dependencies/graph.h"
+#include "jobs/book.h"
+#include "node/node.h"
+
+struct MmDependencies {
+  MmNode *node;
+  MmGraph *graph;
+  guint lookups; /* reads of final states under way */
+  MmTime next_lookup;
+};
+
+MmDependencies *mm_dependencies_new(MmNode *node);
+void mm_dependencies_free(MmDependencies *dependencies);
+void mm_dependencies_tick(MmDependencies *dependencies);
+
+/* The job has come into the job table. */
+void mm_dependencies_job_added(MmDependencies *dependencies, MmJob *job);
+/* The job's cancellation is in the state service. */
+void mm_dependencies_job_cancelled(MmDependencies *dependencies, const char *job);
+/* The job's final state is in the state service. `done_ms` 0: when it was done is not known. */
+void mm_dependencies_job_over(MmDependencies *dependencies, const char *job, gboolean cancelled,
+                              gint64 done_ms);
+/* The job's record has gone. To be told after its final state, where that is known. */
+void mm_dependencies_job_removed(MmDependencies *dependencies, const char *job);
+
+/* Whether nothing is known yet of a job that this one depends on, directly or not. Until it is, no
+ * user can be told whether this job is cancelled. */
+gboolean mm_dependencies_undecided(MmDependencies *dependencies, const MmJob *job);
+
+/* Whether the job's tasks may start as far as its dependencies go: the final state `done` of each
+ * has been seen in the state service. */
+static inline gboolean
+mm_job_is_ready(const MmJob *job) {
+  return job->vertex == NULL || mm_vertex_is_ready(job->vertex);
+}
+
+/* Whether a job that it depends on is cancelled. No task of such a job has ever been started: it
+ * was never ready. */
+gboolean mm_job_needs_cancelled(const MmJob *job);
--- /dev/null
+++ b/src/dependencies/graph.c
@@ -0,0 +1,231 @@
+#include "dependencies/graph.h"
+
+static void
+vertex_free(gpointer data) {
+  MmVertex *vertex = data;
+
+  g_ptr_array_unref(vertex->needs);
+  g_ptr_array_unref(vertex->dependents);
+  g_free(vertex);
+}
+
+MmGraph *
+mm_graph_new(void) {
+  MmGraph *graph = g_new0(MmGraph, 1);
+
+  graph->vertices = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vertex_free);
+  graph->unknown = g_ptr_array_new();
+  return graph;
+}
+
+void
+mm_graph_free(MmGraph *graph) {
+  g_ptr_array_unref(graph->unknown);
+  g_hash_table_unref(graph->vertices);
+  g_free(graph);
+}
+
+MmVertex *
+mm_graph_find(const MmGraph *graph, const char *job) {
+  return g_hash_table_lookup(graph->vertices, job);
+}
+
+void
+mm_graph_change_init(MmGraphChange *change) {
+  change->cancelled = g_ptr_array_new();
+  change->ready = g_ptr_array_new();
+}
+
+void
+mm_graph_change_clear(MmGraphChange *change) {
+  g_ptr_array_unref(change->cancelled);
+  g_ptr_array_unref(change->ready);
+}
+
+static void
+set_state(MmGraph *graph, MmVertex *vertex, MmVertexState state) {
+  if (vertex->state == state)
+    return;
+  if (vertex->state == MM_VERTEX_UNKNOWN)
+    g_ptr_array_remove_fast(graph->unknown, vertex);
+  if (state == MM_VERTEX_UNKNOWN)
+    g_ptr_array_add(graph->unknown, vertex);
+  vertex->state = state;
+}
+
+static MmVertex *
+find_or_create(MmGraph *graph, const char *job) {
+  MmVertex *vertex = mm_graph_find(graph, job);
+
+  if (vertex != NULL)
+    return vertex;
+  vertex = g_new0(MmVertex, 1);
+  vertex->job = mm_name(job);
+  vertex->needs = g_ptr_array_new();
+  vertex->dependents = g_ptr_array_new();
+  vertex->state = MM_VERTEX_UNKNOWN;
+  g_ptr_array_add(graph->unknown, vertex);
+  g_hash_table_insert(graph->vertices, vertex->job.s, vertex);
+  return vertex;
+}
+
+/* Nobody depends on it, it depends on nobody, and its record is gone. */
+static void
+free_if_unused(MmGraph *graph, MmVertex *vertex) {
+  if (vertex->in_table || vertex->dependents->len > 0 || vertex->needs->len > 0)
+    return;
+  if (vertex->state == MM_VERTEX_UNKNOWN)
+    g_ptr_array_remove_fast(graph->unknown, vertex);
+  g_hash_table_remove(graph->vertices, vertex->job.s);
+}
+
+static gboolean
+is_over(const MmVertex *vertex) {
+  return vertex->state == MM_VERTEX_DONE || vertex->state == MM_VERTEX_CANCELLED;
+}
+
+/* Marks the vertex and all that depend on it, directly or not. */
+static void
+cancel_from(MmGraph *graph, MmVertex *start, MmGraphChange *change) {
+  guint next = change->cancelled->len;
+
+  if (is_over(start))
+    return;
+  set_state(graph, start, MM_VERTEX_CANCELLED);
+  g_ptr_array_add(change->cancelled, start);
+  for (; next < change->cancelled->len; next++) {
+    const MmVertex *vertex = g_ptr_array_index(change->cancelled, next);
+    for (guint i = 0; i < vertex->dependents->len; i++) {
+      MmVertex *dependent = g_ptr_array_index(vertex->dependents, i);
+      if (is_over(dependent))
+        continue;
+      set_state(graph, dependent, MM_VERTEX_CANCELLED);
+      g_ptr_array_add(change->cancelled, dependent);
+    }
+  }
+}
+
+static void
+connect_need(MmGraph *graph, MmVertex *vertex, const MmName *need) {
+  MmVertex *needed = find_or_create(graph, need->s);
+
+  if (needed == vertex || g_ptr_array_find(vertex->needs, needed, NULL))
+    return;
+  g_ptr_array_add(vertex->needs, needed);
+  g_ptr_array_add(needed->dependents, vertex);
+  vertex->unmet += needed->state != MM_VERTEX_DONE;
+}
+
+gboolean
+mm_vertex_needs_cancelled(const MmVertex *vertex) {
+  for (guint i = 0; i < vertex->needs->len; i++)
+    if (((const MmVertex *)g_ptr_array_index(vertex->needs, i))->state == MM_VERTEX_CANCELLED)
+      return TRUE;
+  return FALSE;
+}
+
+MmVertex *
+mm_graph_add(MmGraph *graph, const char *job, const MmName *needs, guint n_needs,
+             MmGraphChange *change) {
+  MmVertex *vertex = n_needs > 0 ? find_or_create(graph, job) : mm_graph_find(graph, job);
+
+  if (vertex == NULL || vertex->in_table)
+    return vertex;
+  vertex->in_table = TRUE;
+  if (vertex->state == MM_VERTEX_UNKNOWN)
+    set_state(graph, vertex, MM_VERTEX_UNFINISHED);
+  for (guint i = 0; i < n_needs; i++)
+    connect_need(graph, vertex, &needs[i]);
+  if (mm_vertex_needs_cancelled(vertex))
+    cancel_from(graph, vertex, change);
+  return vertex;
+}
+
+void
+mm_graph_cancel(MmGraph *graph, const char *job, MmGraphChange *change) {
+  MmVertex *vertex = mm_graph_find(graph, job);
+
+  if (vertex != NULL)
+    cancel_from(graph, vertex, change);
+}
+
+void
+mm_graph_finish(MmGraph *graph, const char *job, gboolean cancelled, gint64 done_ms,
+                MmGraphChange *change) {
+  MmVertex *vertex = mm_graph_find(graph, job);
+
+  if (vertex == NULL || is_over(vertex))
+    return;
+  if (cancelled) {
+    cancel_from(graph, vertex, change);
+    return;
+  }
+  set_state(graph, vertex, MM_VERTEX_DONE);
+  vertex->done_ms = done_ms;
+  for (guint i = 0; i < vertex->dependents->len; i++) {
+    MmVertex *dependent = g_ptr_array_index(vertex->dependents, i);
+    dependent->unmet--;
+    if (dependent->unmet == 0 && dependent->state == MM_VERTEX_UNFINISHED)
+      g_ptr_array_add(change->ready, dependent);
+  }
+}
+
+void
+mm_graph_remove(MmGraph *graph, const char *job) {
+  MmVertex *vertex = mm_graph_find(graph, job);
+
+  if (vertex == NULL)
+    return;
+  vertex->in_table = FALSE;
+  for (guint i = 0; i < vertex->needs->len; i++) {
+    MmVertex *needed = g_ptr_array_index(vertex->needs, i);
+    g_ptr_array_remove_fast(needed->dependents, vertex);
+    free_if_unused(graph, needed);
+  }
+  g_ptr_array_set_size(vertex->needs, 0);
+  vertex->unmet = 0;
+  /* A cancellation that was seen stays true; how an unfinished job ended is still to be read. */
+  if (vertex->state == MM_VERTEX_UNFINISHED)
+    set_state(graph, vertex, MM_VERTEX_UNKNOWN);
+  free_if_unused(graph, vertex);
+}
+
+gboolean
+mm_vertex_is_ready(const MmVertex *vertex) {
+  return vertex->unmet == 0;
+}
+
+gint64
+mm_vertex_ready_ms(const MmVertex *vertex) {
+  gint64 latest = 0;
+
+  for (guint i = 0; i < vertex->needs->len; i++)
+    latest = MAX(latest, ((const MmVertex *)g_ptr_array_index(vertex->needs, i))->done_ms);
+  return latest;
+}
+
+gboolean
+mm_graph_is_undecided(MmGraph *graph, MmVertex *vertex) {
+  g_autoptr(GPtrArray) walk = NULL;
+  guint64 number;
+
+  if (graph->unknown->len == 0 || is_over(vertex))
+    return FALSE;
+  number = ++graph->walks;
+  walk = g_ptr_array_new();
+  g_ptr_array_add(walk, vertex);
+  vertex->visited = number;
+  for (guint next = 0; next < walk->len; next++) {
+    const MmVertex *at = g_ptr_array_index(walk, next);
+    for (guint i = 0; i < at->needs->len; i++) {
+      MmVertex *needed = g_ptr_array_index(at->needs, i);
+      if (needed->state == MM_VERTEX_UNKNOWN)
+        return TRUE;
+      if (needed->state != MM_VERTEX_UNFINISHED || needed->visited == number)
+        continue;
+      needed->visited = number;
+      g_ptr_array_add(walk, needed);
+    }
+  }
+  return FALSE;
+}
--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -5,8 +5,9 @@
 
 #include "base/wire.h"
 #include "checkin/roster.h"
-#include "fleet/types.h"
+#include "dependencies/dependencies.h"
 #include "jobs/book.h"
+#include "jobs/call.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
 #include "peers/links.h"
@@ -19,24 +20,9 @@
 #define KNOWN_MS 1200
 #define TELL_AGAIN_MS 400
 
-typedef struct {
-  MmNode *node;
-  MmExchange *exchange;
-  MmName id;
-  gboolean cancel;
-  guint tries;
-  MmSpec spec;
-  gint64 at_ms;
-  json_t *record;  /* the job's record as last read */
-  MmTime deadline; /* while it waits for the others to know of a cancellation, */
-  MmTime told;     /* and when they were last told */
-} Call;
-
-static void lookup(Call *call);
-
-static Call *
-call_new(MmNode *node, MmExchange *exchange, const char *id) {
-  Call *call = g_new0(Call, 1);
+MmCall *
+mm_call_new(MmNode *node, MmExchange *exchange, const char *id) {
+  MmCall *call = g_new0(MmCall, 1);
 
   call->node = node;
   call->exchange = exchange;
@@ -44,26 +30,25 @@
   return call;
 }
 
-static void
-finish(Call *call, int status, json_t *body, guint retry_after_s) {
+void
+mm_call_finish(MmCall *call, int status, json_t *body, guint retry_after_s) {
   mm_exchange_answer(call->exchange, status, body, retry_after_s);
   mm_spec_clear(&call->spec);
   json_decref(call->record);
   g_free(call);
 }
 
-static gboolean
-is_refused_now(const MmNode *node) {
+gboolean
+mm_call_is_refused_now(const MmNode *node) {
   return mm_store_is_silent(node->store)
          || (mm_store_in_trouble(node->store)
              && mm_time_ms_since(mm_node_now(node), node->store->last_refused) < REFUSED_MS);
 }
 
-/* The final answer of this request: come again later. */
-static void
-give_up(Call *call) {
-  finish(call, 503, mm_json_error("the state service does not answer"),
-         mm_store_in_trouble(call->node->store) ? 2 : 1);
+void
+mm_call_give_up(MmCall *call) {
+  mm_call_finish(call, 503, mm_json_error("the state service does not answer"),
+                 mm_store_in_trouble(call->node->store) ? 2 : 1);
 }
 
 static json_t *
@@ -79,7 +64,7 @@
  * that can't be asked knows it all the same, or answers nobody, once the state service has served
  * this node for longer than a node may answer without having read what changed. */
 static gboolean
-all_know(const Call *call) {
+all_know(const MmCall *call) {
   const MmNode *node = call->node;
   const MmJob *job = mm_book_find(node->book, call->id.s);
 
@@ -88,6 +73,9 @@
   /* Finished as cancelled: its tasks were all gone. */
   if (job == NULL)
     return mm_book_is_over(node->book, call->id.s);
+  /* None of its tasks has ever been started, and every node works out that it is cancelled. */
+  if (mm_job_needs_cancelled(job))
+    return TRUE;
   if (job->cancel_mark.v == 0 || node->replica->epoch < job->cancel_mark.v)
     return FALSE;
   if (node->store->served_us - job->cancel_served_us >= mm_claims_staleness_bound(node->claims) * 2)
@@ -100,11 +88,11 @@
 }
 
 static void
-answer_cancelled(Call *call) {
+answer_cancelled(MmCall *call) {
   MmTime now = mm_node_now(call->node);
 
   if (all_know(call)) {
-    finish(call, 200, state_body(call->id.s, WIRE_CANCELLED, 0, 0), 0);
+    mm_call_finish(call, 200, state_body(call->id.s, WIRE_CANCELLED, 0, 0), 0);
     return;
   }
   call->deadline = mm_time_add_ms(now, KNOWN_MS);
@@ -115,12 +103,12 @@
 
 static gboolean
 let_go_acked(MmApi *api, GList *link) {
-  Call *call = link->data;
+  MmCall *call = link->data;
 
   if (!all_know(call))
     return FALSE;
   g_queue_delete_link(api->waiting, link);
-  finish(call, 200, state_body(call->id.s, WIRE_CANCELLED, 0, 0), 0);
+  mm_call_finish(call, 200, state_body(call->id.s, WIRE_CANCELLED, 0, 0), 0);
   return TRUE;
 }
 
@@ -133,24 +121,53 @@
     job->cancel_acks |= G_GUINT64_CONSTANT(1) << peer;
   for (GList *link = api->waiting->head; link != NULL; link = next) {
     next = link->next;
-    if (strcmp(((Call *)link->data)->id.s, id) == 0)
+    if (strcmp(((MmCall *)link->data)->id.s, id) == 0)
       let_go_acked(api, link);
   }
 }
 
+/* Lets go a question about a job whose dependencies are not all known yet, once they are. */
+static gboolean
+let_go_decided(MmApi *api, GList *link) {
+  MmCall *call = link->data;
+  const MmJob *job = mm_book_find(api->node->book, call->id.s);
+
+  if (job != NULL && mm_dependencies_undecided(api->node->dependencies, job))
+    return FALSE;
+  g_queue_delete_link(api->undecided, link);
+  mm_call_answer_when_current(call);
+  return TRUE;
+}
+
+static void
+tick_undecided(MmApi *api) {
+  MmTime now = mm_node_now(api->node);
+  GList *next;
+
+  for (GList *link = api->undecided->head; link != NULL; link = next) {
+    MmCall *call = link->data;
+    next = link->next;
+    if (let_go_decided(api, link) || mm_time_before(now, call->deadline))
+      continue;
+    g_queue_delete_link(api->undecided, link);
+    mm_call_give_up(call);
+  }
+}
+
 void
 mm_api_tick(MmApi *api) {
   MmTime now = mm_node_now(api->node);
   GList *next;
 
+  tick_undecided(api);
   for (GList *link = api->waiting->head; link != NULL; link = next) {
-    Call *call = link->data;
+    MmCall *call = link->data;
     next = link->next;
     if (let_go_acked(api, link))
       continue;
     if (!mm_time_before(now, call->deadline)) {
       g_queue_delete_link(api->waiting, link);
-      give_up(call);
+      mm_call_give_up(call);
     } else if (mm_time_ms_since(now, call->told) >= TELL_AGAIN_MS) {
       call->told = now;
       mm_links_tell_cancelled(api->node->links, call->id.s);
@@ -164,22 +181,26 @@
 
   api->node = node;
   api->waiting = g_queue_new();
+  api->undecided = g_queue_new();
   return api;
 }
 
 void
 mm_api_free(MmApi *api) {
-  Call *call;
+  MmCall *call;
 
   while ((call = g_queue_pop_head(api->waiting)) != NULL)
-    give_up(call);
+    mm_call_give_up(call);
+  while ((call = g_queue_pop_head(api->undecided)) != NULL)
+    mm_call_give_up(call);
   g_queue_free(api->waiting);
+  g_queue_free(api->undecided);
   g_free(api);
 }
 
 /* Counts are for display only. */
 static void
-answer_unfinished(Call *call, gboolean cancelled) {
+answer_unfinished(MmCall *call, gboolean cancelled) {
   MmJob *job = mm_book_find(call->node->book, call->id.s);
   guint running = mm_roster_running(call->node->roster, call->id.s);
   guint done = 0;
@@ -193,36 +214,40 @@
     done = job->tasks != NULL ? job->done.count : job->recorded.count;
   if (running > 0)
     state = WIRE_RUNNING;
-  finish(call, 200, state_body(call->id.s, state, done, running), 0);
+  mm_call_finish(call, 200, state_body(call->id.s, state, done, running), 0);
 }
 
 static void
 final_read(gpointer data, int status, json_t *body) {
-  Call *call = data;
-  const json_t *value = mm_json_get(body, WIRE_VALUE);
-  const char *state = mm_json_string(value, "m");
+  MmCall *call = data;
+  MmBook *book = call->node->book;
+  json_t *final = NULL;
 
   if (status == 404) {
-    finish(call, 404, mm_json_error("no such job"), 0);
-  } else if (status == 200 && state != NULL) {
-    mm_book_keep_final(call->node->book, call->id.s, state, (guint)mm_json_count(value, "n", 0));
-    finish(call, 200, mm_book_final(call->node->book, call->id.s), 0);
-  } else {
-    give_up(call);
+    mm_call_finish(call, 404, mm_json_error("no such job"), 0);
+    return;
   }
+  if (status == 200) {
+    mm_book_keep_final(book, call->id.s, mm_json_get(body, WIRE_VALUE));
+    final = mm_book_final(book, call->id.s);
+  }
+  if (final != NULL)
+    mm_call_finish(call, 200, final, 0);
+  else
+    mm_call_give_up(call);
 }
 
 static void
 cancel_written(gpointer data, int status, json_t *body) {
-  Call *call = data;
+  MmCall *call = data;
   guint64 epoch;
 
   if (status == 409 && ++call->tries < CANCEL_TRIES) {
-    lookup(call);
+    mm_call_look_up(call);
     return;
   }
   if (status != 200) {
-    give_up(call);
+    mm_call_give_up(call);
     return;
   }
   /* The watch may be behind, or stop here. */
@@ -234,10 +259,13 @@
 }
 
 static void
-write_cancel(Call *call, MmMark mark) {
+write_cancel(MmCall *call, MmMark mark) {
   MmTxn txn = mm_txn();
 
   json_object_set_new(call->record, "c", json_integer(1));
+  /* Written under larger limits: which of its tasks are done matters no more. */
+  if (json_dumpb(call->record, NULL, 0, JSON_COMPACT) > call->node->settings->state_value_bytes)
+    json_object_del(call->record, "d");
   mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, mark);
   mm_txn_put(&txn, MM_KEY_JOB, call->id.s, json_incref(call->record), 0);
   mm_store_commit(call->node->store, &txn, cancel_written, call);
@@ -245,7 +273,7 @@
 
 static void
 record_read(gpointer data, int status, json_t *body) {
-  Call *call = data;
+  MmCall *call = data;
 
   if (status == 404) {
     /* Finished jobs move from the one key to the other, so this order cannot miss one. */
@@ -253,45 +281,63 @@
     return;
   }
   if (status != 200 || !json_is_object(mm_json_get(body, WIRE_VALUE))) {
-    give_up(call);
+    mm_call_give_up(call);
     return;
   }
   json_decref(call->record);
   call->record = json_deep_copy(mm_json_get(body, WIRE_VALUE));
   if (call->cancel && mm_json_count(call->record, "c", 0) == 0)
     write_cancel(call, (MmMark){ mm_json_count(body, WIRE_VERSION, 0) });
+  else if (mm_json_count(call->record, "c", 0) == 0 && mm_json_get(call->record, "w") != NULL)
+    mm_call_answer_when_current(call); /* cancelled all the same, if what it depends on is */
   else
     answer_unfinished(call, mm_json_count(call->record, "c", 0) != 0);
 }
 
-static void
-lookup(Call *call) {
+void
+mm_call_look_up(MmCall *call) {
   json_t *final = mm_book_final(call->node->book, call->id.s);
 
   if (final != NULL)
-    finish(call, 200, final, 0);
-  else if (call->tries == 0 && is_refused_now(call->node))
-    give_up(call);
+    mm_call_finish(call, 200, final, 0);
+  else if (call->tries == 0 && mm_call_is_refused_now(call->node))
+    mm_call_give_up(call);
   else
     mm_store_get(call->node->store, MM_KEY_JOB, call->id.s, record_read, call);
 }
 
+static void
+wait_until_decided(MmCall *call) {
+  MmApi *api = call->node->api;
+
+  if (call->deadline.us == 0)
+    call->deadline = mm_time_add_ms(mm_node_now(call->node), KNOWN_MS);
+  g_queue_push_tail(api->undecided, call);
+}
+
 /* The replica holds all that was written when the question came: whatever any node had told of the
  * job by then shows here. */
 static void
 replica_current(gpointer data, gboolean current) {
-  Call *call = data;
+  MmCall *call = data;
   const MmJob *job = mm_book_find(call->node->book, call->id.s);
   json_t *final = mm_book_final(call->node->book, call->id.s);
 
   if (final != NULL)
-    finish(call, 200, final, 0);
+    mm_call_finish(call, 200, final, 0);
   else if (!current)
-    give_up(call);
-  else if (job != NULL)
-    answer_unfinished(call, job->cancelled);
-  else
+    mm_call_give_up(call);
+  else if (job == NULL)
     mm_store_get(call->node->store, MM_KEY_FINAL, call->id.s, final_read, call);
+  else if (!job->cancelled && mm_dependencies_undecided(call->node->dependencies, job))
+    wait_until_decided(call);
+  else
+    answer_unfinished(call, job->cancelled);
+}
+
+void
+mm_call_answer_when_current(MmCall *call) {
+  mm_replica_when_current(call->node->replica, replica_current, call);
 }
 
 void
@@ -302,90 +348,21 @@
     mm_exchange_answer(exchange, 200, final, 0);
   else if (!mm_spec_id_is_valid(id))
     mm_exchange_answer(exchange, 404, mm_json_error("no such job"), 0);
-  else if (is_refused_now(node))
-    give_up(call_new(node, exchange, id));
+  else if (mm_call_is_refused_now(node))
+    mm_call_give_up(mm_call_new(node, exchange, id));
   else
-    mm_replica_when_current(node->replica, replica_current, call_new(node, exchange, id));
+    mm_call_answer_when_current(mm_call_new(node, exchange, id));
 }
 
 void
 mm_api_cancel(MmNode *node, const char *id, MmExchange *exchange) {
-  Call *call;
+  MmCall *call;
 
   if (!mm_spec_id_is_valid(id)) {
     mm_exchange_answer(exchange, 404, mm_json_error("no such job"), 0);
     return;
   }
-  call = call_new(node, exchange, id);
+  call = mm_call_new(node, exchange, id);
   call->cancel = TRUE;
-  lookup(call);
-}
-
-static void
-submit_written(gpointer data, int status, json_t *body) {
-  Call *call = data;
-
-  if (status == 200) {
-    mm_info("%s (%s of %s, %u tasks) is accepted", call->id.s, call->spec.job_class.s,
-            call->spec.team.s, call->spec.tasks);
-    finish(call, 201, json_pack("{s:s, s:s}", WIRE_JOB_ID, call->id.s, WIRE_STATE, WIRE_PENDING),
-           0);
-  } else if (status == 409)
-    lookup(call); /* known already: its state now */
-  else
-    give_up(call);
-}
-
-static const char *
-never_runs(const MmNode *node, const MmSpec *spec) {
-  const MmTeamSettings *team = mm_settings_team(node->settings, &spec->team);
-  double times = spec->kind == MM_KIND_ARRAY ? 1 : spec->tasks;
-
-  if (team == NULL)
-    return "unknown team";
-  if ((team->limit.cores > 0 && spec->need.cores * times > team->limit.cores + MM_RESOURCES_SLACK)
-      || (team->limit.accelerators > 0
-          && spec->need.accelerators * times > team->limit.accelerators + MM_RESOURCES_SLACK))
-    return "the job needs more than the team's limit";
-  if (!mm_types_any_fits(node->types, spec))
-    return "a task fits no allowed machine type";
-  return NULL;
-}
-
-void
-mm_api_submit(MmNode *node, const json_t *body, MmExchange *exchange) {
-  Call *call = call_new(node, exchange, "");
-  const char *reason = NULL;
-  MmTxn txn;
-  json_t *record;
-
-  if (!mm_spec_parse(&call->spec, body, &reason)) {
-    finish(call, 400, mm_json_error(reason), 0);
-    return;
-  }
-  call->id = call->spec.id;
-  if (!mm_types_known(node->types)) {
-    finish(call, 503, mm_json_error("the machine types are not known yet"), 1);
-    return;
-  }
-  reason = never_runs(node, &call->spec);
-  if (reason != NULL) {
-    finish(call, 422, mm_json_error(reason), 0);
-    return;
-  }
-  if (is_refused_now(node)) {
-    give_up(call);
-    return;
-  }
-  record = mm_job_record(&call->spec, mm_node_wall_ms(node), FALSE, NULL);
-  if (json_dumpb(record, NULL, 0, JSON_COMPACT) + 512 > node->settings->state_value_bytes) {
-    json_decref(record);
-    finish(call, 400, mm_json_error("the job's description is too long"), 0);
-    return;
-  }
-  txn = mm_txn();
-  mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, (MmMark){ 0 });
-  mm_txn_guard(&txn, MM_KEY_FINAL, call->id.s, (MmMark){ 0 });
-  mm_txn_put(&txn, MM_KEY_JOB, call->id.s, record, 0);
-  mm_store_commit(node->store, &txn, submit_written, call);
+  mm_call_look_up(call);
 }
--- a/src/jobs/api.h
+++ b/src/jobs/api.h
@@ -5,7 +5,8 @@
 
 struct MmApi {
   MmNode *node;
-  GQueue *waiting; /* requests until all who may answer workers know of the job's cancellation */
+  GQueue *waiting;   /* requests until all who may answer workers know of the job's cancellation */
+  GQueue *undecided; /* questions until it is known how what the job depends on has ended */
 };
 
 MmApi *mm_api_new(MmNode *node);
@@ -13,6 +14,7 @@
 void mm_api_tick(MmApi *api);
 /* The peer knows that the job is cancelled. */
 void mm_api_cancel_acked(MmApi *api, guint peer, const char *id);
+/* submit.c */
 void mm_api_submit(MmNode *node, const json_t *body, MmExchange *exchange);
 void mm_api_status(MmNode *node, const char *id, MmExchange *exchange);
 void mm_api_cancel(MmNode *node, const char *id, MmExchange *exchange);
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -1,6 +1,7 @@
 #include "jobs/book.h"
 
 #include "base/wire.h"
+#include "dependencies/dependencies.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
 #include "rank/rank.h"
@@ -74,7 +75,15 @@
       g_free(job);
       return;
     }
+    if (!mm_spec_needs_parse(&job->spec, mm_json_string(value, "w"))) {
+      mm_error("job record %s is not readable: what it depends on", id);
+      mm_spec_clear(&job->spec);
+      g_free(job);
+      return;
+    }
     job->submitted_ms = (gint64)mm_json_count(value, "at", 0);
+    job->waits_from_ms = job->submitted_ms;
+    job->priority = job->spec.priority;
     job->part = mm_claims_shard_of_team(&job->spec.team);
     job->team = mm_settings_team_index(book->node->settings, &job->spec.team);
     mm_done_set_init(&job->recorded, job->spec.tasks);
@@ -83,6 +92,7 @@
     book->generation++;
     g_ptr_array_sort(book->order, older_first);
     mm_rank_note(book->node->rank, &job->spec);
+    mm_dependencies_job_added(book->node->dependencies, job);
   }
   job->mark = mark;
   if (!mm_done_set_parse(&job->recorded, mm_json_string(value, "d")))
@@ -96,7 +106,7 @@
 }
 
 static void
-bounded_add(GHashTable *table, GQueue *order, guint most, const char *id, char *value) {
+bounded_add(GHashTable *table, GQueue *order, guint most, const char *id, gpointer value) {
   if (!g_hash_table_contains(table, id)) {
     char *key = g_strdup(id);
     g_queue_push_tail(order, key);
@@ -119,6 +129,7 @@
   g_ptr_array_remove(book->order, job);
   book->generation++;
   g_hash_table_remove(book->jobs, id);
+  mm_dependencies_job_removed(book->node->dependencies, id);
 }
 
 void
@@ -133,28 +144,61 @@
   return g_hash_table_contains(book->finals, id) || g_hash_table_contains(book->ended, id);
 }
 
+json_t *
+mm_final_record(const MmFinalState *state) {
+  return json_pack("{s:s, s:I, s:I}", "m", state->cancelled ? WIRE_CANCELLED : WIRE_DONE, "n",
+                   (json_int_t)state->done, "t", (json_int_t)state->done_ms);
+}
+
+gboolean
+mm_final_parse(const json_t *value, MmFinalState *state) {
+  const char *word = mm_json_string(value, "m");
+
+  if (g_strcmp0(word, WIRE_CANCELLED) != 0 && g_strcmp0(word, WIRE_DONE) != 0)
+    return FALSE;
+  *state = (MmFinalState){ strcmp(word, WIRE_CANCELLED) == 0, (guint)mm_json_count(value, "n", 0),
+                           (gint64)mm_json_count(value, "t", 0) };
+  return TRUE;
+}
+
 void
-mm_book_keep_final(MmBook *book, const char *id, const char *state, guint done) {
-  g_autoptr(json_t) answer = json_pack("{s:s, s:s, s:I, s:i}", WIRE_JOB_ID, id, WIRE_STATE, state,
-                                       WIRE_DONE, (json_int_t)done, WIRE_RUNNING, 0);
-  char *text = json_dumps(answer, JSON_COMPACT);
+mm_book_keep_final(MmBook *book, const char *id, const json_t *value) {
+  MmFinalState state;
+
+  if (!mm_final_parse(value, &state))
+    return;
+  bounded_add(book->finals, book->final_order, FINALS_KEPT, id, g_memdup2(&state, sizeof state));
+  mm_dependencies_job_over(book->node->dependencies, id, state.cancelled, state.done_ms);
+}
+
+gboolean
+mm_book_final_state(const MmBook *book, const char *id, MmFinalState *state) {
+  const MmFinalState *kept = g_hash_table_lookup(book->finals, id);
 
-  bounded_add(book->finals, book->final_order, FINALS_KEPT, id, g_strdup(text));
-  free(text);
+  if (kept != NULL)
+    *state = *kept;
+  return kept != NULL;
 }
 
 json_t *
 mm_book_final(const MmBook *book, const char *id) {
-  const char *text = g_hash_table_lookup(book->finals, id);
+  MmFinalState state;
 
-  return text != NULL ? json_loads(text, 0, NULL) : NULL;
+  if (!mm_book_final_state(book, id, &state))
+    return NULL;
+  return json_pack("{s:s, s:s, s:I, s:i}", WIRE_JOB_ID, id, WIRE_STATE,
+                   state.cancelled ? WIRE_CANCELLED : WIRE_DONE, WIRE_DONE, (json_int_t)state.done,
+                   WIRE_RUNNING, 0);
 }
 
 json_t *
 mm_job_record(const MmSpec *spec, gint64 submitted_ms, gboolean cancelled, const char *done_text) {
+  g_autofree char *needs = mm_spec_needs_text(spec);
   json_t *record
       = json_pack("{s:o, s:I}", "s", mm_spec_to_json(spec), "at", (json_int_t)submitted_ms);
 
+  if (needs != NULL)
+    json_object_set_new(record, "w", json_string(needs));
   if (done_text != NULL && done_text[0] != '\0')
     json_object_set_new(record, "d", json_string(done_text));
   if (cancelled)
@@ -178,5 +222,5 @@
 
 double
 mm_job_waited_s(const MmNode *node, const MmJob *job) {
-  return MAX(0.0, (double)(mm_node_wall_ms(node) - job->submitted_ms) / 1000.0);
+  return MAX(0.0, (double)(mm_node_wall_ms(node) - job->waits_from_ms) / 1000.0);
 }
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -8,6 +8,7 @@
 
 typedef struct MmMachine MmMachine;
 typedef struct MmOwnedShard MmOwnedShard;
+typedef struct MmVertex MmVertex;
 
 /* Where a task may be. Only the owner of its team knows. */
 typedef enum {
@@ -51,8 +52,11 @@
 
 typedef struct {
   MmSpec spec;
-  gint64 submitted_ms; /* time of day */
+  gint64 submitted_ms;  /* time of day */
+  gint64 waits_from_ms; /* time of day: submitted, or the last job that it depends on was done */
   gboolean cancelled;
+  MmVertex *vertex; /* in the dependency graph; NULL: it depends on nothing and is needed by none */
+  MmPriority priority;     /* its own, or that of a job that depends on it where this is higher */
   guint64 cancel_acks;     /* the peers that have taken note of that, a bit each */
   MmMark cancel_mark;      /* of the record that showed it; 0 while it is known by word only */
   gint64 cancel_served_us; /* the state service's time of service, see mm_store_tick, when it was */
@@ -80,18 +84,26 @@
   gboolean favoured; /* the same, where no aim of the settings gives guarantees a time */
   gboolean aged;     /* waited past all patience with nothing begun */
   gint64 due_ms;     /* time of day by which to act for its next aim, see mm_owner_set_due */
+  gint64 inherited_due_ms; /* the same, for the deadlines of jobs that depend on it */
   MmOutlook outlook;
   double seen_s; /* sum of the run times seen, and how many */
   guint seen_n;
   gboolean known_after_claim; /* submitted after the part was taken */
 } MmJob;
 
+/* How a job ended. */
+typedef struct {
+  gboolean cancelled;
+  guint done;     /* how many of its tasks were */
+  gint64 done_ms; /* time of day; 0: written by a version that did not say */
+} MmFinalState;
+
 struct MmBook {
   MmNode *node;
   GHashTable *jobs;   /* id -> MmJob */
   GPtrArray *order;   /* MmJob, oldest submission first */
   guint64 generation; /* rises when a job comes or goes */
-  GHashTable *finals; /* id -> json text of the final answer; bounded */
+  GHashTable *finals; /* id -> MmFinalState; bounded */
   GQueue *final_order;
   GHashTable *ended; /* ids whose records went away here: final, state not read yet; bounded */
   GQueue *ended_order;
@@ -107,12 +119,16 @@
 
 /* Known to be over: its record is gone, or its final state is known. */
 gboolean mm_book_is_over(const MmBook *book, const char *id);
-void mm_book_keep_final(MmBook *book, const char *id, const char *state, guint done);
+/* Takes note of a final record that is in the state service; what is no such record is ignored. */
+void mm_book_keep_final(MmBook *book, const char *id, const json_t *value);
+gboolean mm_book_final_state(const MmBook *book, const char *id, MmFinalState *state);
 /* The final answer for the user, or NULL. */
 json_t *mm_book_final(const MmBook *book, const char *id);
 
 json_t *mm_job_record(const MmSpec *spec, gint64 submitted_ms, gboolean cancelled,
                       const char *done_text);
+json_t *mm_final_record(const MmFinalState *state);
+gboolean mm_final_parse(const json_t *value, MmFinalState *state);
 /* A task of the job ended with an error on the machine. */
 void mm_job_note_failure(MmJob *job, const MmName *machine);
 /* It has failed on several machines and succeeded on none. */
--- a/src/jobs/spec.c
+++ b/src/jobs/spec.c
@@ -74,6 +74,37 @@
   return TRUE;
 }
 
+static gboolean
+has_need(const MmSpec *spec, const char *id) {
+  for (guint i = 0; i < spec->n_needs; i++)
+    if (strcmp(spec->needs[i].s, id) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* An id that is named twice counts once. */
+static gboolean
+read_needs(const json_t *body, MmSpec *spec) {
+  const json_t *list = mm_json_get(body, WIRE_NEEDS);
+  size_t i;
+  json_t *item;
+
+  if (list == NULL)
+    return TRUE;
+  if (!json_is_array(list))
+    return FALSE;
+  spec->needs = g_new0(MmName, json_array_size(list));
+  json_array_foreach(list, i, item) {
+    const char *id = json_string_value(item);
+    if (id == NULL || id[0] == '\0' || json_string_length(item) > MM_NAME_MAX
+        || strlen(id) != json_string_length(item))
+      return FALSE;
+    if (!has_need(spec, id))
+      spec->needs[spec->n_needs++] = mm_name(id);
+  }
+  return TRUE;
+}
+
 static gboolean
 read_word(const json_t *body, const char *key, const char *const *words, guint n, guint *found) {
   const char *text = mm_json_string(body, key);
@@ -139,6 +170,8 @@
     *reason = WIRE_SAVE " must be a number, 0 or more";
   else if (!read_amount(body, WIRE_DEADLINE, &spec->deadline_s, -1))
     *reason = WIRE_DEADLINE " must be null or a number, 0 or more";
+  else if (!read_needs(body, spec))
+    *reason = WIRE_NEEDS " must be null or a list of job ids";
   else {
     spec->id = mm_name(mm_json_string(body, WIRE_JOB_ID));
     spec->kind = (MmKind)kind;
@@ -176,10 +209,48 @@
   return body;
 }
 
+#define NEEDS_SEPARATOR ","
+
+char *
+mm_spec_needs_text(const MmSpec *spec) {
+  g_autoptr(GString) text = NULL;
+
+  if (spec->n_needs == 0)
+    return NULL;
+  text = g_string_new(NULL);
+  for (guint i = 0; i < spec->n_needs; i++) {
+    if (i > 0)
+      g_string_append(text, NEEDS_SEPARATOR);
+    g_string_append(text, spec->needs[i].s + strlen(WIRE_JOB_PREFIX));
+  }
+  return g_string_free(g_steal_pointer(&text), FALSE);
+}
+
+gboolean
+mm_spec_needs_parse(MmSpec *spec, const char *text) {
+  g_auto(GStrv) numbers = NULL;
+
+  if (text == NULL)
+    return TRUE;
+  numbers = g_strsplit(text, NEEDS_SEPARATOR, -1);
+  g_free(spec->needs);
+  spec->n_needs = 0;
+  spec->needs = g_new0(MmName, g_strv_length(numbers));
+  for (guint i = 0; numbers[i] != NULL; i++) {
+    g_autofree char *id = g_strconcat(WIRE_JOB_PREFIX, numbers[i], NULL);
+    if (!mm_spec_id_is_valid(id))
+      return FALSE;
+    spec->needs[spec->n_needs++] = mm_name(id);
+  }
+  return TRUE;
+}
+
 void
 mm_spec_clear(MmSpec *spec) {
   g_clear_pointer(&spec->types, g_free);
   spec->n_types = 0;
+  g_clear_pointer(&spec->needs, g_free);
+  spec->n_needs = 0;
 }
 
 gboolean
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -30,12 +30,20 @@
   double checkpoint_s;
   double save_s;
   double deadline_s; /* below 0: none */
+  MmName *needs;     /* ids of the jobs that must be done before any of its tasks starts */
+  guint n_needs;
 } MmSpec;
 
 /* FALSE with a reason (static text) when the body is malformed. */
 gboolean mm_spec_parse(MmSpec *spec, const json_t *body, const char **reason);
-/* The known fields only, as they are to be stored. */
+/* The known fields only, as they are to be stored; without the jobs that it depends on, which have
+ * a shorter form of their own. */
 json_t *mm_spec_to_json(const MmSpec *spec);
+/* The ids of the jobs that it depends on as they are stored, such as "000398,000405"; NULL: none.
+ */
+char *mm_spec_needs_text(const MmSpec *spec);
+/* FALSE when it is not such a text. */
+gboolean mm_spec_needs_parse(MmSpec *spec, const char *text);
 void mm_spec_clear(MmSpec *spec);
 /* Whether this is an id in the form that users' ids always have. */
 gboolean mm_spec_id_is_valid(const char *id);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include "checkin/checkin.h"
 #include "checkin/register.h"
 #include "checkin/roster.h"
+#include "dependencies/dependencies.h"
 #include "fleet/fleet.h"
 #include "fleet/types.h"
 #include "jobs/api.h"
@@ -14,6 +15,7 @@
 #include "rank/rank.h"
 #include "store/replica.h"
 #include "store/store.h"
+#include "upgrade/versions.h"
 
 #define TROUBLE_ALONE_MS 2000
 /* Overload is shed in this order: status polls, then submissions. Workers' leases, cancellations
@@ -37,6 +39,8 @@
   node->claims = mm_claims_new(node);
   node->book = mm_book_new(node);
   node->api = mm_api_new(node);
+  node->dependencies = mm_dependencies_new(node);
+  node->versions = mm_versions_new(node);
   node->types = mm_types_new(node);
   node->roster = mm_roster_new(node);
   node->reg = mm_register_new(node);
@@ -61,6 +65,8 @@
   mm_roster_free(node->roster);
   mm_types_free(node->types);
   mm_book_free(node->book);
+  mm_dependencies_free(node->dependencies);
+  mm_versions_free(node->versions);
   mm_claims_free(node->claims);
   mm_store_free(node->store);
   g_rand_free(node->rand);
@@ -99,6 +105,8 @@
   mm_store_tick(node->store);
   mm_claims_tick(node->claims);
   mm_replica_tick(node->replica);
+  mm_versions_tick(node->versions);
+  mm_dependencies_tick(node->dependencies);
   mm_api_tick(node->api);
   mm_links_tick(node->links);
   mm_types_tick(node->types);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,6 +14,8 @@
 typedef struct MmClaims MmClaims;
 typedef struct MmBook MmBook;
 typedef struct MmApi MmApi;
+typedef struct MmDependencies MmDependencies;
+typedef struct MmVersions MmVersions;
 typedef struct MmRoster MmRoster;
 typedef struct MmRegister MmRegister;
 typedef struct MmCheckin MmCheckin;
@@ -37,6 +39,8 @@
   MmClaims *claims;
   MmBook *book;
   MmApi *api;
+  MmDependencies *dependencies;
+  MmVersions *versions;
   MmRoster *roster;
   MmRegister *reg;
   MmCheckin *checkin;
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -1,8 +1,7 @@
 #include "owner/owner.h"
 
-#include <math.h>
-
 #include "base/wire.h"
+#include "dependencies/dependencies.h"
 #include "parts/claims.h"
 #include "peers/links.h"
 #include "store/replica.h"
@@ -12,8 +11,6 @@
 #define GIVE_UP_AFTER_MS 800
 #define SPREAD_PERIODS 0.7
 #define OUTLOOK_MS 400
-/* Work within its team's guarantee should start within seconds. */
-#define WITHIN_S 1
 #define OUTLOOK_OLD_MS 2000
 
 MmAttempt
@@ -50,7 +47,7 @@
 gboolean
 mm_owner_open(MmOwner *owner, const MmJob *job) {
   return mm_owner_held(owner, job) != NULL && job->tasks != NULL && !job->cancelled
-         && mm_owner_knows(owner, job)
+         && mm_job_is_ready(job) && mm_owner_knows(owner, job)
          && !mm_time_before(mm_node_now(owner->node), job->paused_until);
 }
 
@@ -62,101 +59,6 @@
          && mm_owner_compare_pressing(&to, &job) < 0;
 }
 
-gboolean
-mm_owner_goes_first(const MmOwner *owner, const MmJob *job) {
-  return job->aged || job->spec.priority >= MM_URGENT
-         || mm_job_waited_s(owner->node, job)
-                > (job->within ? WITHIN_S : owner->node->operators->wait_bound_s);
-}
-
-/* When the last task must have started for the aim, in seconds from the job's submission. */
-static double
-aim_at(const MmJob *job, const MmAim *aim, double run_s) {
-  switch (aim->kind) {
-  case MM_AIM_WAIT:
-  case MM_AIM_GUARANTEE:
-    return aim->within_s;
-  case MM_AIM_FINISHED:
-    return aim->within_s - run_s;
-  case MM_AIM_DEADLINE:
-    return job->spec.deadline_s >= 0 ? job->spec.deadline_s * aim->times - run_s : -1;
-  default:
-    return -1;
-  }
-}
-
-/* The user's guess of a run time, corrected by how far the class's guesses were off, or what was
- * seen of the job's own tasks. */
-static double
-run_guess_s(const MmOwner *owner, const MmJob *job) {
-  const MmGuesses *guesses = g_hash_table_lookup(owner->guesses, job->spec.job_class.s);
-  double ratio
-      = guesses != NULL && guesses->guessed_s > 0 ? guesses->seen_s / guesses->guessed_s : 1;
-
-  if (job->seen_n > 0)
-    return job->seen_s / job->seen_n;
-  return job->spec.estimate_s * CLAMP(ratio, 0.25, 4);
-}
-
-/* How many rounds the unassigned tasks need where the team's limit lets only so many run at once.
- */
-static double
-rounds(const MmOwner *owner, const MmJob *job) {
-  const MmTeamSettings *team = mm_settings_team(owner->node->settings, &job->spec.team);
-  double at_once = job->spec.tasks;
-
-  if (team != NULL && team->limit.cores > 0 && job->spec.need.cores > 0)
-    at_once = MIN(at_once, floor(team->limit.cores / job->spec.need.cores + 1e-6));
-  if (team != NULL && team->limit.accelerators > 0 && job->spec.need.accelerators > 0)
-    at_once = MIN(at_once, floor(team->limit.accelerators / job->spec.need.accelerators + 1e-6));
-  return MAX(ceil((double)job->idle / MAX(at_once, 1)), 1);
-}
-
-void
-mm_owner_set_due(MmOwner *owner, MmJob *job) {
-  const MmSettings *settings = owner->node->settings;
-  gint64 now_ms = mm_node_wall_ms(owner->node);
-  double run_s = run_guess_s(owner, job) * rounds(owner, job);
-  gboolean any = FALSE;
-
-  job->due_ms = G_MAXINT64;
-  for (guint i = 0; i < settings->aims->len; i++) {
-    const MmAim *aim = &g_array_index(settings->aims, MmAim, i);
-    double at_s;
-    gint64 at_ms;
-    if (aim->kind == MM_AIM_GUARANTEE ? !job->within
-                                      : !mm_name_equal(&aim->job_class, &job->spec.job_class))
-      continue;
-    at_s = aim_at(job, aim, run_s);
-    at_ms = job->submitted_ms + (gint64)(at_s * 1000);
-    any = any || (at_s >= 0 && aim->kind != MM_AIM_GUARANTEE);
-    if (at_s >= 0 && at_ms >= now_ms && at_ms < job->due_ms)
-      job->due_ms = at_ms;
-  }
-  /* Without any aim of its own, its deadline or its age counts. */
-  if (!any)
-    job->due_ms = job->submitted_ms + (gint64)(MAX(job->spec.deadline_s - run_s, 0) * 1000);
-}
-
-gint
-mm_owner_compare_pressing(gconstpointer a, gconstpointer b) {
-  const MmJob *x = *(MmJob *const *)a, *y = *(MmJob *const *)b;
-
-  if (x->aged != y->aged)
-    return x->aged ? -1 : 1;
-  if (x->aged && x->submitted_ms != y->submitted_ms)
-    return x->submitted_ms < y->submitted_ms ? -1 : 1;
-  if (x->spec.priority != y->spec.priority)
-    return x->spec.priority > y->spec.priority ? -1 : 1;
-  if (x->favoured != y->favoured)
-    return x->favoured ? -1 : 1;
-  if (x->due_ms != y->due_ms)
-    return x->due_ms < y->due_ms ? -1 : 1;
-  if (x->submitted_ms != y->submitted_ms)
-    return x->submitted_ms < y->submitted_ms ? -1 : 1;
-  return strcmp(x->spec.id.s, y->spec.id.s);
-}
-
 /* `claims_at` zero: only tasks that are or may be on machines count. */
 static gboolean
 place_allowed(const MmRoster *roster, const MmJob *job, const MmMachine *machine,
@@ -271,13 +173,12 @@
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
     const MmJob *other = mm_book_find(owner->node->book, seen->job.s);
-    n += seen->state != MM_SEEN_ENDED && other != NULL
-         && other->spec.priority >= job->spec.priority;
+    n += seen->state != MM_SEEN_ENDED && other != NULL && other->priority >= job->priority;
   }
   for (guint i = 0; i < machine->placed->len; i++) {
     const MmPlaced *placed = g_ptr_array_index(machine->placed, i);
     n += placed->job->tasks[placed->number].state == MM_TASK_ISSUED
-         && placed->job->spec.priority >= job->spec.priority;
+         && placed->job->priority >= job->priority;
   }
   return n;
 }
--- a/src/owner/command.c
+++ b/src/owner/command.c
@@ -1,6 +1,8 @@
 /* Direct commands: stops, cancellations, and empty ones that spread the term. */
 #include "owner/owner.h"
 
+#include "dependencies/dependencies.h"
+
 #include "base/wire.h"
 #include "checkin/checkin.h"
 #include "checkin/health.h"
@@ -70,8 +72,11 @@
     else if (mm_task_is_live(job->tasks[i].state))
       mm_owner_stop_task(owner, job, i);
   }
-  stop_seen(owner, job);
+  /* What depends on a cancelled job has never been started. */
+  if (!mm_job_needs_cancelled(job))
+    stop_seen(owner, job);
   mm_rank_changed(owner->node->rank);
+  mm_dependencies_job_cancelled(owner->node->dependencies, id);
   return TRUE;
 }
 
--- a/src/owner/guarantee.c
+++ b/src/owner/guarantee.c
@@ -3,6 +3,8 @@
  * safety-critical hangs on it. */
 #include "owner/owner.h"
 
+#include "dependencies/dependencies.h"
+
 #define EVERY_MS 1000
 
 static gboolean
@@ -35,7 +37,7 @@
     MmJob *job = g_ptr_array_index(node->book->order, i);
     const MmTeamSettings *team;
     job->within = job->favoured = FALSE;
-    if (job->team < 0 || job->cancelled)
+    if (job->team < 0 || job->cancelled || !mm_job_is_ready(job))
       continue;
     team = &g_array_index(teams, MmTeamSettings, job->team);
     sums[job->team].cores += job->spec.tasks * job->spec.need.cores;
@@ -61,7 +63,7 @@
   MmResources left;
 
   if (!job->within || from->team < 0 || from->team == job->team || from->within
-      || from->spec.kind == MM_KIND_SERVICE || from->spec.priority > job->spec.priority)
+      || from->spec.kind == MM_KIND_SERVICE || from->priority > job->priority)
     return FALSE;
   team = &g_array_index(owner->node->settings->teams, MmTeamSettings, from->team);
   left = mm_resources_sub(owner->team_used[from->team], from->spec.need);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -1,5 +1,6 @@
 #include "owner/owner.h"
 
+#include "dependencies/dependencies.h"
 #include "parts/claims.h"
 #include "store/replica.h"
 
@@ -265,6 +266,20 @@
     mm_rank_changed(owner->node->rank);
 }
 
+void
+mm_owner_job_ready(MmOwner *owner, MmJob *job) {
+  MmTime now = mm_node_now(owner->node);
+
+  job->waits_from_ms = MAX(job->submitted_ms, mm_vertex_ready_ms(job->vertex));
+  for (guint i = 0; job->tasks != NULL && i < job->spec.tasks; i++)
+    if (job->tasks[i].state == MM_TASK_IDLE)
+      job->tasks[i].since = now;
+  mm_info("%s (%s) is ready: all that it depends on is done", job->spec.id.s,
+          job->spec.job_class.s);
+  owner->pressing_stale = TRUE;
+  mm_rank_changed(owner->node->rank);
+}
+
 void
 mm_owner_job_removed(MmOwner *owner, MmJob *job) {
   if (owner->yield == job)
@@ -352,7 +367,7 @@
 
   for (guint i = 0; i < book->order->len; i++) {
     const MmJob *job = g_ptr_array_index(book->order, i);
-    if (job->tasks != NULL && !job->cancelled)
+    if (job->tasks != NULL && !job->cancelled && mm_job_is_ready(job))
       unfinished += job->idle;
   }
   return unfinished;
@@ -417,7 +432,7 @@
           || (job->tasks != NULL && job->idle == 0))
         continue;
       n++;
-      waited_ms = now_ms - job->submitted_ms;
+      waited_ms = now_ms - job->waits_from_ms;
       if (!mm_job_is_gang(job) || waited_ms < bound_ms || waited_ms > YIELD_MOST_MS)
         continue;
       best = job->aged ? &aged : &waits;
@@ -438,11 +453,12 @@
   if (mm_time_before(now, owner->next_slow))
     return;
   owner->next_slow = mm_time_add_ms(now, SLOW_TICK_MS);
-  for (guint i = 0; i < owner->node->book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(owner->node->book->order, i);
+  /* The newest first: a job's dependents come after it. */
+  for (guint i = owner->node->book->order->len; i > 0; i--) {
+    MmJob *job = g_ptr_array_index(owner->node->book->order, i - 1);
     mm_owner_set_due(owner, job);
     if (job->tasks != NULL)
-      job->aged = job->live == 0 && job->done.count == 0 && !job->cancelled
+      job->aged = job->live == 0 && job->done.count == 0 && !job->cancelled && mm_job_is_ready(job)
                   && mm_job_waited_s(owner->node, job) > owner->node->operators->starve_s;
   }
   find_yield(owner);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -109,14 +109,10 @@
 void mm_owner_sum_unheard(MmOwner *owner, MmOwnedShard *held);
 /* Whether the job's tasks may be given out at all at the moment. */
 gboolean mm_owner_open(MmOwner *owner, const MmJob *job);
+/* The last of the jobs that it depends on is done: its waiting times count from then. */
+void mm_owner_job_ready(MmOwner *owner, MmJob *job);
 /* Whether the job leaves its places to a gang that presses more. */
 gboolean mm_owner_yields(const MmOwner *owner, const MmJob *job);
-gboolean mm_owner_goes_first(const MmOwner *owner, const MmJob *job);
-/* Sets by when the job must be given machines for the first of its aims that it can still meet. */
-void mm_owner_set_due(MmOwner *owner, MmJob *job);
-/* The order of pressing: jobs that starve, the oldest first; then priority, then what is due first.
- * Jobs past all their aims come last, until they starve. */
-gint mm_owner_compare_pressing(gconstpointer a, gconstpointer b);
 /* The rules that bind a task to places: type, zone, kind of machine, the job's other tasks. */
 gboolean mm_owner_place_allowed(const MmJob *job, const MmMachine *machine);
 /* The same, counting also places that are being cleared for the job's waiting tasks. */
@@ -171,6 +167,15 @@
  * guaranteed. */
 gboolean mm_owner_may_reclaim(const MmOwner *owner, const MmJob *job, const MmJob *from);
 
+/* urgency.c */
+gboolean mm_owner_goes_first(const MmOwner *owner, const MmJob *job);
+/* Sets the job's priority, and by when it must be given machines for the first of the aims that it
+ * can still meet: its own, and those of the jobs that depend on it. */
+void mm_owner_set_due(MmOwner *owner, MmJob *job);
+/* The order of pressing: jobs that starve, the oldest first; then priority, then what is due first.
+ * Jobs past all their aims come last, until they starve. */
+gint mm_owner_compare_pressing(gconstpointer a, gconstpointer b);
+
 /* preempt.c */
 void mm_owner_preempt(MmOwner *owner);
 /* Stops work of lower priority on as many machines, each of which could then take a task of the
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -37,8 +37,8 @@
 cheapest_first(const void *a, const void *b) {
   const Victim *x = a, *y = b;
 
-  if (x->job->spec.priority != y->job->spec.priority)
-    return x->job->spec.priority < y->job->spec.priority ? -1 : 1;
+  if (x->job->priority != y->job->priority)
+    return x->job->priority < y->job->priority ? -1 : 1;
   return (int)y->seen->number - (int)x->seen->number;
 }
 
@@ -65,7 +65,7 @@
       continue;
     other = mm_book_find(owner->node->book, seen->job.s);
     if (other != NULL
-        && (other->spec.priority < job->spec.priority || mm_owner_may_reclaim(owner, job, other))
+        && (other->priority < job->priority || mm_owner_may_reclaim(owner, job, other))
         && !is_spared(owner, other))
       chosen[able++] = (Victim){ seen, other };
   }
@@ -123,7 +123,7 @@
  * have been up within a second once waited three for a scan of idle time to save. */
 static double
 victim_grace_s(const MmJob *job, const MmJob *victim) {
-  if (job->spec.priority == MM_CRITICAL && victim->spec.priority == MM_LOW)
+  if (job->priority == MM_CRITICAL && victim->priority == MM_LOW)
     return 0;
   return mm_owner_grace_s(victim);
 }
@@ -256,8 +256,7 @@
       MmMachine *home;
 
       if (other == job || other->cancelled || other->spec.kind != MM_KIND_SERVICE
-          || other->spec.priority > job->spec.priority || moved->state != MM_TASK_RUNNING
-          || moved->stopping
+          || other->priority > job->priority || moved->state != MM_TASK_RUNNING || moved->stopping
           || !mm_resources_fits(job->spec.need, mm_resources_add(room, other->spec.need)))
         continue;
       if (homes-- == 0)
@@ -283,9 +282,8 @@
 clear_for_job(MmOwner *owner, MmJob *job, guint most) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
-  gint64 bound_ms = job->spec.priority >= MM_URGENT
-                        ? (gint64)(node->operators->preempt_after_s * 1000)
-                        : RECLAIM_AFTER_MS;
+  gint64 bound_ms = job->priority >= MM_URGENT ? (gint64)(node->operators->preempt_after_s * 1000)
+                                               : RECLAIM_AFTER_MS;
   guint tries = 0;
 
   for (guint i = job->first_idle; i < job->spec.tasks && tries < most; i++) {
@@ -311,7 +309,7 @@
 
   for (guint i = 0; i < book->order->len; i++) {
     const MmJob *job = g_ptr_array_index(book->order, i);
-    if (job->spec.priority == MM_LOW
+    if (job->priority == MM_LOW
         && mm_roster_running(owner->node->roster, job->spec.id.s) > SPARED_TASKS)
       return TRUE;
   }
@@ -321,7 +319,7 @@
 /* Neither urgent nor within a guarantee: it may only stop work of the lowest priority. */
 static gboolean
 is_plain(const MmJob *job) {
-  return job->spec.priority < MM_URGENT && !job->within;
+  return job->priority < MM_URGENT && !job->within;
 }
 
 /* A few jobs a round, most pressing first, each round going on where the last one stopped: each
@@ -338,7 +336,7 @@
     guint most = MIN(left, plain ? MIN(clears, plain_clears) : clears);
     guint tries;
 
-    if (job->idle == 0 || most == 0 || (plain && job->spec.priority <= MM_LOW)
+    if (job->idle == 0 || most == 0 || (plain && job->priority <= MM_LOW)
         || !mm_owner_open(owner, job) || !mm_owner_quota_allows(owner, job->held, job, 1))
       continue;
     tries = clear_for_job(owner, job, most);
--- a/src/owner/record.c
+++ b/src/owner/record.c
@@ -2,6 +2,7 @@
 #include "owner/owner.h"
 
 #include "base/wire.h"
+#include "dependencies/dependencies.h"
 #include "store/store.h"
 
 #define WRITE_EVERY_MS 1000
@@ -10,8 +11,7 @@
 typedef struct {
   MmName id;
   char *text;
-  gboolean final;
-  gboolean cancelled;
+  json_t *final; /* the final record; NULL: it goes on */
 } Written;
 
 typedef struct {
@@ -22,6 +22,7 @@
 static void
 written_clear(gpointer data) {
   g_free(((Written *)data)->text);
+  json_decref(((Written *)data)->final);
 }
 
 static void
@@ -38,9 +39,8 @@
     const Written *w = &g_array_index(write->jobs, Written, i);
     MmJob *job = mm_book_find(node->book, w->id.s);
 
-    if (status == 200 && w->final)
-      mm_book_keep_final(node->book, w->id.s, w->cancelled ? WIRE_CANCELLED : WIRE_DONE,
-                         job != NULL && job->tasks != NULL ? job->done.count : 0);
+    if (status == 200 && w->final != NULL)
+      mm_book_keep_final(node->book, w->id.s, w->final);
     if (job == NULL)
       continue;
     job->writing = FALSE;
@@ -48,7 +48,7 @@
       job->dirty = mm_node_now(node);
       continue;
     }
-    if (!w->final) {
+    if (w->final == NULL) {
       mm_done_set_parse(&job->recorded, w->text);
       job->mark.v = MAX(job->mark.v, epoch);
     }
@@ -60,7 +60,7 @@
 static gboolean
 wants_final(MmOwner *owner, const MmJob *job) {
   if (job->cancelled)
-    return mm_owner_knows(owner, job) && job->live == 0;
+    return job->live == 0 && (mm_job_needs_cancelled(job) || mm_owner_knows(owner, job));
   return job->spec.kind != MM_KIND_SERVICE && job->done.count == job->spec.tasks;
 }
 
@@ -77,7 +77,7 @@
 static void
 add_to_write(MmOwner *owner, MmTxn *txn, Write *write, MmOwnedShard *held, MmJob *job,
              gboolean final) {
-  Written w = { .id = job->spec.id, .final = final, .cancelled = job->cancelled };
+  Written w = { .id = job->spec.id };
 
   mm_txn_guard(txn, MM_KEY_JOB, job->spec.id.s, job->mark);
   mm_txn_guard(txn, MM_KEY_SHARD, held->name, held->mark);
@@ -86,10 +86,9 @@
             job->spec.id.s, job->spec.job_class.s, job->spec.tasks, job->spec.estimate_s,
             job->cancelled ? WIRE_CANCELLED : WIRE_DONE, mm_job_waited_s(owner->node, job),
             job->spec.deadline_s, job->seen_n > 0 ? job->seen_s / job->seen_n : 0);
-    mm_txn_put(txn, MM_KEY_FINAL, job->spec.id.s,
-               json_pack("{s:s, s:I}", "m", job->cancelled ? WIRE_CANCELLED : WIRE_DONE, "n",
-                         (json_int_t)job->done.count),
-               0);
+    w.final = mm_final_record(
+        &(MmFinalState){ job->cancelled, job->done.count, mm_node_wall_ms(owner->node) });
+    mm_txn_put(txn, MM_KEY_FINAL, job->spec.id.s, json_incref(w.final), 0);
     mm_txn_delete(txn, MM_KEY_JOB, job->spec.id.s);
   } else {
     w.text = record_text(owner, job);
@@ -128,6 +127,10 @@
     if (txn.puts + 2 > ops || json_array_size(txn.guards) + 2 > guards
         || (owner->solo > 0 && txn.puts > 0))
       break;
+    /* Dependents of a cancelled job show as cancelled without a record that says so: there may be
+     * thousands, and their records can wait. */
+    if (final && mm_job_needs_cancelled(job) && !mm_store_may_write(node->store, 2))
+      continue;
     if (final && mm_time_ms_since(now, job->wrote) > 100) {
       add_to_write(owner, &txn, write, held, job, TRUE);
     } else if (!final && !job->cancelled && job->dirty.us != 0
--- /dev/null
+++ b/src/owner/urgency.c
@@ -0,0 +1,155 @@
+/* Which job is the more urgent: by priority, and by when its next aim asks for its start. A job
+ * that others depend on takes over the priority of these, and must be done in time for their
+ * deadlines. All this decides on order and preemption only, never on a team's limit or guarantee.
+ */
+#include "owner/owner.h"
+
+#include <math.h>
+
+#include "dependencies/dependencies.h"
+
+/* Work within its team's guarantee should start within seconds. */
+#define WITHIN_S 1
+/* From the end of a job's last task to the start of those of its dependents: reports, the final
+ * record, the fetch of an image. */
+#define STAGE_MS 3000
+#define NO_DUE_MS G_MAXINT64
+
+gboolean
+mm_owner_goes_first(const MmOwner *owner, const MmJob *job) {
+  return job->aged || job->priority >= MM_URGENT
+         || mm_job_waited_s(owner->node, job)
+                > (job->within ? WITHIN_S : owner->node->operators->wait_bound_s);
+}
+
+/* When the last task must have started for the aim, in seconds from the job's submission. */
+static double
+aim_at(const MmJob *job, const MmAim *aim, double run_s) {
+  switch (aim->kind) {
+  case MM_AIM_WAIT:
+  case MM_AIM_GUARANTEE:
+    return aim->within_s;
+  case MM_AIM_FINISHED:
+    return aim->within_s - run_s;
+  case MM_AIM_DEADLINE:
+    return job->spec.deadline_s >= 0 ? job->spec.deadline_s * aim->times - run_s : -1;
+  default:
+    return -1;
+  }
+}
+
+/* The user's guess of a run time, corrected by how far the class's guesses were off, or what was
+ * seen of the job's own tasks. */
+static double
+run_guess_s(const MmOwner *owner, const MmJob *job) {
+  const MmGuesses *guesses = g_hash_table_lookup(owner->guesses, job->spec.job_class.s);
+  double ratio
+      = guesses != NULL && guesses->guessed_s > 0 ? guesses->seen_s / guesses->guessed_s : 1;
+
+  if (job->seen_n > 0)
+    return job->seen_s / job->seen_n;
+  return job->spec.estimate_s * CLAMP(ratio, 0.25, 4);
+}
+
+/* How many rounds the unassigned tasks need where the team's limit lets only so many run at once.
+ */
+static double
+rounds(const MmOwner *owner, const MmJob *job) {
+  const MmTeamSettings *team = mm_settings_team(owner->node->settings, &job->spec.team);
+  double at_once = job->spec.tasks;
+
+  if (team != NULL && team->limit.cores > 0 && job->spec.need.cores > 0)
+    at_once = MIN(at_once, floor(team->limit.cores / job->spec.need.cores + 1e-6));
+  if (team != NULL && team->limit.accelerators > 0 && job->spec.need.accelerators > 0)
+    at_once = MIN(at_once, floor(team->limit.accelerators / job->spec.need.accelerators + 1e-6));
+  return MAX(ceil((double)job->idle / MAX(at_once, 1)), 1);
+}
+
+/* By when the job must be given machines for the first of its own aims that it can still meet. */
+static gint64
+own_due_ms(const MmOwner *owner, const MmJob *job, double run_s) {
+  const MmSettings *settings = owner->node->settings;
+  gint64 now_ms = mm_node_wall_ms(owner->node);
+  gint64 due_ms = NO_DUE_MS;
+  gboolean any = FALSE;
+
+  for (guint i = 0; i < settings->aims->len; i++) {
+    const MmAim *aim = &g_array_index(settings->aims, MmAim, i);
+    double at_s;
+    gint64 from_ms, at_ms;
+    if (aim->kind == MM_AIM_GUARANTEE ? !job->within
+                                      : !mm_name_equal(&aim->job_class, &job->spec.job_class))
+      continue;
+    at_s = aim_at(job, aim, run_s);
+    from_ms = aim->kind == MM_AIM_DEADLINE ? job->submitted_ms : job->waits_from_ms;
+    at_ms = from_ms + (gint64)(at_s * 1000);
+    any = any || (at_s >= 0 && aim->kind != MM_AIM_GUARANTEE);
+    if (at_s >= 0 && at_ms >= now_ms && at_ms < due_ms)
+      due_ms = at_ms;
+  }
+  /* Without any aim of its own, its deadline or its age counts. */
+  if (!any && job->spec.deadline_s >= 0)
+    due_ms = job->submitted_ms + (gint64)(MAX(job->spec.deadline_s - run_s, 0) * 1000);
+  else if (!any)
+    due_ms = job->waits_from_ms;
+  return due_ms;
+}
+
+/* By when the dependent must be given machines for a deadline, its own or one that it has taken
+ * over. */
+static gint64
+deadline_due_ms(const MmJob *job) {
+  return job->spec.deadline_s >= 0 ? MIN(job->due_ms, job->inherited_due_ms)
+                                   : job->inherited_due_ms;
+}
+
+/* Takes over what the unfinished jobs that depend on this one ask for. Their own values may be as
+ * old as the last round where they are not worked out before this one. */
+static void
+inherit(const MmOwner *owner, MmJob *job, double run_s) {
+  const MmBook *book = owner->node->book;
+  gint64 before_ms = NO_DUE_MS;
+
+  job->priority = job->spec.priority;
+  job->inherited_due_ms = NO_DUE_MS;
+  if (job->vertex == NULL)
+    return;
+  for (guint i = 0; i < job->vertex->dependents->len; i++) {
+    const MmVertex *vertex = g_ptr_array_index(job->vertex->dependents, i);
+    const MmJob *dependent = mm_book_find(book, vertex->job.s);
+    if (dependent == NULL || dependent->cancelled)
+      continue;
+    job->priority = MAX(job->priority, dependent->priority);
+    before_ms = MIN(before_ms, deadline_due_ms(dependent));
+  }
+  if (before_ms != NO_DUE_MS)
+    job->inherited_due_ms
+        = MAX(before_ms - STAGE_MS - (gint64)(run_s * 1000), mm_node_wall_ms(owner->node));
+}
+
+void
+mm_owner_set_due(MmOwner *owner, MmJob *job) {
+  double run_s = run_guess_s(owner, job) * rounds(owner, job);
+
+  inherit(owner, job, run_s);
+  job->due_ms = MIN(own_due_ms(owner, job, run_s), job->inherited_due_ms);
+}
+
+gint
+mm_owner_compare_pressing(gconstpointer a, gconstpointer b) {
+  const MmJob *x = *(MmJob *const *)a, *y = *(MmJob *const *)b;
+
+  if (x->aged != y->aged)
+    return x->aged ? -1 : 1;
+  if (x->aged && x->waits_from_ms != y->waits_from_ms)
+    return x->waits_from_ms < y->waits_from_ms ? -1 : 1;
+  if (x->priority != y->priority)
+    return x->priority > y->priority ? -1 : 1;
+  if (x->favoured != y->favoured)
+    return x->favoured ? -1 : 1;
+  if (x->due_ms != y->due_ms)
+    return x->due_ms < y->due_ms ? -1 : 1;
+  if (x->submitted_ms != y->submitted_ms)
+    return x->submitted_ms < y->submitted_ms ? -1 : 1;
+  return strcmp(x->spec.id.s, y->spec.id.s);
+}
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -201,7 +201,7 @@
 lasts(const MmRank *rank, const MmJob *job) {
   MmPriority outranks = rank->accelerated ? rank->accelerated_priority : MM_URGENT;
 
-  return job->spec.need.accelerators <= 0 && job->spec.priority > outranks;
+  return job->spec.need.accelerators <= 0 && job->priority > outranks;
 }
 
 /* What accelerated work could not stop. Counting arrays as well once gave up every such machine at
@@ -335,8 +335,8 @@
   given_up = !holds_largest(rank, machine, lasting_take(rank, machine));
   /* Beside services that keep accelerated work away, other work takes nothing from it, and can be
    * stopped for it. A quarter of all room once lay idle there while arrays waited for minutes. */
-  if (job->spec.priority <= rank->accelerated_priority) {
-    if (job->spec.priority == rank->accelerated_priority)
+  if (job->priority <= rank->accelerated_priority) {
+    if (job->priority == rank->accelerated_priority)
       return MM_MAY_NOT;
     choose_lent(rank);
     return given_up || g_hash_table_contains(rank->lent, machine->id.s) ? MM_GIVEN_UP : MM_MAY_NOT;
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -8,6 +8,7 @@
 #include "owner/owner.h"
 #include "parts/claims.h"
 #include "store/store.h"
+#include "upgrade/versions.h"
 
 /* Short, so that a returning watch keeps proving that the replica is fresh. */
 #define WATCH_MS 1500
@@ -106,6 +107,8 @@
     mm_register_put(replica->node->reg, key + strlen(MM_KEY_PACK), value, mark);
   } else if (g_str_has_prefix(key, MM_KEY_JOB)) {
     mm_book_put(replica->node->book, key + strlen(MM_KEY_JOB), value, mark);
+  } else if (g_str_has_prefix(key, MM_KEY_VERSION)) {
+    mm_versions_seen(replica->node->versions, key + strlen(MM_KEY_VERSION), value, mark);
   }
 }
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -8,6 +8,8 @@
 /* Shares are by node, yet rarely do all nodes write at once; the state service's own 429 is the
  * last word. Claims and users' words are not held back by this budget. */
 #define WRITE_SHARE 0.4
+/* After a 429 nothing that can wait is written for so long. */
+#define LIMITED_PAUSE_S 1.0
 #define SERVED_MOST_MS (4 * MM_NODE_TICK_MS)
 
 MmStore *
@@ -39,6 +41,19 @@
   gpointer data;
 } Call;
 
+static double
+write_rate(const MmStore *store) {
+  return store->node->settings->state_write_rps * WRITE_SHARE;
+}
+
+/* Leases and what users wait for go first. */
+static void
+note_limited(MmStore *store) {
+  mm_info("the state service says 429");
+  store->write_tokens = -LIMITED_PAUSE_S * write_rate(store);
+  store->tokens_at = mm_node_now(store->node);
+}
+
 static void
 call_answered(gpointer data, int status, json_t *body) {
   Call *call = data;
@@ -55,7 +70,9 @@
     call->store->last_served = mm_time_max(call->store->last_served, call->sent);
   }
   if (status == 429)
-    mm_info("the state service says 429");
+    note_limited(call->store);
+  if (status == 400)
+    mm_error("the state service refuses a request as too large or malformed");
   if (call->answered != NULL)
     call->answered(call->data, status, body);
   g_free(call);
@@ -155,7 +172,7 @@
 gboolean
 mm_store_may_write(MmStore *store, guint puts) {
   MmTime now = mm_node_now(store->node);
-  double rate = store->node->settings->state_write_rps * WRITE_SHARE;
+  double rate = write_rate(store);
 
   store->write_tokens += rate * (double)(now.us - store->tokens_at.us) / G_USEC_PER_SEC;
   store->write_tokens = MIN(store->write_tokens, MAX(rate, store->node->settings->state_txn_ops));
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -32,6 +32,7 @@
 #define MM_KEY_SHARD MM_KEY_ROOT "p/"
 #define MM_KEY_PACK MM_KEY_ROOT "m/"
 #define MM_KEY_JOB MM_KEY_ROOT "j/"
+#define MM_KEY_VERSION MM_KEY_ROOT "v/" /* what each node of the settings understands */
 #define MM_KEY_NONE "mm/none"
 #define MM_KEY_FINAL "mm/f/" /* not watched: final states of jobs */
 
--- /dev/null
+++ b/src/upgrade/versions.c
@@ -0,0 +1,73 @@
+#include "upgrade/versions.h"
+
+#include "store/replica.h"
+#include "store/store.h"
+
+#define RETRY_MS 500
+
+MmVersions *
+mm_versions_new(MmNode *node) {
+  MmVersions *versions = g_new0(MmVersions, 1);
+
+  versions->node = node;
+  versions->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  return versions;
+}
+
+void
+mm_versions_free(MmVersions *versions) {
+  g_hash_table_unref(versions->known);
+  g_free(versions);
+}
+
+static MmVersion
+version_of(const MmVersions *versions, const MmName *label) {
+  return (MmVersion)GPOINTER_TO_UINT(g_hash_table_lookup(versions->known, label->s));
+}
+
+void
+mm_versions_seen(MmVersions *versions, const char *label, const json_t *value, MmMark mark) {
+  guint version = (guint)MIN(mm_json_count(value, "v", 0), G_MAXUINT);
+
+  g_hash_table_replace(versions->known, g_strdup(label), GUINT_TO_POINTER(version));
+  if (strcmp(label, versions->node->settings->label.s) == 0)
+    versions->mark = mark;
+}
+
+static void
+written(gpointer data, int status, json_t *body) {
+  MmVersions *versions = data;
+
+  /* Whether it is there is for the replica to show. */
+  versions->writing = FALSE;
+}
+
+void
+mm_versions_tick(MmVersions *versions) {
+  MmNode *node = versions->node;
+  MmTime now = mm_node_now(node);
+  const MmName *own = &node->settings->label;
+  MmTxn txn;
+
+  if (versions->writing || !node->replica->loaded || mm_time_before(now, versions->next)
+      || version_of(versions, own) >= MM_VERSION_CURRENT || mm_store_in_trouble(node->store))
+    return;
+  versions->next = mm_time_add_ms(now, RETRY_MS);
+  versions->writing = TRUE;
+  txn = mm_txn();
+  mm_txn_guard(&txn, MM_KEY_VERSION, own->s, versions->mark);
+  mm_txn_put(&txn, MM_KEY_VERSION, own->s, json_pack("{s:i}", "v", MM_VERSION_CURRENT), 0);
+  mm_store_commit(node->store, &txn, written, versions);
+}
+
+gboolean
+mm_versions_all(const MmVersions *versions, MmVersion least) {
+  const MmSettings *settings = versions->node->settings;
+
+  if (version_of(versions, &settings->label) < least)
+    return FALSE;
+  for (guint i = 0; i < settings->peers->len; i++)
+    if (version_of(versions, &g_array_index(settings->peers, MmPeerSettings, i).label) < least)
+      return FALSE;
+  return TRUE;
+}
--- /dev/null
+++ b/src/upgrade/versions.h
@@ -0,0 +1,31 @@
+/* Which version of the service's data and frames each node understands. During an upgrade old and
+ * new processes serve side by side; what only the new ones understand is stored once every node of
+ * the settings has said that it is new. A node says so with a key of its own in the state service,
+ * which stays: a node that has been upgraded never comes back old. Nodes older than these keys have
+ * none, and ignore those of the others. */
+#pragma once
+
+#include "node/node.h"
+
+typedef enum {
+  MM_VERSION_NONE,        /* says nothing: may be older than these keys */
+  MM_VERSION_DEPENDENCIES /* jobs that depend on others; final records with a time */
+} MmVersion;
+#define MM_VERSION_CURRENT MM_VERSION_DEPENDENCIES
+
+struct MmVersions {
+  MmNode *node;
+  GHashTable *known; /* label -> version, as a pointer's number */
+  MmMark mark;       /* of this node's own key; 0: there is none */
+  gboolean writing;
+  MmTime next;
+};
+
+MmVersions *mm_versions_new(MmNode *node);
+void mm_versions_free(MmVersions *versions);
+/* Writes this node's key where it is missing or says less. */
+void mm_versions_tick(MmVersions *versions);
+/* A node's key, as the replica shows it. */
+void mm_versions_seen(MmVersions *versions, const char *label, const json_t *value, MmMark mark);
+/* Whether every node of the settings has said that it understands the version. */
+gboolean mm_versions_all(const MmVersions *versions, MmVersion least);
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -311,9 +311,9 @@
   from.within = TRUE;
   g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
   from.within = FALSE;
-  from.spec.priority = MM_URGENT;
+  from.priority = MM_URGENT;
   g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
-  from.spec.priority = job->spec.priority;
+  from.priority = job->priority;
   job->within = FALSE;
   g_assert_false(mm_owner_may_reclaim(s.owner, job, &from));
   world_free(s.world);
