--- /dev/null
+++ b/tests/test-pipelines.c
@@ -0,0 +1,534 @@
+/* Jobs that depend on others, in the simulated world: whole days of pipelines under troubles, the
+ * meetings in which a dependency could be misjudged, and nodes broken on purpose that get caught.
+ */
+#include "base/wire.h"
+#include "dependencies/dependencies.h"
+#include "store/replica.h"
+#include "store/store.h"
+#include "world/world.h"
+
+#define SECOND ((gint64)G_USEC_PER_SEC)
+
+static World *
+pipeline_world(guint32 seed) {
+  World *world = world_new(seed);
+
+  for (guint i = 0; i < 9; i++)
+    world_add_machine(world, "small",
+                      i % 3 == 0   ? "a"
+                      : i % 3 == 1 ? "b"
+                                   : "c",
+                      FALSE, 0.1)
+        ->faulty
+        = 0;
+  world_start(world);
+  world_run(world, 4);
+  return world;
+}
+
+static json_t *
+of_team(guint team, guint tasks) {
+  g_autofree char *name = g_strdup_printf("team-%u", team);
+
+  return json_pack("{s:s, s:i}", WIRE_TEAM, name, WIRE_TASKS, (int)tasks);
+}
+
+static WorldJob *
+first_job(World *world, guint team, guint tasks, double run_s) {
+  return world_submit(world, of_team(team, tasks), run_s);
+}
+
+static WorldJob *
+next_job(World *world, guint team, guint tasks, double run_s, WorldJob *need) {
+  return world_submit_after(world, of_team(team, tasks), run_s, &need, 1);
+}
+
+static void
+run_until_accepted(World *world, const WorldJob *job) {
+  for (guint i = 0; i < 600 && !job->ever_accepted; i++)
+    world_run(world, 0.05);
+  g_assert_true(job->ever_accepted);
+}
+
+static void
+run_until_told(World *world, const WorldJob *job, WorldTold told, double most_s) {
+  for (double s = 0; s < most_s && job->told != told; s += 0.2)
+    world_run(world, 0.2);
+  g_assert_cmpint(job->told, ==, told);
+}
+
+static void
+finish_world(World *world) {
+  world_assert_rules(world);
+  world_free(world);
+}
+
+/* ---- the ordinary course ---- */
+
+/* A diamond across teams: each stage begins shortly after the last one that it needs. */
+static void
+test_diamond(void) {
+  World *world = pipeline_world(1);
+  WorldJob *start = first_job(world, 0, 3, 4), *arms[2], *end;
+
+  run_until_accepted(world, start);
+  arms[0] = next_job(world, 1, 2, 3, start);
+  arms[1] = next_job(world, 2, 2, 9, start);
+  run_until_accepted(world, arms[0]);
+  run_until_accepted(world, arms[1]);
+  end = world_submit_after(world, of_team(3, 2), 2, arms, 2);
+  run_until_told(world, end, TOLD_DONE, 60);
+  g_assert_cmpint(arms[0]->began_us, <, arms[0]->ready_us + 5 * SECOND);
+  g_assert_cmpint(end->began_us, <, end->ready_us + 5 * SECOND);
+  finish_world(world);
+}
+
+/* What a job names is checked: jobs that were accepted, no services, not itself, job ids. */
+static void
+test_checked(void) {
+  World *world = pipeline_world(2);
+  WorldJob *good = first_job(world, 0, 1, 2);
+  WorldJob *service = world_submit(
+      world, json_pack("{s:s, s:i}", WIRE_KIND, WIRE_KIND_SERVICE, WIRE_TASKS, 1), 0);
+  const struct {
+    json_t *needs;
+    int status;
+  } cases[] = {
+    { json_pack("[s]", "run-404404"), 422 },
+    { json_pack("[s, s]", good->id, "run-404404"), 422 },
+    { json_pack("[s]", "nobody"), 422 },
+    { json_pack("[s]", "run-900001"), 422 }, /* itself */
+    { json_pack("[s]", service->id), 422 },
+    { json_pack("[s]", ""), 400 },
+    { json_pack("[i]", 4), 400 },
+    { json_string(good->id), 400 },
+    { json_object(), 400 },
+    { json_null(), 201 },
+    { json_array(), 200 }, /* a repetition from here on */
+    { json_pack("[s, s]", good->id, good->id), 200 },
+    { json_pack("[s]", "run-404404"), 200 },
+  };
+
+  run_until_accepted(world, good);
+  run_until_accepted(world, service);
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    json_t *body = json_deep_copy(good->body);
+    int status = -1;
+    json_object_set_new(body, WIRE_JOB_ID, json_string("run-900001"));
+    json_object_set_new(body, WIRE_NEEDS, cases[i].needs);
+    world_ask_node(world, i % WORLD_NODES, NULL, "POST", WIRE_JOBS_PATH, body, 4 * SECOND,
+                   world_note_status, &status);
+    world_run(world, 3);
+    g_assert_cmpint(status, ==, cases[i].status);
+  }
+  finish_world(world);
+}
+
+/* A job that waits is no backlog and takes nothing of its team's limit and guarantee. */
+static void
+test_waits_for_free(void) {
+  World *world = pipeline_world(3);
+  WorldJob *slow = first_job(world, 0, 1, 40), *wide, *other;
+
+  run_until_accepted(world, slow);
+  wide = next_job(world, 0, 12, 2, slow); /* the whole limit of the team */
+  run_until_accepted(world, wide);
+  other = first_job(world, 0, 10, 3);
+  run_until_told(world, other, TOLD_DONE, 25);
+  g_assert_cmpint(wide->told, ==, ACCEPTED);
+  g_assert_cmpuint(wide->starts, ==, 0);
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    const MmJob *job = mm_book_find(world->nodes[i].node->book, wide->id);
+    g_assert_false(mm_job_is_ready(job));
+    g_assert_false(job->within);
+    g_assert_false(job->aged);
+  }
+  run_until_told(world, wide, TOLD_DONE, 60);
+  finish_world(world);
+}
+
+/* A job takes the priority of the most urgent one that needs it, and gives it back. */
+static void
+test_urgency_flows_back(void) {
+  World *world = pipeline_world(4);
+  WorldJob *start = first_job(world, 0, 1, 60), *middle, *end;
+
+  run_until_accepted(world, start);
+  middle = next_job(world, 1, 1, 3, start);
+  run_until_accepted(world, middle);
+  end = world_submit_after(world,
+                           json_pack("{s:s, s:s, s:f}", WIRE_TEAM, "team-2", WIRE_PRIORITY,
+                                     "critical", WIRE_DEADLINE, 200.0),
+                           3, &middle, 1);
+  run_until_accepted(world, end);
+  world_run(world, 2);
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    const MmBook *book = world->nodes[i].node->book;
+    const MmJob *first = mm_book_find(book, start->id), *last = mm_book_find(book, end->id);
+    g_assert_cmpint(first->priority, ==, MM_CRITICAL);
+    g_assert_cmpint(first->spec.priority, ==, MM_NORMAL);
+    g_assert_cmpint(first->due_ms, <, mm_book_find(book, middle->id)->due_ms);
+    g_assert_cmpint(mm_book_find(book, middle->id)->due_ms, <, last->due_ms);
+  }
+  world_cancel(end);
+  run_until_told(world, end, TOLD_CANCELLED, 20);
+  world_run(world, 4);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    g_assert_cmpint(mm_book_find(world->nodes[i].node->book, start->id)->priority, ==, MM_NORMAL);
+  finish_world(world);
+}
+
+/* Hundreds of dependents of one job are cancelled with it, across teams, and all users hear of it
+ * in time though the records take their turn. */
+static void
+test_many_dependents_cancelled(void) {
+  World *world = pipeline_world(5);
+  WorldJob *start = first_job(world, 0, 1, 300), *after[150];
+
+  run_until_accepted(world, start);
+  for (guint i = 0; i < G_N_ELEMENTS(after); i++)
+    after[i] = next_job(world, i % 4, 1, 3, i < 75 ? start : after[i - 75]);
+  world_run(world, 15);
+  world_lower_limits(world);
+  world->value_bytes = 4096;
+  world->txn_ops = 12;
+  world_cancel(start);
+  run_until_told(world, start, TOLD_CANCELLED, 20);
+  world_run(world, world->cancel_s);
+  for (guint i = 0; i < G_N_ELEMENTS(after); i++) {
+    g_assert_cmpint(after[i]->told, ==, TOLD_CANCELLED);
+    g_assert_cmpuint(after[i]->starts, ==, 0);
+  }
+  finish_world(world);
+}
+
+/* ---- meetings ---- */
+
+/* The owner of a dependency ends between the write of `done` and the telling: its dependents, of
+ * another owner, go on by what the state service holds. */
+static void
+test_owner_ends_after_done(void) {
+  for (guint32 seed = 1; seed <= 3; seed++) {
+    World *world = pipeline_world(seed);
+    WorldJob *start = first_job(world, 0, 1, 6), *end;
+    MmFinalState state;
+    guint owner = G_MAXUINT;
+
+    run_until_accepted(world, start);
+    end = next_job(world, 1, 1, 2, start);
+    run_until_accepted(world, end);
+    for (guint i = 0; i < 4000 && owner == G_MAXUINT; i++) {
+      world_run(world, 0.005);
+      for (guint n = 0; n < WORLD_NODES; n++)
+        if (mm_book_final_state(world->nodes[n].node->book, start->id, &state))
+          owner = n;
+    }
+    g_assert_cmpuint(owner, <, WORLD_NODES);
+    world_kill_node(world, owner, 5);
+    run_until_told(world, end, TOLD_DONE, 60);
+    finish_world(world);
+  }
+}
+
+/* Cancellation confirmed, then the state service is down for all, and all nodes end in it. */
+static void
+test_cancelled_then_down(void) {
+  World *world = pipeline_world(6);
+  WorldJob *start = first_job(world, 0, 2, 60), *middle, *end;
+
+  run_until_accepted(world, start);
+  middle = next_job(world, 1, 2, 3, start);
+  run_until_accepted(world, middle);
+  end = next_job(world, 2, 2, 3, middle);
+  run_until_accepted(world, end);
+  world_cancel(start);
+  run_until_told(world, start, TOLD_CANCELLED, 20);
+  world_store_outage(world, 12);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_kill_node(world, i, 1);
+  world_run(world, 14);
+  run_until_told(world, end, TOLD_CANCELLED, 15);
+  run_until_told(world, middle, TOLD_CANCELLED, 15);
+  g_assert_cmpuint(middle->starts + end->starts, ==, 0);
+  finish_world(world);
+}
+
+/* A dependent is submitted to another node in the same moment as the cancellation. */
+static void
+test_submitted_as_cancelled(void) {
+  for (guint32 seed = 1; seed <= 6; seed++) {
+    World *world = pipeline_world(seed);
+    WorldJob *start = first_job(world, 0, 2, 60), *end;
+
+    run_until_accepted(world, start);
+    world_run(world, 3);
+    world_cancel(start);
+    world_run(world, seed * 0.004);
+    end = next_job(world, 1, 2, 3, start);
+    run_until_accepted(world, end);
+    run_until_told(world, end, TOLD_CANCELLED, 25);
+    g_assert_cmpuint(end->starts, ==, 0);
+    finish_world(world);
+  }
+}
+
+/* It names one that was cancelled long ago, or that was done long ago: accepted both times. */
+static void
+test_named_when_over(void) {
+  World *world = pipeline_world(7);
+  WorldJob *done = first_job(world, 0, 1, 2), *gone = first_job(world, 0, 1, 60), *after_done,
+           *after_gone;
+
+  run_until_accepted(world, gone);
+  world_cancel(gone);
+  run_until_told(world, done, TOLD_DONE, 30);
+  run_until_told(world, gone, TOLD_CANCELLED, 30);
+  world_run(world, 10);
+  /* New processes have seen neither end. */
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_kill_node(world, i, 0.2 + 0.2 * i);
+  world_run(world, 6);
+  after_done = next_job(world, 1, 1, 2, done);
+  after_gone = next_job(world, 2, 1, 2, gone);
+  run_until_told(world, after_done, TOLD_DONE, 30);
+  run_until_told(world, after_gone, TOLD_CANCELLED, 30);
+  finish_world(world);
+}
+
+/* A cancellation comes as the last task ends: whichever is written first decides for all. */
+static void
+test_cancelled_at_the_end(void) {
+  guint done = 0, cancelled = 0;
+
+  for (guint32 seed = 1; seed <= 8; seed++) {
+    World *world = pipeline_world(seed);
+    WorldJob *start, *end;
+
+    world->cancelled_at_end = 1;
+    start = first_job(world, 0, 1, 3);
+    run_until_accepted(world, start);
+    end = next_job(world, 1, 1, 2, start);
+    run_until_accepted(world, end);
+    world_run(world, 8);
+    world->cancelled_at_end = 0;
+    world_run(world, 25);
+    g_assert_cmpint(start->told, >=, TOLD_CANCELLED);
+    g_assert_cmpint(end->told, ==, start->told);
+    done += start->told == TOLD_DONE;
+    cancelled += start->told == TOLD_CANCELLED;
+    finish_world(world);
+  }
+  g_test_message("%u done, %u cancelled", done, cancelled);
+  g_assert_cmpuint(done + cancelled, ==, 8);
+}
+
+/* All nodes restart amid a half-run pipeline; a gang loses a member while its dependent waits. */
+static void
+test_restart_amid(void) {
+  for (guint32 seed = 1; seed <= 2; seed++) {
+    World *world = pipeline_world(seed);
+    WorldJob *start = first_job(world, 0, 4, 3), *gang, *end;
+
+    run_until_accepted(world, start);
+    gang = world_submit_after(
+        world,
+        json_pack("{s:s, s:i, s:s}", WIRE_KIND, WIRE_KIND_GANG, WIRE_TASKS, 3, WIRE_TEAM, "team-1"),
+        8, &start, 1);
+    run_until_accepted(world, gang);
+    end = next_job(world, 2, 2, 2, gang);
+    run_until_accepted(world, end);
+    for (guint i = 0; i < 200 && gang->began_us == 0; i++)
+      world_run(world, 0.2);
+    g_assert_cmpint(gang->began_us, !=, 0);
+    for (guint i = 0; i < world->machines->len; i++) {
+      WorldMachine *machine = g_ptr_array_index(world->machines, i);
+      if (machine->tasks->len > 0
+          && ((WorldTask *)g_ptr_array_index(machine->tasks, 0))->job == gang) {
+        world_kill_machine(world, machine);
+        break;
+      }
+    }
+    for (guint i = 0; i < WORLD_NODES; i++)
+      world_kill_node(world, i, 0.3 + 0.3 * i);
+    run_until_told(world, end, TOLD_DONE, 120);
+    finish_world(world);
+  }
+}
+
+/* ---- days ---- */
+
+static WorldJob *
+any_job(World *world) {
+  return g_ptr_array_index(world->jobs,
+                           (guint)g_rand_int_range(world->rand, 0, (gint32)world->jobs->len));
+}
+
+/* Something accepted that is no service, for a new job to name. */
+static WorldJob *
+any_need(World *world) {
+  for (guint tries = 0; tries < 20; tries++) {
+    WorldJob *job = any_job(world);
+    if (job->ever_accepted && job->spec.kind != MM_KIND_SERVICE)
+      return job;
+  }
+  return NULL;
+}
+
+static void
+submit_something(World *world) {
+  WorldJob *needs[3];
+  guint n = world->jobs->len > 3 ? (guint)g_rand_int_range(world->rand, 0, 4) : 0, found = 0;
+  gboolean gang = g_rand_int_range(world->rand, 0, 5) == 0;
+  json_t *body = of_team((guint)g_rand_int_range(world->rand, 0, 4),
+                         (guint)g_rand_int_range(world->rand, 1, 5));
+
+  if (gang)
+    json_object_set_new(body, WIRE_KIND, json_string(WIRE_KIND_GANG));
+  for (guint i = 0; i < n; i++) {
+    WorldJob *need = any_need(world);
+    if (need != NULL)
+      needs[found++] = need;
+  }
+  world_submit_after(world, body, world_uniform(world, 1, 10), needs, found);
+}
+
+static void
+trouble(World *world) {
+  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+  WorldMachine *machine = g_ptr_array_index(
+      world->machines, (guint)g_rand_int_range(world->rand, 0, (gint32)world->machines->len));
+
+  switch (g_rand_int_range(world->rand, 0, 9)) {
+  case 0:
+    world_kill_node(world, node, world_uniform(world, 0, 1) < 0.3 ? 0.2 : 3);
+    break;
+  case 1:
+    world_store_outage(world, world_uniform(world, 1, 10));
+    break;
+  case 2:
+    world->nodes[node].refused_until_us
+        = world->now_us + (gint64)(world_uniform(world, 1, 10) * SECOND);
+    break;
+  case 3:
+    machine->hung_until_us = world->now_us + (gint64)(world_uniform(world, 1, 12) * SECOND);
+    break;
+  case 4:
+    machine->cut_until_us = world->now_us + (gint64)(world_uniform(world, 1, 20) * SECOND);
+    break;
+  case 5:
+    world_freeze_node(world, node, world_uniform(world, 0.2, 2 * world->lease_s));
+    break;
+  case 6:
+    world_cut_zone(world, node, world_uniform(world, 1, 20), g_rand_boolean(world->rand));
+    break;
+  case 7:
+    world->slow_s = world_uniform(world, 0.1, 1);
+    world->slow_until_us = world->now_us + 10 * SECOND;
+    break;
+  default:
+    world_refuse_links(world, world_uniform(world, 2, 15));
+    break;
+  }
+}
+
+/* A job every other second, three of four with dependencies; some are called off. */
+static void
+play_day(World *world, gboolean troubled, guint seconds, gboolean stop_when_broken) {
+  for (guint second = 0; second < seconds; second++) {
+    if (second % 2 == 0)
+      submit_something(world);
+    if (second % 9 == 5)
+      world_cancel(any_job(world));
+    if (troubled && second > 8 && world_uniform(world, 0, 1) < 0.12)
+      trouble(world);
+    world_run(world, 1);
+    if (stop_when_broken && world->broken->len > 0)
+      return;
+  }
+}
+
+static void
+a_day(gconstpointer data) {
+  World *world = pipeline_world(GPOINTER_TO_UINT(data));
+  guint over = 0, dependents = 0;
+
+  world->copies = GPOINTER_TO_UINT(data) % 2 == 0 ? 0 : 0.02;
+  play_day(world, TRUE, 100, FALSE);
+  world->calm_us = world->now_us + 45 * SECOND;
+  world_run(world, 260);
+  world_assert_rules(world);
+  for (guint i = 0; i < world->jobs->len; i++) {
+    const WorldJob *job = g_ptr_array_index(world->jobs, i);
+    over += job->told >= TOLD_CANCELLED;
+    dependents += job->needs->len > 0;
+    if (job->told < TOLD_CANCELLED)
+      g_test_message("%s is not over: %u of %u done, %u needs", job->id, job->n_done,
+                     job->spec.tasks, job->needs->len);
+  }
+  g_test_message("%u jobs, %u with dependencies", world->jobs->len, dependents);
+  g_assert_cmpuint(dependents, >, 20);
+  g_assert_cmpuint(over, ==, world->jobs->len);
+  world_free(world);
+}
+
+/* ---- broken on purpose ---- */
+
+static gboolean
+breaks(const char *rule, gboolean ignore_needs, gboolean ignore_ancestors) {
+  gboolean broken = FALSE;
+
+  for (guint32 seed = 1; seed <= 4 && !broken; seed++) {
+    World *world = pipeline_world(seed);
+    world->ignore_needs = ignore_needs;
+    world->ignore_ancestors = ignore_ancestors;
+    play_day(world, FALSE, 60, TRUE);
+    if (ignore_ancestors)
+      world_run(world, 60);
+    for (guint i = 0; i < world->broken->len; i++)
+      broken = broken || g_str_has_prefix(g_ptr_array_index(world->broken, i), rule);
+    world_free(world);
+  }
+  return broken;
+}
+
+static void
+test_broken_too_early(void) {
+  g_assert_false(breaks("too_early", FALSE, FALSE));
+  g_assert_true(breaks("too_early", TRUE, FALSE));
+}
+
+static void
+test_broken_orphaned(void) {
+  g_assert_false(breaks("orphaned", FALSE, FALSE));
+  g_assert_true(breaks("orphaned", FALSE, TRUE));
+}
+
+int
+main(int argc, char **argv) {
+  guint days = 6;
+
+  g_test_init(&argc, &argv, NULL);
+  if (g_getenv("LOG_LEVEL") != NULL)
+    mm_log_setup();
+  /* More days than CI plays: MM_PIPELINE_DAYS=100 tests/test-pipelines */
+  if (g_getenv("MM_PIPELINE_DAYS") != NULL)
+    days = (guint)g_ascii_strtoull(g_getenv("MM_PIPELINE_DAYS"), NULL, 10);
+  g_test_add_func("/pipelines/diamond", test_diamond);
+  g_test_add_func("/pipelines/checked", test_checked);
+  g_test_add_func("/pipelines/waits-for-free", test_waits_for_free);
+  g_test_add_func("/pipelines/urgency-flows-back", test_urgency_flows_back);
+  g_test_add_func("/pipelines/many-dependents-cancelled", test_many_dependents_cancelled);
+  g_test_add_func("/pipelines/owner-ends-after-done", test_owner_ends_after_done);
+  g_test_add_func("/pipelines/cancelled-then-down", test_cancelled_then_down);
+  g_test_add_func("/pipelines/submitted-as-cancelled", test_submitted_as_cancelled);
+  g_test_add_func("/pipelines/named-when-over", test_named_when_over);
+  g_test_add_func("/pipelines/cancelled-at-the-end", test_cancelled_at_the_end);
+  g_test_add_func("/pipelines/restart-amid", test_restart_amid);
+  for (guint seed = 1; seed <= days; seed++) {
+    g_autofree char *name = g_strdup_printf("/pipelines/day-%u", seed);
+    g_test_add_data_func(name, GUINT_TO_POINTER(seed), a_day);
+  }
+  g_test_add_func("/pipelines/broken/too-early", test_broken_too_early);
+  g_test_add_func("/pipelines/broken/orphaned", test_broken_orphaned);
+  return g_test_run();
+}
--- /dev/null
+++ b/tests/test-upgrade.c
@@ -0,0 +1,242 @@
+/* Upgrades: old and new nodes side by side and on each other's data, rolled a few at a time amid
+ * seeded troubles, and limits of the state service that fall at a random moment. */
+#include "base/wire.h"
+#include "jobs/book.h"
+#include "peers.pb-c.h"
+#include "store/replica.h"
+#include "store/store.h"
+#include "upgrade/versions.h"
+#include "world/world.h"
+
+#define SECOND ((gint64)G_USEC_PER_SEC)
+
+/* All nodes old, with so many machines that their packs outgrow the limits to come. */
+static World *
+old_world(guint32 seed, guint machines) {
+  World *world = world_new(seed);
+
+  world->announce_next = TRUE;
+  world->team_cores = 4 * MAX(machines, 6);
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world->nodes[i].old = TRUE;
+  for (guint i = 0; i < machines; i++)
+    world_add_machine(world, "small", i % 3 == 0 ? "a" : i % 3 == 1 ? "b" : "c", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 4);
+  return world;
+}
+
+static guint
+nodes_knowing_all_new(const World *world) {
+  guint n = 0;
+
+  for (guint i = 0; i < WORLD_NODES; i++)
+    n += world->nodes[i].node != NULL
+         && mm_versions_all(world->nodes[i].node->versions, MM_VERSION_DEPENDENCIES);
+  return n;
+}
+
+/* A job that depends on another gets 503 until every node has said that it is new, and is accepted
+ * from then on, whoever ends. */
+static void
+test_gate(void) {
+  World *world = old_world(1, 6);
+  WorldJob *first = world_submit(world, json_object(), 2), *after;
+
+  world_run(world, 6);
+  g_assert_cmpint(first->told, >=, ACCEPTED);
+  after = world_submit_after(world, json_object(), 2, &first, 1);
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    world_run(world, 3);
+    g_assert_false(after->ever_accepted);
+    g_assert_cmpuint(nodes_knowing_all_new(world), ==, 0);
+    world_upgrade_node(world, i, 0.5);
+  }
+  world_run(world, 12); /* a request to a node that has just ended waits for five */
+  g_assert_cmpuint(nodes_knowing_all_new(world), ==, WORLD_NODES);
+  g_assert_true(after->ever_accepted);
+  /* What was said stays said while a node is away. */
+  world_kill_node(world, 2, 60);
+  world_run(world, 6);
+  g_assert_cmpuint(nodes_knowing_all_new(world), ==, WORLD_NODES - 1);
+  after = world_submit_after(world, json_object(), 2, &first, 1);
+  world_run(world, 30);
+  g_assert_cmpint(after->told, ==, TOLD_DONE);
+  world_assert_rules(world);
+  world_free(world);
+}
+
+/* Services on most machines, so that none is returned for being idle. */
+static World *
+world_of_services(guint32 seed, guint machines) {
+  World *world = old_world(seed, machines);
+
+  for (guint i = 0; i < 4; i++) {
+    g_autofree char *team = g_strdup_printf("team-%u", i);
+    world_submit(world,
+                 json_pack("{s:s, s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_SERVICE,
+                           WIRE_TASKS, (int)machines / 4, WIRE_CORES, 4.0),
+                 0);
+  }
+  world_run(world, 20);
+  return world;
+}
+
+static gsize
+largest_pack(const World *world) {
+  const MmReplica *replica = world->nodes[0].node->replica;
+  gsize most = 0;
+  guint i;
+
+  g_assert_true(replica->loaded);
+  for (i = 0; i < WORLD_NODES; i++)
+    for (guint k = 0; k < 16; k++) {
+      g_autofree char *path = g_strdup_printf(MM_KEY_PACK "n-%u/%u", i, k);
+      const WorldKey *key = g_tree_lookup(world->keys, path);
+      if (key != NULL)
+        most = MAX(most, json_dumpb(key->value, NULL, 0, JSON_COMPACT));
+    }
+  return most;
+}
+
+/* Packs of machines that were written under larger limits are taken apart before they change, and
+ * machines that are lost leave them. */
+static void
+test_large_packs(void) {
+  World *world = world_of_services(2, 120);
+  guint registered = 0;
+
+  g_assert_cmpuint(largest_pack(world), >, WORLD_NEXT_VALUE_BYTES);
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    world_upgrade_node(world, i, 0.5);
+    world_run(world, 6);
+  }
+  world_lower_limits(world);
+  for (guint i = 0; i < world->machines->len; i += 4)
+    world_kill_machine(world, g_ptr_array_index(world->machines, i));
+  world_run(world, 60);
+  world_assert_rules(world);
+  g_assert_cmpuint(largest_pack(world), <=, WORLD_NEXT_VALUE_BYTES);
+  for (guint i = 0; i < world->machines->len; i++) {
+    const WorldMachine *machine = g_ptr_array_index(world->machines, i);
+    const MmMachine *seen = mm_roster_find(world->nodes[0].node->roster, machine->id);
+    gboolean known = seen != NULL && seen->registered;
+    if (machine->up)
+      registered += known;
+    else
+      g_assert_false(known);
+  }
+  g_assert_cmpuint(registered, >=, 80);
+  world_free(world);
+}
+
+static WorldJob *
+any_job(World *world) {
+  return g_ptr_array_index(world->jobs,
+                           (guint)g_rand_int_range(world->rand, 0, (gint32)world->jobs->len));
+}
+
+static void
+submit_something(World *world, gboolean pipelines) {
+  g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
+  json_t *body
+      = json_pack("{s:s, s:i}", WIRE_TEAM, team, WIRE_TASKS, g_rand_int_range(world->rand, 1, 9));
+  WorldJob *need = pipelines ? any_job(world) : NULL;
+
+  if (need != NULL && need->ever_accepted && need->spec.kind != MM_KIND_SERVICE)
+    world_submit_after(world, body, world_uniform(world, 1, 8), &need, 1);
+  else
+    world_submit(world, body, world_uniform(world, 1, 8));
+}
+
+static void
+trouble(World *world) {
+  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+  WorldMachine *machine = g_ptr_array_index(
+      world->machines, (guint)g_rand_int_range(world->rand, 0, (gint32)world->machines->len));
+
+  switch (g_rand_int_range(world->rand, 0, 7)) {
+  case 0: /* dies before its turn and is back old, or after it and is back new */
+    world_kill_node(world, node, world_uniform(world, 0, 1) < 0.4 ? 0.2 : 2);
+    break;
+  case 1:
+    world_store_outage(world, world_uniform(world, 1, 6));
+    break;
+  case 2:
+    world->nodes[node].refused_until_us
+        = world->now_us + (gint64)(world_uniform(world, 1, 8) * SECOND);
+    break;
+  case 3:
+    machine->hung_until_us = world->now_us + (gint64)(world_uniform(world, 1, 10) * SECOND);
+    break;
+  case 4:
+    machine->cut_until_us = world->now_us + (gint64)(world_uniform(world, 1, 15) * SECOND);
+    break;
+  case 5:
+    world_cut_zone(world, node, world_uniform(world, 1, 15), g_rand_boolean(world->rand));
+    break;
+  default:
+    world_kill_machine(world, machine);
+    break;
+  }
+}
+
+/* The nodes' turns come at random moments; what is new is asked for once all have had theirs, and
+ * the limits fall at some moment after that. */
+static void
+a_roll(gconstpointer data) {
+  World *world = old_world(GPOINTER_TO_UINT(data), 9);
+  guint turns[WORLD_NODES], all_new = 0, fall, over = 0;
+
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    turns[i] = 8 + (guint)g_rand_int_range(world->rand, 0, 25);
+    all_new = MAX(all_new, turns[i] + 5);
+  }
+  fall = all_new + (guint)g_rand_int_range(world->rand, 0, 30);
+  for (guint second = 0; second < 100; second++) {
+    if (second % 2 == 0)
+      submit_something(world, second > all_new);
+    if (second % 11 == 7)
+      world_cancel(any_job(world));
+    for (guint i = 0; i < WORLD_NODES; i++)
+      if (turns[i] == second)
+        world_upgrade_node(world, i, world_uniform(world, 0.2, 3));
+    if (second == fall)
+      world_lower_limits(world);
+    if (second > 5 && world_uniform(world, 0, 1) < 0.12)
+      trouble(world);
+    world_run(world, 1);
+    world_assert_rules(world);
+  }
+  world->calm_us = world->now_us + 45 * SECOND;
+  world_run(world, 240);
+  world_assert_rules(world);
+  for (guint i = 0; i < world->jobs->len; i++) {
+    const WorldJob *job = g_ptr_array_index(world->jobs, i);
+    over += job->told >= TOLD_CANCELLED;
+    if (job->told < TOLD_CANCELLED)
+      g_test_message("%s is not over: %u of %u done", job->id, job->n_done, job->spec.tasks);
+  }
+  g_test_message("%u requests over the rate", world->limited);
+  g_assert_cmpuint(over, ==, world->jobs->len);
+  world_free(world);
+}
+
+int
+main(int argc, char **argv) {
+  guint days = 6;
+
+  g_test_init(&argc, &argv, NULL);
+  if (g_getenv("LOG_LEVEL") != NULL)
+    mm_log_setup();
+  /* More days than CI plays: MM_UPGRADE_DAYS=100 tests/test-upgrade */
+  if (g_getenv("MM_UPGRADE_DAYS") != NULL)
+    days = (guint)g_ascii_strtoull(g_getenv("MM_UPGRADE_DAYS"), NULL, 10);
+  g_test_add_func("/upgrade/gate", test_gate);
+  g_test_add_func("/upgrade/large-packs", test_large_packs);
+  for (guint seed = 1; seed <= days; seed++) {
+    g_autofree char *name = g_strdup_printf("/upgrade/roll-%u", seed);
+    g_test_add_data_func(name, GUINT_TO_POINTER(seed), a_roll);
+  }
+  return g_test_run();
+}
--- /dev/null
+++ b/tests/world/pipelines.c
@@ -0,0 +1,79 @@
+/* Jobs that depend on others, and the rules about them. */
+#include "world/world.h"
+
+#include "base/wire.h"
+
+WorldJob *
+world_submit_after(World *world, json_t *overrides, double run_s, WorldJob *const *needs,
+                   guint n_needs) {
+  json_t *list = json_array();
+  WorldJob *job;
+
+  for (guint i = 0; i < n_needs; i++)
+    json_array_append_new(list, json_string(needs[i]->id));
+  json_object_set_new(overrides, WIRE_NEEDS, list);
+  job = world_submit(world, overrides, run_s);
+  for (guint i = 0; i < n_needs; i++)
+    g_ptr_array_add(job->needs, needs[i]);
+  return job;
+}
+
+gboolean
+world_job_is_ready(const WorldJob *job) {
+  for (guint i = 0; i < job->needs->len; i++) {
+    const WorldJob *needed = g_ptr_array_index(job->needs, i);
+    if (needed->n_done < needed->spec.tasks)
+      return FALSE;
+  }
+  return TRUE;
+}
+
+/* The job and all that it depends on, directly or not. */
+static GPtrArray *
+with_ancestors(const WorldJob *job) {
+  GPtrArray *all = g_ptr_array_new();
+
+  g_ptr_array_add(all, (gpointer)job);
+  for (guint next = 0; next < all->len; next++) {
+    const WorldJob *at = g_ptr_array_index(all, next);
+    for (guint i = 0; i < at->needs->len; i++)
+      if (!g_ptr_array_find(all, g_ptr_array_index(at->needs, i), NULL))
+        g_ptr_array_add(all, g_ptr_array_index(at->needs, i));
+  }
+  return all;
+}
+
+gboolean
+world_job_may_be_cancelled(const WorldJob *job) {
+  g_autoptr(GPtrArray) all = NULL;
+
+  if (job->asked_cancel || job->needs->len == 0)
+    return job->asked_cancel;
+  all = with_ancestors(job);
+  for (guint i = 0; i < all->len; i++)
+    if (((const WorldJob *)g_ptr_array_index(all, i))->asked_cancel)
+      return TRUE;
+  return FALSE;
+}
+
+gint64
+world_job_orphaned_us(const WorldJob *job) {
+  g_autoptr(GPtrArray) all = with_ancestors(job);
+  gint64 first_us = 0;
+
+  for (guint i = 1; i < all->len; i++) {
+    const WorldJob *ancestor = g_ptr_array_index(all, i);
+    if (ancestor->told == TOLD_CANCELLED && (first_us == 0 || ancestor->told_us < first_us))
+      first_us = ancestor->told_us;
+  }
+  return first_us != 0 ? MAX(first_us, job->submitted_us) : 0;
+}
+
+void
+world_watch_ready(World *world) {
+  for (guint i = 0; i < world->jobs->len; i++) {
+    WorldJob *job = g_ptr_array_index(world->jobs, i);
+    if (job->ready_us == 0 && world_job_is_ready(job))
+      job->ready_us = job->needs->len == 0 ? job->submitted_us : world->now_us;
+  }
+}
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -31,6 +31,9 @@
         world_break(world, "wrong_place: %s in two zones", task->job->id);
     }
   }
+  if (!world_job_is_ready(task->job))
+    world_break(world, "too_early: %s/%u starts before all that its job depends on is done",
+                task->job->id, task->number);
   if (spec->spread && here > mm_spec_zone_limit(spec))
     world_break(world, "wrong_place: %u tasks of %s in zone %s", here, task->job->id,
                 machine->zone);
@@ -56,6 +59,7 @@
         world_break(world, "ran_cancelled: %s/%u on %s", job->id, task->number, machine->id);
     }
   }
+  world_watch_ready(world);
   world_watch_waiting(world);
   /* Troubles over, each job that was accepted has some question answered within 75 s. */
   for (guint i = 0; i < world->jobs->len && world->calm_us != 0; i++) {
--- /dev/null
+++ b/tests/world/upgrade.c
@@ -0,0 +1,51 @@
+/* Upgrades: nodes that speak and store as the version before did, and limits of the state service
+ * that fall. */
+#include "world/world.h"
+
+#include "base/wire.h"
+#include "store/store.h"
+
+void
+world_as_old_version(const World *world, guint node, json_t *request) {
+  json_t *apply = json_object_get(request, WIRE_THEN);
+  size_t i;
+  json_t *item;
+
+  for (i = json_array_size(apply); i > 0; i--) {
+    const char *key = mm_json_string(json_array_get(apply, i - 1), WIRE_PUT);
+    if (key != NULL && g_str_has_prefix(key, MM_KEY_VERSION))
+      json_array_remove(apply, i - 1);
+  }
+  json_array_foreach(apply, i, item) {
+    const char *key = mm_json_string(item, WIRE_PUT);
+    json_t *value = json_object_get(item, WIRE_VALUE);
+    if (key == NULL)
+      continue;
+    if (g_str_has_prefix(key, MM_KEY_FINAL))
+      json_object_del(value, "t");
+    /* It would drop what it does not know of. */
+    if (g_str_has_prefix(key, MM_KEY_JOB) && mm_json_get(value, "w") != NULL)
+      world_break(((WorldNode *)&world->nodes[node])->world,
+                  "upgrade: the old node %u rewrites %s, which depends on others", node, key);
+  }
+}
+
+void
+world_upgrade_node(World *world, guint index, double down_s) {
+  WorldNode *self = &world->nodes[index];
+
+  world_kill_node(world, index, down_s);
+  self->old = FALSE;
+  /* Its last life may still read the old ones. */
+  g_ptr_array_add(world->settings_kept, self->settings);
+  self->settings = world_node_settings(world, index);
+}
+
+void
+world_lower_limits(World *world) {
+  world->value_bytes = WORLD_NEXT_VALUE_BYTES;
+  world->txn_ops = WORLD_NEXT_TXN_OPS;
+  world->write_rps = WORLD_NEXT_WRITE_RPS;
+  world->write_tokens = world->write_rps;
+  world->tokens_us = world->now_us;
+}
