Pipelines hurry only near their deadlines; writes over the rate are tried again shortly

Cause: jobs of a pipeline took over the priority of its last job whole and at once, and stopped ordinary work that had a deadline too; and one submission in forty met a 429 of the state service and was sent away for a second or more. Now a job has that priority from 15 s before what is due for it, and that of ordinary work before; a write for a user that meets 429 is tried again within 250 ms, three times, and work that can wait may take three tenths of the rate a node instead of four.

Ruled out: refusals by the upgrade's gate (none after 120 s).

--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -19,6 +19,9 @@
 /* How long a user's request waits for the other nodes to know of a cancellation. */
 #define KNOWN_MS 1200
 #define TELL_AGAIN_MS 400
+/* A write that met the limit of the state service's rate. */
+#define LIMITED_PAUSE_MS 250
+#define LIMITED_TRIES 3
 
 MmCall *
 mm_call_new(MmNode *node, MmExchange *exchange, const char *id) {
@@ -51,6 +54,31 @@
                  mm_store_in_trouble(call->node->store) ? 2 : 1);
 }
 
+void
+mm_call_wait_out_limit(MmCall *call, void (*resume)(MmCall *call)) {
+  if (++call->tries > LIMITED_TRIES) {
+    mm_call_give_up(call);
+    return;
+  }
+  call->resume = resume;
+  call->resume_at = mm_time_add_ms(mm_node_now(call->node), LIMITED_PAUSE_MS);
+  g_queue_push_tail(call->node->api->paused, call);
+}
+
+static void
+tick_paused(MmApi *api) {
+  MmTime now = mm_node_now(api->node);
+
+  /* Each waits equally long, so the first is due first. */
+  while (!g_queue_is_empty(api->paused)) {
+    MmCall *call = g_queue_peek_head(api->paused);
+    if (mm_time_before(now, call->resume_at))
+      return;
+    g_queue_pop_head(api->paused);
+    call->resume(call);
+  }
+}
+
 static json_t *
 state_body(const char *id, const char *state, guint done, guint running) {
   return json_pack("{s:s, s:s, s:I, s:I}", WIRE_JOB_ID, id, WIRE_STATE, state, WIRE_DONE,
@@ -159,6 +187,7 @@
   MmTime now = mm_node_now(api->node);
   GList *next;
 
+  tick_paused(api);
   tick_undecided(api);
   for (GList *link = api->waiting->head; link != NULL; link = next) {
     MmCall *call = link->data;
@@ -182,6 +211,7 @@
   api->node = node;
   api->waiting = g_queue_new();
   api->undecided = g_queue_new();
+  api->paused = g_queue_new();
   return api;
 }
 
@@ -193,6 +223,9 @@
     mm_call_give_up(call);
   while ((call = g_queue_pop_head(api->undecided)) != NULL)
     mm_call_give_up(call);
+  while ((call = g_queue_pop_head(api->paused)) != NULL)
+    mm_call_give_up(call);
+  g_queue_free(api->paused);
   g_queue_free(api->waiting);
   g_queue_free(api->undecided);
   g_free(api);
@@ -246,6 +279,10 @@
     mm_call_look_up(call);
     return;
   }
+  if (status == 429) {
+    mm_call_wait_out_limit(call, mm_call_look_up);
+    return;
+  }
   if (status != 200) {
     mm_call_give_up(call);
     return;
--- a/src/jobs/api.h
+++ b/src/jobs/api.h
@@ -7,6 +7,7 @@
   MmNode *node;
   GQueue *waiting;   /* requests until all who may answer workers know of the job's cancellation */
   GQueue *undecided; /* questions until it is known how what the job depends on has ended */
+  GQueue *paused;    /* requests that wait out a limit of the state service's rate */
 };
 
 MmApi *mm_api_new(MmNode *node);
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -84,7 +84,8 @@
   gboolean favoured; /* the same, where no aim of the settings gives guarantees a time */
   gboolean aged;     /* waited past all patience with nothing begun */
   gint64 due_ms;     /* time of day by which to act for its next aim, see mm_owner_set_due */
-  gint64 inherited_due_ms; /* the same, for the deadlines of jobs that depend on it */
+  MmPriority inherited_priority; /* the highest of its own and of the jobs that depend on it */
+  gint64 inherited_due_ms;       /* the same, for the deadlines of jobs that depend on it */
   MmOutlook outlook;
   double seen_s; /* sum of the run times seen, and how many */
   guint seen_n;
--- a/src/jobs/call.h
+++ b/src/jobs/call.h
@@ -4,7 +4,8 @@
 #include "jobs/book.h"
 #include "node/node.h"
 
-typedef struct {
+typedef struct MmCall MmCall;
+struct MmCall {
   MmNode *node;
   MmExchange *exchange;
   MmName id;
@@ -16,13 +17,18 @@
   MmTime deadline; /* while it waits for what other nodes or the state service are to say, */
   MmTime told;     /* and when the others were last told of a cancellation */
   guint next_need; /* submission: the first job that it depends on and that is not found yet */
-} MmCall;
+  void (*resume)(MmCall *call); /* what to go on with after a pause, */
+  MmTime resume_at;             /* and when */
+};
 
 MmCall *mm_call_new(MmNode *node, MmExchange *exchange, const char *id);
 /* Answers the request and frees the call. Takes the body. */
 void mm_call_finish(MmCall *call, int status, json_t *body, guint retry_after_s);
 /* The final answer of this request: come again later. */
 void mm_call_give_up(MmCall *call);
+/* The state service has said 429 to the call's write: goes on with `resume` a moment later, or
+ * gives up after a few times. */
+void mm_call_wait_out_limit(MmCall *call, void (*resume)(MmCall *call));
 /* Whether the state service refuses this node at the moment: asking it would only take time. */
 gboolean mm_call_is_refused_now(const MmNode *node);
 /* Answers with the job's state, read from its record. */
--- a/src/jobs/submit.c
+++ b/src/jobs/submit.c
@@ -16,6 +16,8 @@
 /* Until a node that is being upgraded has come back. */
 #define UPGRADE_RETRY_S 2
 
+static void write_job(MmCall *call);
+
 static void
 submit_written(gpointer data, int status, json_t *body) {
   MmCall *call = data;
@@ -27,6 +29,8 @@
                    json_pack("{s:s, s:s}", WIRE_JOB_ID, call->id.s, WIRE_STATE, WIRE_PENDING), 0);
   } else if (status == 409) {
     mm_call_look_up(call); /* known already: its state now */
+  } else if (status == 429) {
+    mm_call_wait_out_limit(call, write_job);
   } else {
     mm_call_give_up(call);
   }
--- a/src/owner/urgency.c
+++ b/src/owner/urgency.c
@@ -13,6 +13,9 @@
 /* From the end of a job's last task to the start of those of its dependents: reports, the final
  * record, the fetch of an image. */
 #define STAGE_MS 3000
+/* So long before a deadline that it has taken over a job has the whole priority of those that need
+ * it. */
+#define HURRY_MS 15000
 #define NO_DUE_MS G_MAXINT64
 
 gboolean
@@ -110,16 +113,14 @@
   const MmBook *book = owner->node->book;
   gint64 before_ms = NO_DUE_MS;
 
-  job->priority = job->spec.priority;
+  job->inherited_priority = job->spec.priority;
   job->inherited_due_ms = NO_DUE_MS;
-  if (job->vertex == NULL)
-    return;
-  for (guint i = 0; i < job->vertex->dependents->len; i++) {
+  for (guint i = 0; job->vertex != NULL && i < job->vertex->dependents->len; i++) {
     const MmVertex *vertex = g_ptr_array_index(job->vertex->dependents, i);
     const MmJob *dependent = mm_book_find(book, vertex->job.s);
     if (dependent == NULL || dependent->cancelled)
       continue;
-    job->priority = MAX(job->priority, dependent->priority);
+    job->inherited_priority = MAX(job->inherited_priority, dependent->inherited_priority);
     before_ms = MIN(before_ms, deadline_due_ms(dependent));
   }
   if (before_ms != NO_DUE_MS)
@@ -127,11 +128,24 @@
         = MAX(before_ms - STAGE_MS - (gint64)(run_s * 1000), mm_node_wall_ms(owner->node));
 }
 
+/* While there is time until the deadline that it has taken over, a job goes in the order of what is
+ * due but stops no other team's or class's ordinary work: that cost the other work more than the
+ * pipelines gained, which were done long before their deadlines. */
+static MmPriority
+priority_now(const MmOwner *owner, const MmJob *job) {
+  gint64 slack_ms = job->inherited_due_ms - mm_node_wall_ms(owner->node);
+
+  if (job->inherited_due_ms == NO_DUE_MS || slack_ms <= HURRY_MS)
+    return job->inherited_priority;
+  return MAX(job->spec.priority, MIN(job->inherited_priority, MM_NORMAL));
+}
+
 void
 mm_owner_set_due(MmOwner *owner, MmJob *job) {
   double run_s = run_guess_s(owner, job) * rounds(owner, job);
 
   inherit(owner, job, run_s);
+  job->priority = priority_now(owner, job);
   job->due_ms = MIN(own_due_ms(owner, job, run_s), job->inherited_due_ms);
 }
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -7,7 +7,7 @@
 #define SILENT_MS 1500
 /* Shares are by node, yet rarely do all nodes write at once; the state service's own 429 is the
  * last word. Claims and users' words are not held back by this budget. */
-#define WRITE_SHARE 0.4
+#define WRITE_SHARE 0.3
 /* After a 429 nothing that can wait is written for so long. */
 #define LIMITED_PAUSE_S 1.0
 #define SERVED_MOST_MS (4 * MM_NODE_TICK_MS)
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -60,6 +60,55 @@
   }
 }
 
+static MmSettings *
+read_with_next(const char *next, char **reason) {
+  const char *at = strstr(sample_settings, "[settings.cloud]");
+  g_autofree char *text
+      = g_strdup_printf("%.*s%s\n%s", (int)(at - sample_settings), sample_settings, next, at);
+
+  return read_text(text, reason);
+}
+
+/* Of the limits that hold and those that are announced, the smaller ones, from the start. */
+static void
+test_next_limits(void) {
+  const struct {
+    const char *next;
+    double write_rps;
+    guint value_bytes, txn_ops;
+  } good[] = {
+    { "", 20, 4096, 12 },
+    { "[settings.state.next]", 20, 4096, 12 },
+    { "[settings.state.next]\nvalue_kb = 2.0", 20, 2048, 12 },
+    { "[settings.state.next]\ntxn_ops = 4\nnot_known_yet = \"x\"", 20, 4096, 4 },
+    { "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0", 15, 2048, 4 },
+    { "[settings.state.next]\nvalue_kb = 64.0\ntxn_ops = 40\nwrite_rps = 500.0", 20, 4096, 12 },
+  };
+  const struct {
+    const char *next, *field;
+  } bad[] = {
+    { "[settings.state.next]\nvalue_kb = 0.0", "settings.state.next.value_kb" },
+    { "[settings.state.next]\nwrite_rps = -15.0", "settings.state.next.write_rps" },
+    { "[settings.state.next]\ntxn_ops = \"four\"", "settings.state.next.txn_ops" },
+    { "next = 4", "settings.state.next" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS(good); i++) {
+    g_autofree char *reason = NULL;
+    g_autoptr(MmSettings) settings = read_with_next(good[i].next, &reason);
+    g_assert_cmpstr(reason, ==, NULL);
+    g_assert_cmpfloat(settings->state_write_rps, ==, good[i].write_rps);
+    g_assert_cmpuint(settings->state_value_bytes, ==, good[i].value_bytes);
+    g_assert_cmpuint(settings->state_txn_ops, ==, good[i].txn_ops);
+  }
+  for (guint i = 0; i < G_N_ELEMENTS(bad); i++) {
+    g_autofree char *reason = NULL;
+    g_assert_null(read_with_next(bad[i].next, &reason));
+    g_assert_nonnull(strstr(reason, bad[i].field));
+    g_assert_null(strchr(reason, '\n'));
+  }
+}
+
 /* Sets of peers are kept as bits. */
 static void
 test_too_many_others(void) {
@@ -91,6 +140,7 @@
   directory = g_dir_make_tmp("mm-test-XXXXXX", NULL);
   g_test_add_func("/settings/good", test_good);
   g_test_add_func("/settings/faults", test_faults);
+  g_test_add_func("/settings/next-limits", test_next_limits);
   g_test_add_func("/settings/too-many-others", test_too_many_others);
   g_test_add_func("/settings/unreadable", test_unreadable);
   result = g_test_run();
