--- a/src/base/types.h
+++ b/src/base/types.h
@@ -17,7 +17,7 @@
 /* A revision of the state service. */
 typedef struct {
   guint64 v;
-} MmMark;
+} MmKeyVersion;
 
 /* One try at running a task: the term in the high bits, a running number in the low ones. */
 typedef struct {
--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -5,7 +5,7 @@
 #include "checkin/health.h"
 
 #include "base/wire.h"
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
 #include "peers/links.h"
@@ -98,7 +98,8 @@
   Confirm *confirm = data;
 
   if (status == 200)
-    mm_book_keep_final(confirm->checkin->node->book, confirm->job.s, mm_json_get(body, WIRE_VALUE));
+    mm_job_table_keep_final(confirm->checkin->node->job_table, confirm->job.s,
+                            mm_json_get(body, WIRE_VALUE));
   g_hash_table_remove(confirm->checkin->confirming, confirm->job.s);
   g_free(confirm);
 }
@@ -124,15 +125,15 @@
  * its tasks to be cleared away. */
 static void
 clear_away(MmCheckin *checkin, const GArray *tasks, json_t *commands) {
-  MmBook *book = checkin->node->book;
+  MmJobTable *job_table = checkin->node->job_table;
 
   for (guint i = 0; i < tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(tasks, MmSeenTask, i);
-    const MmJob *job = mm_book_find(book, seen->job.s);
+    const MmJob *job = mm_job_table_find(job_table, seen->job.s);
     MmCommand command = { seen->state == MM_SEEN_ENDED ? MM_OP_FORGET : MM_OP_STOP, seen->job,
                           seen->number, seen->attempt, 0 };
     if (job != NULL ? job->cancelled && seen->state != MM_SEEN_ENDED
-                    : mm_book_is_over(book, seen->job.s))
+                    : mm_job_table_is_over(job_table, seen->job.s))
       json_array_append_new(commands, mm_command_to_json(&command));
     else if (job == NULL)
       confirm_over(checkin, &seen->job);
@@ -144,19 +145,28 @@
 static gboolean
 start_is_good(const MmCheckin *checkin, const Start *start) {
   const MmShard *part = mm_replica_shard(checkin->node->replica, start->part.s);
-  const MmJob *job = mm_book_find(checkin->node->book, start->start.job.s);
+  const MmJob *job = mm_job_table_find(checkin->node->job_table, start->start.job.s);
 
   /* Adopting a term drops the approvals of superseded holders. */
   return part != NULL && part->term.v == start->term.v
          && (job != NULL ? !job->cancelled
-                         : !mm_book_is_over(checkin->node->book, start->start.job.s));
+                         : !mm_job_table_is_over(checkin->node->job_table, start->start.job.s));
+}
+
+/* Takes the commands. */
+static void
+send_commands(const MmNode *node, MmExchange *exchange, json_t *commands) {
+  mm_exchange_answer(exchange, 200,
+                     json_pack("{s:I, s:o}", WIRE_TOKEN, (json_int_t)node->replica->term.v,
+                               WIRE_COMMANDS, commands),
+                     0);
 }
 
 static void
 finish(Session *session) {
   MmCheckin *checkin = session->checkin;
   MmNode *node = checkin->node;
-  MmMachine *machine = mm_roster_find(node->roster, session->machine.s);
+  MmMachine *machine = mm_machine_table_find(node->machine_table, session->machine.s);
   json_t *commands;
 
   /* Without the machine's entry nothing is known of what must stop there. */
@@ -177,17 +187,14 @@
     if (start_is_good(checkin, start))
       json_array_append_new(commands, mm_command_to_json(&start->start));
   }
-  mm_exchange_answer(session->exchange, 200,
-                     json_pack("{s:I, s:o}", WIRE_TOKEN, (json_int_t)node->replica->term.v,
-                               WIRE_COMMANDS, commands),
-                     0);
+  send_commands(node, session->exchange, commands);
   session_free(session);
 }
 
 static void
 take_approval(Session *session, const MmApproval *approval) {
   MmCheckin *checkin = session->checkin;
-  const MmJob *job = mm_book_find(checkin->node->book, approval->job.s);
+  const MmJob *job = mm_job_table_find(checkin->node->job_table, approval->job.s);
   Start start = { { MM_OP_START, approval->job, approval->number, approval->attempt, 0 },
                   approval->part,
                   approval->term };
@@ -249,12 +256,12 @@
 
   while (session->starts->len < most && session->fails < FAILS_MAX
          && mm_time_before(mm_node_now(node), session->deadline)) {
-    MmMachine *machine = mm_roster_find(node->roster, session->machine.s);
+    MmMachine *machine = mm_machine_table_find(node->machine_table, session->machine.s);
     MmApproval approval;
     MmAsk ask;
 
     if (machine == NULL || mm_stamp_newer(machine->stamp, session->stamp)
-        || !mm_machine_usable(node->roster, machine))
+        || !mm_machine_usable(node->machine_table, machine))
       break;
     session->asked
         = mm_rank_choose(node->rank, machine, session->room, session->tried, session->dry);
@@ -334,11 +341,11 @@
   return other;
 }
 
-/* Each machine has one report under way, so the roster bounds them; FALSE when it waits already as
- * long as it may. */
+/* Each machine has one report under way, so the machine table bounds them; FALSE when it waits
+ * already as long as it may. */
 static gboolean
 defer(MmCheckin *checkin, const json_t *body, MmExchange *exchange, MmTime since) {
-  guint most = MAX(DEFERRED_LEAST, checkin->node->roster->order->len);
+  guint most = MAX(DEFERRED_LEAST, checkin->node->machine_table->order->len);
   Deferred *deferred;
 
   if (mm_time_ms_since(mm_node_now(checkin->node), since) >= DEFER_MS
@@ -378,22 +385,19 @@
 static void
 answer_unproved(MmCheckin *checkin, const MmReport *report, MmExchange *exchange) {
   MmNode *node = checkin->node;
-  MmMachine *machine = mm_roster_note_unproved(node->roster, report);
+  MmMachine *machine = mm_machine_table_note_unproved(node->machine_table, report);
   json_t *commands;
 
-  if (mm_health_is_deaf(node->roster, machine)) {
+  if (mm_health_is_deaf(node->machine_table, machine)) {
     refuse_report(exchange, "earlier answers were not taken");
     return;
   }
-  mm_health_note_answer(node->roster, machine, mm_node_now(node));
-  mm_health_count_own_answer(node->roster, machine);
+  mm_health_note_answer(node->machine_table, machine, mm_node_now(node));
+  mm_health_count_own_answer(node->machine_table, machine);
   mm_links_tell_unproved(node->links, &machine->id);
   commands = json_array();
   clear_away(checkin, report->tasks, commands);
-  mm_exchange_answer(exchange, 200,
-                     json_pack("{s:I, s:o}", WIRE_TOKEN, (json_int_t)node->replica->term.v,
-                               WIRE_COMMANDS, commands),
-                     0);
+  send_commands(node, exchange, commands);
 }
 
 /* Reports that this node may not answer, or not yet; TRUE when the exchange is dealt with. */
@@ -421,22 +425,23 @@
     redirect(checkin, exchange, peer);
     return TRUE;
   }
-  if (mm_roster_is_late(node->roster, report)) {
+  if (mm_machine_table_is_late(node->machine_table, report)) {
     refuse_report(exchange, "a newer report has come");
     return TRUE;
   }
-  if (mm_roster_is_unproved(node->roster, report)) {
+  if (mm_machine_table_is_unproved(node->machine_table, report)) {
     answer_unproved(checkin, report, exchange);
     return TRUE;
   }
   return FALSE;
 }
 
-/* Takes the report into the roster and tells the peers, before it is answered. */
+/* Takes the report into the machine table and tells the peers, before it is answered. */
 static MmMachine *
 take_and_tell(MmCheckin *checkin, const MmReport *report) {
   MmNode *node = checkin->node;
-  MmMachine *machine = mm_roster_take(node->roster, report, mm_node_now(node), MM_HOST_SELF);
+  MmMachine *machine
+      = mm_machine_table_take(node->machine_table, report, mm_node_now(node), MM_HOST_SELF);
 
   if (machine != NULL) {
     mm_links_tell_report(node->links, machine, !report->unanswered);
@@ -444,7 +449,7 @@
   }
   /* Overtaken by a direct answer: it renews the lease if the worker still waits, so the peers must
    * know of it, whatever stamp they know. */
-  machine = mm_roster_find(node->roster, report->machine.s);
+  machine = mm_machine_table_find(node->machine_table, report->machine.s);
   if (!report->unanswered)
     mm_links_tell_unproved(node->links, &machine->id);
   return machine;
@@ -461,7 +466,7 @@
   session->stamp = report->stamp;
   session->starts = g_array_new(FALSE, TRUE, sizeof(Start));
   session->tried = g_array_new(FALSE, TRUE, sizeof(MmTaskRef));
-  session->room = mm_machine_free(node->roster, machine);
+  session->room = mm_machine_free(node->machine_table, machine);
   session->deadline = mm_time_add_ms(mm_node_now(node), (gint64)node->operators->ask_timeout_ms);
   return session;
 }
@@ -471,10 +476,10 @@
  * end. */
 static void
 answer_report(MmCheckin *checkin, MmReport *report, MmExchange *exchange) {
-  MmRoster *roster = checkin->node->roster;
-  MmMachine *machine = mm_roster_find(roster, report->machine.s);
+  MmMachineTable *machine_table = checkin->node->machine_table;
+  MmMachine *machine = mm_machine_table_find(machine_table, report->machine.s);
 
-  report->unanswered = machine != NULL && mm_health_is_deaf(roster, machine)
+  report->unanswered = machine != NULL && mm_health_is_deaf(machine_table, machine)
                        && report->token.v <= machine->token.v;
   if (!report->unanswered || !machine->lost)
     machine = take_and_tell(checkin, report);
@@ -482,7 +487,7 @@
     refuse_report(exchange, "earlier answers were not taken");
     return;
   }
-  mm_health_count_own_answer(roster, machine);
+  mm_health_count_own_answer(machine_table, machine);
   go_on(session_new(checkin, report, machine, exchange));
 }
 
@@ -534,8 +539,8 @@
     return;
   checkin->counted = now;
   checkin->hosted = 0;
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     checkin->hosted += machine->host == MM_HOST_SELF && machine->heard
                        && mm_time_ms_since(now, machine->reported) < recent_ms;
   }
--- a/src/checkin/health.c
+++ b/src/checkin/health.c
@@ -1,6 +1,6 @@
 #include "checkin/health.h"
 
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "store/replica.h"
 
 /* Errors of so many different jobs, with no success between them, are the machine's fault. */
@@ -18,12 +18,15 @@
 #define DEAF_PERIODS 3
 
 static void
-quarantine(const MmRoster *roster, MmMachine *machine, guint times, const char *reason) {
-  gint64 ms = (gint64)QUARANTINE_MS << MIN(times, QUARANTINE_DOUBLINGS);
-
+quarantine(const MmMachineTable *machine_table, MmMachine *machine, gint64 ms, const char *reason) {
   mm_info("machine %s is quarantined: %s", machine->id.s, reason);
-  machine->quarantined_until
-      = mm_time_add_ms(mm_node_now(roster->node), MIN(ms, QUARANTINE_MOST_MS));
+  machine->quarantined_until = mm_time_add_ms(mm_node_now(machine_table->node), ms);
+}
+
+/* Longer each time. */
+static gint64
+repeated_ms(guint times) {
+  return MIN((gint64)QUARANTINE_MS << MIN(times, QUARANTINE_DOUBLINGS), QUARANTINE_MOST_MS);
 }
 
 /* ---- errors ---- */
@@ -37,8 +40,8 @@
 
 /* One that failed wherever it was tried and succeeded nowhere: it says nothing about machines. */
 static gboolean
-job_is_faulty(const MmRoster *roster, const MmName *id) {
-  const MmJob *job = mm_book_find(roster->node->book, id->s);
+job_is_faulty(const MmMachineTable *machine_table, const MmName *id) {
+  const MmJob *job = mm_job_table_find(machine_table->node->job_table, id->s);
 
   return job != NULL && mm_job_fails_everywhere(job);
 }
@@ -46,24 +49,23 @@
 /* Jobs with a mistake fail on every machine. They once had healthy machines quarantined by the
  * hundred: two such jobs were enough for each machine that had tried both. */
 static void
-count_error(MmRoster *roster, MmMachine *machine, const MmName *job) {
-  if (machine->failed_jobs > 0 && job_is_faulty(roster, &machine->last_failed_job))
+count_error(MmMachineTable *machine_table, MmMachine *machine, const MmName *job) {
+  if (machine->failed_jobs > 0 && job_is_faulty(machine_table, &machine->last_failed_job))
     machine->failed_jobs--;
-  if (job_is_faulty(roster, job)
+  if (job_is_faulty(machine_table, job)
       || (machine->failed_jobs > 0 && mm_name_equal(&machine->last_failed_job, job)))
     return;
   machine->last_failed_job = *job;
   if (++machine->failed_jobs < ERRORS_TO_QUARANTINE)
     return;
-  mm_info("machine %s is quarantined: tasks of several jobs fail there", machine->id.s);
-  machine->quarantined_until = mm_time_add_ms(mm_node_now(roster->node), ERRORS_QUARANTINE_MS);
+  quarantine(machine_table, machine, ERRORS_QUARANTINE_MS, "tasks of several jobs fail there");
 }
 
 void
-mm_health_count_errors(MmRoster *roster, MmMachine *machine, const MmReport *report) {
+mm_health_count_errors(MmMachineTable *machine_table, MmMachine *machine, const MmReport *report) {
   for (guint i = 0; i < report->tasks->len; i++) {
     const MmSeenTask *task = &g_array_index(report->tasks, MmSeenTask, i);
-    MmJob *job = mm_book_find(roster->node->book, task->job.s);
+    MmJob *job = mm_job_table_find(machine_table->node->job_table, task->job.s);
 
     if (task->state != MM_SEEN_ENDED || was_ended(machine, task))
       continue;
@@ -74,7 +76,7 @@
     } else if (task->cause == MM_CAUSE_ERROR) {
       if (job != NULL)
         mm_job_note_failure(job, &machine->id);
-      count_error(roster, machine, &task->job);
+      count_error(machine_table, machine, &task->job);
     }
   }
 }
@@ -82,21 +84,22 @@
 /* ---- starts and sessions ---- */
 
 void
-mm_health_note_refused_start(const MmRoster *roster, MmMachine *machine) {
+mm_health_note_refused_start(const MmMachineTable *machine_table, MmMachine *machine) {
   if (++machine->refused_starts < REFUSED_STARTS_TO_QUARANTINE)
     return;
-  quarantine(roster, machine, machine->refused_starts - REFUSED_STARTS_TO_QUARANTINE,
+  quarantine(machine_table, machine,
+             repeated_ms(machine->refused_starts - REFUSED_STARTS_TO_QUARANTINE),
              "it carries out no start");
 }
 
 static gint64
-lease_ms(const MmRoster *roster) {
-  return (gint64)(roster->node->settings->lease_s * 1000);
+lease_ms(const MmMachineTable *machine_table) {
+  return (gint64)(machine_table->node->settings->lease_s * 1000);
 }
 
 void
-mm_health_note_answer(const MmRoster *roster, MmMachine *machine, MmTime at) {
-  if (mm_time_ms_since(at, machine->answered) > lease_ms(roster) / 2)
+mm_health_note_answer(const MmMachineTable *machine_table, MmMachine *machine, MmTime at) {
+  if (mm_time_ms_since(at, machine->answered) > lease_ms(machine_table) / 2)
     machine->answered_steadily_since = at;
   machine->answered = mm_time_max(machine->answered, at);
 }
@@ -105,13 +108,14 @@
  * may lose its lease at the very moment of the first answer: healthy machines once got no work for
  * that, just when many had to start anew. */
 void
-mm_health_note_session(const MmRoster *roster, MmMachine *machine) {
-  MmTime now = mm_node_now(roster->node);
+mm_health_note_session(const MmMachineTable *machine_table, MmMachine *machine) {
+  MmTime now = mm_node_now(machine_table->node);
 
   if (machine->answers >= DEAF_ANSWERS && !machine->lost
-      && mm_time_ms_since(now, machine->answered_steadily_since) >= lease_ms(roster)) {
+      && mm_time_ms_since(now, machine->answered_steadily_since) >= lease_ms(machine_table)) {
     if (++machine->lost_leases >= LOST_LEASES_TO_QUARANTINE)
-      quarantine(roster, machine, machine->lost_leases, "it loses its leases though answered");
+      quarantine(machine_table, machine, repeated_ms(machine->lost_leases),
+                 "it loses its leases though answered");
   } else {
     machine->lost_leases = 0;
   }
@@ -121,27 +125,27 @@
 /* ---- machines that hear nothing ---- */
 
 gboolean
-mm_health_is_deaf(const MmRoster *roster, const MmMachine *machine) {
-  gint64 periods_ms = (gint64)(roster->node->settings->report_s * 1000 * DEAF_PERIODS);
+mm_health_is_deaf(const MmMachineTable *machine_table, const MmMachine *machine) {
+  gint64 periods_ms = (gint64)(machine_table->node->settings->report_s * 1000 * DEAF_PERIODS);
   gint64 patience_ms = MAX(DEAF_LEAST_MS, periods_ms);
 
   return machine->unacknowledged_since.us != 0 && machine->unacknowledged >= DEAF_ANSWERS
-         && mm_time_ms_since(mm_node_now(roster->node), machine->unacknowledged_since)
+         && mm_time_ms_since(mm_node_now(machine_table->node), machine->unacknowledged_since)
                 > patience_ms;
 }
 
 void
-mm_health_count_answer(const MmRoster *roster, MmMachine *machine, MmTerm term) {
+mm_health_count_answer(const MmMachineTable *machine_table, MmMachine *machine, MmTerm term) {
   machine->answers++;
   if (term.v <= machine->token.v)
     return;
   if (machine->unacknowledged_since.us == 0)
-    machine->unacknowledged_since = mm_node_now(roster->node);
+    machine->unacknowledged_since = mm_node_now(machine_table->node);
   machine->unacknowledged++;
 }
 
 void
-mm_health_count_own_answer(const MmRoster *roster, MmMachine *machine) {
-  machine->answered_here = mm_node_now(roster->node);
-  mm_health_count_answer(roster, machine, roster->node->replica->term);
+mm_health_count_own_answer(const MmMachineTable *machine_table, MmMachine *machine) {
+  machine->answered_here = mm_node_now(machine_table->node);
+  mm_health_count_answer(machine_table, machine, machine_table->node->replica->term);
 }
--- a/src/checkin/roster.c
+++ b/src/checkin/machine-table.c
@@ -1,11 +1,11 @@
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 
 #include <math.h>
 #include <stdlib.h>
 
 #include "base/wire.h"
 #include "checkin/health.h"
-#include "checkin/register.h"
+#include "checkin/registry.h"
 #include "owner/owner.h"
 #include "peers/links.h"
 #include "store/replica.h"
@@ -37,83 +37,84 @@
   g_free(machine);
 }
 
-MmRoster *
-mm_roster_new(MmNode *node) {
-  MmRoster *roster = g_new0(MmRoster, 1);
+MmMachineTable *
+mm_machine_table_new(MmNode *node) {
+  MmMachineTable *machine_table = g_new0(MmMachineTable, 1);
 
-  roster->node = node;
-  roster->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
-  roster->order = g_ptr_array_new();
-  roster->past = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  roster->past_order = g_queue_new();
-  roster->running = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  return roster;
+  machine_table->node = node;
+  machine_table->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
+  machine_table->order = g_ptr_array_new();
+  machine_table->past = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  machine_table->past_order = g_queue_new();
+  machine_table->running = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  return machine_table;
 }
 
 void
-mm_roster_free(MmRoster *roster) {
-  g_ptr_array_unref(roster->order);
-  g_hash_table_unref(roster->machines);
-  g_hash_table_unref(roster->running);
-  g_hash_table_unref(roster->past);
-  g_queue_free_full(roster->past_order, g_free);
-  g_free(roster);
+mm_machine_table_free(MmMachineTable *machine_table) {
+  g_ptr_array_unref(machine_table->order);
+  g_hash_table_unref(machine_table->machines);
+  g_hash_table_unref(machine_table->running);
+  g_hash_table_unref(machine_table->past);
+  g_queue_free_full(machine_table->past_order, g_free);
+  g_free(machine_table);
 }
 
 MmMachine *
-mm_roster_find(const MmRoster *roster, const char *id) {
-  return g_hash_table_lookup(roster->machines, id);
+mm_machine_table_find(const MmMachineTable *machine_table, const char *id) {
+  return g_hash_table_lookup(machine_table->machines, id);
 }
 
 static void
-renumber(MmRoster *roster, guint from) {
-  for (guint i = from; i < roster->order->len; i++)
-    ((MmMachine *)g_ptr_array_index(roster->order, i))->index = i;
+renumber(MmMachineTable *machine_table, guint from) {
+  for (guint i = from; i < machine_table->order->len; i++)
+    ((MmMachine *)g_ptr_array_index(machine_table->order, i))->index = i;
 }
 
 /* The order is by id, which is the order of renting: new ones mostly come last. */
 static void
-insert(MmRoster *roster, MmMachine *machine) {
-  guint at = roster->order->len;
+insert(MmMachineTable *machine_table, MmMachine *machine) {
+  guint at = machine_table->order->len;
 
-  while (at > 0
-         && strcmp(((MmMachine *)g_ptr_array_index(roster->order, at - 1))->id.s, machine->id.s)
-                > 0)
+  while (
+      at > 0
+      && strcmp(((MmMachine *)g_ptr_array_index(machine_table->order, at - 1))->id.s, machine->id.s)
+             > 0)
     at--;
-  g_ptr_array_insert(roster->order, (gint)at, machine);
-  renumber(roster, at);
+  g_ptr_array_insert(machine_table->order, (gint)at, machine);
+  renumber(machine_table, at);
 }
 
 /* ---- how many tasks of a job are seen running ---- */
 
 static void
-count_running(MmRoster *roster, const MmMachine *machine, gint by) {
+count_running(MmMachineTable *machine_table, const MmMachine *machine, gint by) {
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
     gint n;
     if (task->state != MM_SEEN_RUNNING)
       continue;
-    n = GPOINTER_TO_INT(g_hash_table_lookup(roster->running, task->job.s)) + by;
+    n = GPOINTER_TO_INT(g_hash_table_lookup(machine_table->running, task->job.s)) + by;
     if (n > 0)
-      g_hash_table_insert(roster->running, g_strdup(task->job.s), GINT_TO_POINTER(n));
+      g_hash_table_insert(machine_table->running, g_strdup(task->job.s), GINT_TO_POINTER(n));
     else
-      g_hash_table_remove(roster->running, task->job.s);
+      g_hash_table_remove(machine_table->running, task->job.s);
   }
 }
 
 static void
-set_tasks(MmRoster *roster, MmMachine *machine, const GArray *tasks) {
+set_tasks(MmMachineTable *machine_table, MmMachine *machine, const GArray *tasks) {
   machine->free_as = 0;
-  count_running(roster, machine, -1);
+  count_running(machine_table, machine, -1);
   g_array_set_size(machine->tasks, 0);
   if (tasks != NULL)
     g_array_append_vals(machine->tasks, tasks->data, tasks->len);
-  count_running(roster, machine, 1);
+  count_running(machine_table, machine, 1);
 }
 
 static MmMachine *
-find_or_add(MmRoster *roster, const char *id) {
-  MmMachine *machine = mm_roster_find(roster, id);
+find_or_add(MmMachineTable *machine_table, const char *id) {
+  MmMachine *machine = mm_machine_table_find(machine_table, id);
 
   if (machine != NULL)
     return machine;
@@ -126,27 +127,27 @@
   machine->placed = g_ptr_array_new_with_free_func(g_free);
   machine->host = MM_HOST_NONE;
   /* Nothing is known of its past: it may have been answered a moment ago. */
-  machine->answered = mm_node_now(roster->node);
+  machine->answered = mm_node_now(machine_table->node);
   machine->idle_since = machine->seen = machine->answered;
   machine->answered_steadily_since = machine->answered;
-  g_hash_table_insert(roster->machines, machine->id.s, machine);
-  insert(roster, machine);
+  g_hash_table_insert(machine_table->machines, machine->id.s, machine);
+  insert(machine_table, machine);
   return machine;
 }
 
-static void remember(MmRoster *roster, const MmMachine *machine);
+static void remember(MmMachineTable *machine_table, const MmMachine *machine);
 
 void
-mm_roster_remove(MmRoster *roster, MmMachine *machine) {
+mm_machine_table_remove(MmMachineTable *machine_table, MmMachine *machine) {
   guint at = machine->index;
 
   if (machine->lost)
-    remember(roster, machine);
-  mm_owner_machine_gone(roster->node->owner, machine);
-  set_tasks(roster, machine, NULL);
-  g_ptr_array_remove_index(roster->order, at);
-  renumber(roster, at);
-  g_hash_table_remove(roster->machines, machine->id.s);
+    remember(machine_table, machine);
+  mm_owner_machine_gone(machine_table->node->owner, machine);
+  set_tasks(machine_table, machine, NULL);
+  g_ptr_array_remove_index(machine_table->order, at);
+  renumber(machine_table, at);
+  g_hash_table_remove(machine_table->machines, machine->id.s);
 }
 
 /* ---- reading reports ---- */
@@ -225,8 +226,8 @@
 /* ---- image caches, which are inferred: a hint only ---- */
 
 static void
-image_used(MmRoster *roster, MmMachine *machine, const MmName *image, double gb) {
-  MmTime now = mm_node_now(roster->node);
+image_used(MmMachineTable *machine_table, MmMachine *machine, const MmName *image, double gb) {
+  MmTime now = mm_node_now(machine_table->node);
   double total = 0;
   MmCachedImage *found = NULL;
 
@@ -292,8 +293,8 @@
 }
 
 static gboolean
-is_past(const MmRoster *roster, const char *id, guint64 session) {
-  const guint64 *past = g_hash_table_lookup(roster->past, id);
+is_past(const MmMachineTable *machine_table, const char *id, guint64 session) {
+  const guint64 *past = g_hash_table_lookup(machine_table->past, id);
 
   return past != NULL && session <= *past;
 }
@@ -306,25 +307,25 @@
 
 /* So that a late copy does not bring it back once its entry here is gone. */
 static void
-remember(MmRoster *roster, const MmMachine *machine) {
+remember(MmMachineTable *machine_table, const MmMachine *machine) {
   guint64 *session = g_new(guint64, 1);
 
   *session = machine->gone ? G_MAXUINT64 : newest_session(machine);
-  if (!g_hash_table_contains(roster->past, machine->id.s))
-    g_queue_push_tail(roster->past_order, g_strdup(machine->id.s));
-  g_hash_table_insert(roster->past, g_strdup(machine->id.s), session);
-  while (g_queue_get_length(roster->past_order)
-         > MAX(PAST_LEAST, PAST_A_MACHINE * roster->order->len)) {
-    g_autofree char *oldest = g_queue_pop_head(roster->past_order);
-    g_hash_table_remove(roster->past, oldest);
+  if (!g_hash_table_contains(machine_table->past, machine->id.s))
+    g_queue_push_tail(machine_table->past_order, g_strdup(machine->id.s));
+  g_hash_table_insert(machine_table->past, g_strdup(machine->id.s), session);
+  while (g_queue_get_length(machine_table->past_order)
+         > MAX(PAST_LEAST, PAST_A_MACHINE * machine_table->order->len)) {
+    g_autofree char *oldest = g_queue_pop_head(machine_table->past_order);
+    g_hash_table_remove(machine_table->past, oldest);
   }
 }
 
 gboolean
-mm_roster_is_late(const MmRoster *roster, const MmReport *report) {
-  const MmMachine *machine = mm_roster_find(roster, report->machine.s);
+mm_machine_table_is_late(const MmMachineTable *machine_table, const MmReport *report) {
+  const MmMachine *machine = mm_machine_table_find(machine_table, report->machine.s);
 
-  if (is_past(roster, report->machine.s, report->stamp.session))
+  if (is_past(machine_table, report->machine.s, report->stamp.session))
     return TRUE;
   if (machine == NULL)
     return FALSE;
@@ -335,18 +336,18 @@
 }
 
 gboolean
-mm_roster_is_unproved(const MmRoster *roster, const MmReport *report) {
-  const MmMachine *machine = mm_roster_find(roster, report->machine.s);
+mm_machine_table_is_unproved(const MmMachineTable *machine_table, const MmReport *report) {
+  const MmMachine *machine = mm_machine_table_find(machine_table, report->machine.s);
 
   return !report->direct && (machine == NULL || !machine->heard)
          && !(machine != NULL && machine->registered
               && machine->registered_session >= report->stamp.session)
-         && report->token.v < roster->node->replica->first_term.v;
+         && report->token.v < machine_table->node->replica->first_term.v;
 }
 
 MmMachine *
-mm_roster_note_unproved(MmRoster *roster, const MmReport *report) {
-  MmMachine *machine = find_or_add(roster, report->machine.s);
+mm_machine_table_note_unproved(MmMachineTable *machine_table, const MmReport *report) {
+  MmMachine *machine = find_or_add(machine_table, report->machine.s);
 
   machine->report_stamp = report->stamp;
   return machine;
@@ -365,22 +366,23 @@
 
 /* What the machine is, as the report says. */
 static void
-take_identity(MmRoster *roster, MmMachine *machine, const MmReport *report) {
+take_identity(MmMachineTable *machine_table, MmMachine *machine, const MmReport *report) {
   if (report->addr[0] != '\0')
     memcpy(machine->addr, report->addr, sizeof machine->addr);
   if (!mm_name_is_empty(&report->type))
     machine->type_name = report->type;
   if (!mm_name_is_empty(&report->zone))
     machine->zone = report->zone;
-  machine->type = mm_types_find(roster->node->types, &machine->type_name);
+  machine->type = mm_types_find(machine_table->node->types, &machine->type_name);
   machine->spot = report->spot;
 }
 
 static void
-take_session(MmRoster *roster, MmMachine *machine, const MmReport *report, MmTime heard_at) {
+take_session(MmMachineTable *machine_table, MmMachine *machine, const MmReport *report,
+             MmTime heard_at) {
   if (machine->heard && report->stamp.session != machine->stamp.session) {
     g_array_set_size(machine->images, 0);
-    mm_health_note_session(roster, machine);
+    mm_health_note_session(machine_table, machine);
   }
   if (report->stamp.session > newest_session(machine))
     note_new_session(machine, heard_at);
@@ -417,16 +419,16 @@
 }
 
 static void
-take_tasks(MmRoster *roster, MmMachine *machine, const MmReport *report) {
-  mm_health_count_errors(roster, machine, report);
-  set_tasks(roster, machine, report->tasks);
+take_tasks(MmMachineTable *machine_table, MmMachine *machine, const MmReport *report) {
+  mm_health_count_errors(machine_table, machine, report);
+  set_tasks(machine_table, machine, report->tasks);
   machine->live = FALSE;
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *task = &g_array_index(machine->tasks, MmSeenTask, i);
-    const MmJob *job = mm_book_find(roster->node->book, task->job.s);
+    const MmJob *job = mm_job_table_find(machine_table->node->job_table, task->job.s);
     machine->live = machine->live || task->state != MM_SEEN_ENDED;
     if (job != NULL && caches_its_image(task))
-      image_used(roster, machine, &job->spec.image, job->spec.image_gb);
+      image_used(machine_table, machine, &job->spec.image, job->spec.image_gb);
   }
 }
 
@@ -447,15 +449,16 @@
 }
 
 MmMachine *
-mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host) {
+mm_machine_table_take(MmMachineTable *machine_table, const MmReport *report, MmTime heard_at,
+                      gint host) {
   MmMachine *machine;
   gboolean same, newest_report;
 
   if (host == MM_HOST_SELF || host == MM_HOST_NONE)
-    roster->heard_here = mm_node_now(roster->node);
-  if (is_past(roster, report->machine.s, report->stamp.session))
+    machine_table->heard_here = mm_node_now(machine_table->node);
+  if (is_past(machine_table, report->machine.s, report->stamp.session))
     return NULL;
-  machine = find_or_add(roster, report->machine.s);
+  machine = find_or_add(machine_table, report->machine.s);
   if (is_over(machine, report->stamp))
     return NULL;
   /* One that is not newer than the newest report is a copy: an answer to it reaches nobody, and the
@@ -464,7 +467,7 @@
   if (newest_report) {
     machine->report_stamp = report->stamp;
     if (!report->unanswered)
-      mm_health_note_answer(roster, machine, heard_at);
+      mm_health_note_answer(machine_table, machine, heard_at);
   }
   if (machine->heard && !mm_stamp_newer(report->stamp, machine->stamp)) {
     if (newest_report)
@@ -473,37 +476,36 @@
   }
   same = shows_the_same(machine, report, host);
   machine->untold = machine->untold || !same;
-  take_session(roster, machine, report, heard_at);
-  take_identity(roster, machine, report);
+  take_session(machine_table, machine, report, heard_at);
+  take_identity(machine_table, machine, report);
   take_stamps(machine, report, heard_at, host);
   if (!same)
-    take_tasks(roster, machine, report);
+    take_tasks(machine_table, machine, report);
   if (machine->live)
     machine->idle_since = heard_at;
-  mm_owner_report(roster->node->owner, machine, report, !same);
+  mm_owner_report(machine_table->node->owner, machine, report, !same);
   return machine;
 }
 
 void
-mm_roster_answered(MmRoster *roster, const char *id, MmTime at) {
-  MmMachine *machine = mm_roster_find(roster, id);
+mm_machine_table_answered(MmMachineTable *machine_table, const char *id, MmTime at) {
+  MmMachine *machine = mm_machine_table_find(machine_table, id);
 
   /* Unknown here: should it come back, it starts as just answered. */
   if (machine != NULL)
-    mm_health_note_answer(roster, machine, at);
+    mm_health_note_answer(machine_table, machine, at);
 }
 
 void
-mm_roster_beat(MmRoster *roster, const char *id, MmStamp stamp, MmTime heard_at, gint host) {
-  MmMachine *machine = mm_roster_find(roster, id);
+mm_machine_table_beat(MmMachineTable *machine_table, const char *id, MmStamp stamp, MmTime heard_at,
+                      gint host) {
+  MmMachine *machine = mm_machine_table_find(machine_table, id);
   MmReport report = { .stamp = stamp };
 
-  if (machine == NULL || machine->gone
-      || (machine->heard && machine->lost && stamp.session <= machine->stamp.session)
-      || !mm_stamp_newer(stamp, machine->report_stamp))
+  if (machine == NULL || is_over(machine, stamp) || !mm_stamp_newer(stamp, machine->report_stamp))
     return;
   machine->report_stamp = stamp;
-  mm_health_note_answer(roster, machine, heard_at);
+  mm_health_note_answer(machine_table, machine, heard_at);
   if (!machine->heard || machine->lost || machine->host != host
       || stamp.session != machine->stamp.session || !mm_stamp_newer(stamp, machine->stamp))
     return;
@@ -512,7 +514,7 @@
   machine->reported = mm_time_max(machine->reported, heard_at);
   if (machine->live)
     machine->idle_since = heard_at;
-  mm_owner_report(roster->node->owner, machine, &report, FALSE);
+  mm_owner_report(machine_table->node->owner, machine, &report, FALSE);
 }
 
 gboolean
@@ -521,21 +523,21 @@
 }
 
 void
-mm_roster_registered(MmRoster *roster, const MmEntry *entry) {
-  MmMachine *machine = find_or_add(roster, entry->machine.s);
+mm_machine_table_registered(MmMachineTable *machine_table, const MmEntry *entry) {
+  MmMachine *machine = find_or_add(machine_table, entry->machine.s);
 
   /* Somebody has heard a newer session than is known here: it may hold tasks, also if the one
    * before is lost. */
   if (!machine->gone && entry->session > newest_session(machine)) {
     machine->lost = FALSE;
-    note_new_session(machine, mm_node_now(roster->node));
+    note_new_session(machine, mm_node_now(machine_table->node));
   }
   machine->registered = TRUE;
   machine->registered_session = entry->session;
   if (machine->heard)
     return;
   machine->type_name = entry->type;
-  machine->type = mm_types_find(roster->node->types, &machine->type_name);
+  machine->type = mm_types_find(machine_table->node->types, &machine->type_name);
   machine->zone = entry->zone;
   machine->spot = entry->spot;
   memcpy(machine->addr, entry->addr, sizeof machine->addr);
@@ -543,8 +545,8 @@
 
 /* Only lost and returned machines are taken off the register. */
 void
-mm_roster_unregistered(MmRoster *roster, const char *id) {
-  MmMachine *machine = mm_roster_find(roster, id);
+mm_machine_table_unregistered(MmMachineTable *machine_table, const char *id) {
+  MmMachine *machine = mm_machine_table_find(machine_table, id);
 
   if (machine == NULL)
     return;
@@ -552,71 +554,71 @@
   if (machine->heard && !machine->gone && machine->stamp.session > machine->registered_session)
     /* It is back with a new session, which nothing has been started in: that needs a registration
      * of its own. What was placed on it belongs to the old one. */
-    mm_owner_machine_gone(roster->node->owner, machine);
+    mm_owner_machine_gone(machine_table->node->owner, machine);
   else
-    mm_roster_remove(roster, machine);
+    mm_machine_table_remove(machine_table, machine);
 }
 
 /* ---- lost machines ---- */
 
 static void
-clear_away(MmRoster *roster, MmMachine *machine) {
+clear_away(MmMachineTable *machine_table, MmMachine *machine) {
   machine->lost = TRUE;
-  mm_owner_machine_gone(roster->node->owner, machine);
-  set_tasks(roster, machine, NULL);
+  mm_owner_machine_gone(machine_table->node->owner, machine);
+  set_tasks(machine_table, machine, NULL);
   machine->live = FALSE;
   g_array_set_size(machine->images, 0);
 }
 
 void
-mm_roster_gone(MmRoster *roster, const char *id) {
-  MmMachine *machine = mm_roster_find(roster, id);
+mm_machine_table_gone(MmMachineTable *machine_table, const char *id) {
+  MmMachine *machine = mm_machine_table_find(machine_table, id);
 
   if (machine == NULL)
     return;
   machine->gone = TRUE;
-  clear_away(roster, machine);
+  clear_away(machine_table, machine);
 }
 
 /* A machine is lost when its lease has certainly run out: no node can have answered it 200 for a
  * whole lease. `settled` is the instant up to which this node knows of all answers by all nodes. */
 static void
-find_lost(MmRoster *roster) {
-  MmNode *node = roster->node;
+find_lost(MmMachineTable *machine_table) {
+  MmNode *node = machine_table->node;
   MmTime settled = mm_links_settled(node->links);
   gint64 lease_ms = (gint64)(node->settings->lease_s * 1000 * (1 + DRIFT)) + LOST_MARGIN_MS;
 
-  for (guint i = 0; i < roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(roster->order, i);
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(machine_table->order, i);
     MmTime answered = mm_time_max(machine->answered, node->replica->node_gone);
     if (machine->lost || mm_time_ms_since(settled, answered) < lease_ms)
       continue;
     mm_info("machine %s is lost: its lease has run out", machine->id.s);
-    clear_away(roster, machine);
+    clear_away(machine_table, machine);
   }
 }
 
 void
-mm_roster_tick(MmRoster *roster) {
-  MmTime now = mm_node_now(roster->node);
+mm_machine_table_tick(MmMachineTable *machine_table) {
+  MmTime now = mm_node_now(machine_table->node);
 
-  if (mm_time_before(now, roster->next))
+  if (mm_time_before(now, machine_table->next))
     return;
-  roster->next = mm_time_add_ms(now, TICK_EVERY_MS);
-  find_lost(roster);
+  machine_table->next = mm_time_add_ms(now, TICK_EVERY_MS);
+  find_lost(machine_table);
 }
 
 /* ---- rooms ---- */
 
 MmResources
-mm_machine_free(const MmRoster *roster, MmMachine *machine) {
+mm_machine_free(const MmMachineTable *machine_table, MmMachine *machine) {
   MmResources room = { 0 };
 
   if (machine->type == NULL)
     return room;
-  if (machine->free_as == roster->node->book->generation)
+  if (machine->free_as == machine_table->node->job_table->generation)
     return machine->free;
-  machine->free_as = roster->node->book->generation;
+  machine->free_as = machine_table->node->job_table->generation;
   machine->free = room;
   room = machine->type->room;
   for (guint i = 0; i < machine->tasks->len; i++) {
@@ -624,7 +626,7 @@
     const MmJob *job;
     if (task->state == MM_SEEN_ENDED)
       continue;
-    job = mm_book_find(roster->node->book, task->job.s);
+    job = mm_job_table_find(machine_table->node->job_table, task->job.s);
     if (job == NULL)
       return (MmResources){ 0 };
     room = mm_resources_sub(room, job->spec.need);
@@ -640,21 +642,22 @@
 }
 
 gboolean
-mm_machine_usable(const MmRoster *roster, const MmMachine *machine) {
-  MmTime now = mm_node_now(roster->node);
+mm_machine_usable(const MmMachineTable *machine_table, const MmMachine *machine) {
+  MmTime now = mm_node_now(machine_table->node);
 
   return machine->heard && mm_machine_is_registered(machine) && !machine->lost && !machine->warned
          && !machine->releasing && machine->type != NULL
-         && !mm_time_before(now, machine->quarantined_until) && !mm_health_is_deaf(roster, machine);
+         && !mm_time_before(now, machine->quarantined_until)
+         && !mm_health_is_deaf(machine_table, machine);
 }
 
 gboolean
-mm_roster_all_heard(const MmRoster *roster) {
-  MmTime now = mm_node_now(roster->node);
-  gint64 recent_ms = (gint64)(roster->node->settings->report_s * 2000);
+mm_machine_table_all_heard(const MmMachineTable *machine_table) {
+  MmTime now = mm_node_now(machine_table->node);
+  gint64 recent_ms = (gint64)(machine_table->node->settings->report_s * 2000);
 
-  for (guint i = 0; i < roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(roster->order, i);
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(machine_table->order, i);
     if (machine->registered && mm_time_ms_since(now, machine->seen) > recent_ms)
       return FALSE;
   }
@@ -662,8 +665,8 @@
 }
 
 guint
-mm_roster_running(const MmRoster *roster, const char *job) {
-  return GPOINTER_TO_UINT(g_hash_table_lookup(roster->running, job));
+mm_machine_table_running(const MmMachineTable *machine_table, const char *job) {
+  return GPOINTER_TO_UINT(g_hash_table_lookup(machine_table->running, job));
 }
 
 /* ---- commands ---- */
--- a/src/checkin/roster.h
+++ b/src/checkin/machine-table.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "fleet/types.h"
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "node/node.h"
 
 /* A task's state and its cause of ending, as reported. */
@@ -103,7 +103,7 @@
   guint unanswered; /* and how often since it last gave one */
   GArray *images;   /* MmCachedImage */
   MmResources free; /* as last worked out, */
-  guint64 free_as;  /* with the book's jobs of that time; 0: to be worked out anew */
+  guint64 free_as;  /* with the job table's jobs of that time; 0: to be worked out anew */
   MmTime idle_since;
   guint index; /* place in the order of names */
 
@@ -138,7 +138,7 @@
   double grace_s;
 } MmCommand;
 
-struct MmRoster {
+struct MmMachineTable {
   MmNode *node;
   GHashTable *running;  /* job id -> how many of its tasks are seen running */
   GHashTable *machines; /* id -> MmMachine */
@@ -149,42 +149,44 @@
   MmTime heard_here; /* when any worker last reached this node, or answered it */
 };
 
-MmRoster *mm_roster_new(MmNode *node);
-void mm_roster_free(MmRoster *roster);
-MmMachine *mm_roster_find(const MmRoster *roster, const char *id);
+MmMachineTable *mm_machine_table_new(MmNode *node);
+void mm_machine_table_free(MmMachineTable *machine_table);
+MmMachine *mm_machine_table_find(const MmMachineTable *machine_table, const char *id);
 
 gboolean mm_report_parse(MmReport *report, const json_t *body, const char **reason);
 void mm_report_clear(MmReport *report);
 
 /* Whether the report is certainly a late copy, or of a session that is over: no worker waits for
  * its answer, since a worker has one report under way and it is not this one. */
-gboolean mm_roster_is_late(const MmRoster *roster, const MmReport *report);
+gboolean mm_machine_table_is_late(const MmMachineTable *machine_table, const MmReport *report);
 /* Whether the report alone is no proof that its machine still is: its session is not on the
  * register and it shows no term of this life of the node. It may be a late copy from a machine that
  * this node never knew. It is answered, so that the machine can show the term, and believed in
  * nothing. */
-gboolean mm_roster_is_unproved(const MmRoster *roster, const MmReport *report);
+gboolean mm_machine_table_is_unproved(const MmMachineTable *machine_table, const MmReport *report);
 /* The entry of such a machine. */
-MmMachine *mm_roster_note_unproved(MmRoster *roster, const MmReport *report);
+MmMachine *mm_machine_table_note_unproved(MmMachineTable *machine_table, const MmReport *report);
 
 /* Takes a report in; NULL when it is older than what is known. `heard_at`: when it was made at the
  * latest; `host`: the node that heard it. */
-MmMachine *mm_roster_take(MmRoster *roster, const MmReport *report, MmTime heard_at, gint host);
+MmMachine *mm_machine_table_take(MmMachineTable *machine_table, const MmReport *report,
+                                 MmTime heard_at, gint host);
 /* A peer answered a report that showed nothing new since the last one it told of. */
-void mm_roster_beat(MmRoster *roster, const char *id, MmStamp stamp, MmTime heard_at, gint host);
+void mm_machine_table_beat(MmMachineTable *machine_table, const char *id, MmStamp stamp,
+                           MmTime heard_at, gint host);
 /* Somebody answered the machine, and nothing else is known of it. */
-void mm_roster_answered(MmRoster *roster, const char *id, MmTime at);
+void mm_machine_table_answered(MmMachineTable *machine_table, const char *id, MmTime at);
 typedef struct MmEntry MmEntry;
-void mm_roster_registered(MmRoster *roster, const MmEntry *entry);
-void mm_roster_unregistered(MmRoster *roster, const char *id);
-void mm_roster_remove(MmRoster *roster, MmMachine *machine);
+void mm_machine_table_registered(MmMachineTable *machine_table, const MmEntry *entry);
+void mm_machine_table_unregistered(MmMachineTable *machine_table, const char *id);
+void mm_machine_table_remove(MmMachineTable *machine_table, MmMachine *machine);
 /* The cloud has proved it gone. Late reports of it may still come; they change nothing. */
-void mm_roster_gone(MmRoster *roster, const char *id);
-void mm_roster_tick(MmRoster *roster);
+void mm_machine_table_gone(MmMachineTable *machine_table, const char *id);
+void mm_machine_table_tick(MmMachineTable *machine_table);
 
 /* Room left beside everything reported and everything placed by this node's parts. Not more than
  * nothing when a task on it belongs to a job that is not known here. */
-MmResources mm_machine_free(const MmRoster *roster, MmMachine *machine);
+MmResources mm_machine_free(const MmMachineTable *machine_table, MmMachine *machine);
 /* The task as the newest report shows it, or NULL. */
 const MmSeenTask *mm_machine_seen(const MmMachine *machine, const MmName *job, guint number,
                                   MmAttempt attempt);
@@ -192,9 +194,9 @@
 /* Whether its session is in the register: only then it may be given starts. */
 gboolean mm_machine_is_registered(const MmMachine *machine);
 /* A machine that may be given work at all. */
-gboolean mm_machine_usable(const MmRoster *roster, const MmMachine *machine);
+gboolean mm_machine_usable(const MmMachineTable *machine_table, const MmMachine *machine);
 /* Whether every registered machine has been heard lately. */
-gboolean mm_roster_all_heard(const MmRoster *roster);
-guint mm_roster_running(const MmRoster *roster, const char *job);
+gboolean mm_machine_table_all_heard(const MmMachineTable *machine_table);
+guint mm_machine_table_running(const MmMachineTable *machine_table, const char *job);
 json_t *mm_command_to_json(const MmCommand *command);
 void mm_machine_queue(MmMachine *machine, guint64 session, const MmCommand *command);
--- a/src/checkin/register.c
+++ b/src/checkin/registry.c
@@ -1,4 +1,4 @@
-#include "checkin/register.h"
+#include "checkin/registry.h"
 
 #include "base/wire.h"
 #include "checkin/health.h"
@@ -18,19 +18,19 @@
   g_free(pack);
 }
 
-MmRegister *
-mm_register_new(MmNode *node) {
-  MmRegister *reg = g_new0(MmRegister, 1);
+MmRegistry *
+mm_registry_new(MmNode *node) {
+  MmRegistry *registry = g_new0(MmRegistry, 1);
 
-  reg->node = node;
-  reg->packs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pack_free);
-  return reg;
+  registry->node = node;
+  registry->packs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pack_free);
+  return registry;
 }
 
 void
-mm_register_free(MmRegister *reg) {
-  g_hash_table_unref(reg->packs);
-  g_free(reg);
+mm_registry_free(MmRegistry *registry) {
+  g_hash_table_unref(registry->packs);
+  g_free(registry);
 }
 
 /* ---- packs as JSON ---- */
@@ -63,8 +63,8 @@
 
 /* What the entries of one pack may take. */
 static gsize
-pack_limit(const MmRegister *reg) {
-  return MIN(reg->node->settings->state_value_bytes, PACK_BYTES) - PACK_FRAME_BYTES;
+pack_limit(const MmRegistry *registry) {
+  return MIN(registry->node->settings->state_value_bytes, PACK_BYTES) - PACK_FRAME_BYTES;
 }
 
 static GArray *
@@ -98,12 +98,12 @@
 
 /* The machine's newest session in the register, or NULL. */
 static const MmEntry *
-newest(const MmRegister *reg, const char *machine) {
+newest(const MmRegistry *registry, const char *machine) {
   const MmEntry *best = NULL;
   GHashTableIter iter;
   gpointer value;
 
-  g_hash_table_iter_init(&iter, reg->packs);
+  g_hash_table_iter_init(&iter, registry->packs);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     const MmEntry *e = find_entry(((MmPack *)value)->entries, machine);
     if (e != NULL && (best == NULL || e->session > best->session))
@@ -116,62 +116,62 @@
 
 /* Entries that a pack no longer has. */
 static void
-left_out(MmRegister *reg, const GArray *old, const GArray *now) {
+left_out(MmRegistry *registry, const GArray *old, const GArray *now) {
   for (guint i = 0; i < old->len; i++) {
     const MmEntry *e = &g_array_index(old, MmEntry, i);
     const MmEntry *other;
     if (now != NULL && find_entry(now, e->machine.s) != NULL)
       continue;
-    other = newest(reg, e->machine.s);
+    other = newest(registry, e->machine.s);
     if (other != NULL)
-      mm_roster_registered(reg->node->roster, other);
+      mm_machine_table_registered(registry->node->machine_table, other);
     else
-      mm_roster_unregistered(reg->node->roster, e->machine.s);
+      mm_machine_table_unregistered(registry->node->machine_table, e->machine.s);
   }
 }
 
 void
-mm_register_put(MmRegister *reg, const char *name, const json_t *value, MmMark mark) {
-  MmPack *pack = g_hash_table_lookup(reg->packs, name);
+mm_registry_put(MmRegistry *registry, const char *name, const json_t *value, MmKeyVersion version) {
+  MmPack *pack = g_hash_table_lookup(registry->packs, name);
   g_autoptr(GArray) old = NULL;
 
-  if (pack != NULL && mark.v < pack->mark.v)
+  if (pack != NULL && version.v < pack->version.v)
     return;
   if (pack == NULL) {
     pack = g_new0(MmPack, 1);
-    g_hash_table_insert(reg->packs, g_strdup(name), pack);
+    g_hash_table_insert(registry->packs, g_strdup(name), pack);
   }
   old = g_steal_pointer(&pack->entries);
-  pack->mark = mark;
+  pack->version = version;
   pack->entries = read_pack(value);
   for (guint i = 0; i < pack->entries->len; i++) {
     const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
-    const MmMachine *machine = mm_roster_find(reg->node->roster, e->machine.s);
+    const MmMachine *machine = mm_machine_table_find(registry->node->machine_table, e->machine.s);
     if (machine == NULL || !machine->registered || e->session > machine->registered_session)
-      mm_roster_registered(reg->node->roster, e);
+      mm_machine_table_registered(registry->node->machine_table, e);
   }
   if (old != NULL)
-    left_out(reg, old, pack->entries);
+    left_out(registry, old, pack->entries);
 }
 
 void
-mm_register_remove(MmRegister *reg, const char *name) {
-  MmPack *pack = g_hash_table_lookup(reg->packs, name);
+mm_registry_remove(MmRegistry *registry, const char *name) {
+  MmPack *pack = g_hash_table_lookup(registry->packs, name);
   g_autoptr(GArray) old = NULL;
 
   if (pack == NULL)
     return;
   old = g_array_ref(pack->entries);
-  g_hash_table_remove(reg->packs, name);
-  left_out(reg, old, NULL);
+  g_hash_table_remove(registry->packs, name);
+  left_out(registry, old, NULL);
 }
 
 void
-mm_register_list_keys(const MmRegister *reg, const char *prefix, GPtrArray *keys) {
+mm_registry_list_keys(const MmRegistry *registry, const char *prefix, GPtrArray *keys) {
   GHashTableIter iter;
   gpointer name;
 
-  g_hash_table_iter_init(&iter, reg->packs);
+  g_hash_table_iter_init(&iter, registry->packs);
   while (g_hash_table_iter_next(&iter, &name, NULL))
     g_ptr_array_add(keys, g_strconcat(prefix, name, NULL));
 }
@@ -180,23 +180,23 @@
 
 static void
 entered(gpointer data, int status, json_t *body) {
-  MmRegister *reg = data;
+  MmRegistry *registry = data;
 
   /* Who is entered is for the replica to show; what is not shown is tried again. */
-  reg->writing = FALSE;
-  reg->next = mm_time_add_ms(mm_node_now(reg->node), EVERY_MS);
+  registry->writing = FALSE;
+  registry->next = mm_time_add_ms(mm_node_now(registry->node), EVERY_MS);
 }
 
 static GPtrArray *
-to_enter(const MmRegister *reg) {
+to_enter(const MmRegistry *registry) {
   GPtrArray *list = g_ptr_array_new();
-  const GPtrArray *order = reg->node->roster->order;
+  const GPtrArray *order = registry->node->machine_table->order;
 
   for (guint i = 0; i < order->len; i++) {
     MmMachine *machine = g_ptr_array_index(order, i);
     if (!mm_machine_is_registered(machine) && machine->heard && !machine->lost
         && !machine->releasing && machine->host == MM_HOST_SELF
-        && !mm_health_is_deaf(reg->node->roster, machine))
+        && !mm_health_is_deaf(registry->node->machine_table, machine))
       g_ptr_array_add(list, machine);
   }
   return list;
@@ -205,13 +205,13 @@
 /* What the pack should hold: its entries without those that a newer session has replaced elsewhere,
  * and of the list as many as there is room for, which are taken off it. */
 static GArray *
-filled(const MmRegister *reg, const MmPack *pack, GPtrArray *list) {
+filled(const MmRegistry *registry, const MmPack *pack, GPtrArray *list) {
   GArray *entries = g_array_new(FALSE, TRUE, sizeof(MmEntry));
-  gsize most = pack_limit(reg), bytes = 0;
+  gsize most = pack_limit(registry), bytes = 0;
 
   for (guint i = 0; pack != NULL && i < pack->entries->len; i++) {
     const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
-    const MmMachine *machine = mm_roster_find(reg->node->roster, e->machine.s);
+    const MmMachine *machine = mm_machine_table_find(registry->node->machine_table, e->machine.s);
     if (machine != NULL
         && (e->session < machine->registered_session || g_ptr_array_find(list, machine, NULL)))
       continue;
@@ -237,42 +237,42 @@
 
 /* Each node writes packs of its own, so that nodes do not get in each other's way. */
 void
-mm_register_tick(MmRegister *reg) {
-  MmNode *node = reg->node;
+mm_registry_tick(MmRegistry *registry) {
+  MmNode *node = registry->node;
   MmTime now = mm_node_now(node);
   g_autoptr(GPtrArray) list = NULL;
   MmTxn txn;
 
-  if (reg->writing || mm_time_before(now, reg->next) || mm_store_in_trouble(node->store)
+  if (registry->writing || mm_time_before(now, registry->next) || mm_store_in_trouble(node->store)
       || !node->replica->loaded)
     return;
-  reg->next = mm_time_add_ms(now, EVERY_MS);
-  list = to_enter(reg);
+  registry->next = mm_time_add_ms(now, EVERY_MS);
+  list = to_enter(registry);
   if (list->len == 0)
     return;
   txn = mm_txn();
   for (guint k = 0; list->len > 0 && txn.puts < node->settings->state_txn_ops; k++) {
     g_autofree char *name = g_strdup_printf("%s/%u", node->settings->label.s, k);
-    const MmPack *pack = g_hash_table_lookup(reg->packs, name);
+    const MmPack *pack = g_hash_table_lookup(registry->packs, name);
     guint before = list->len;
-    g_autoptr(GArray) entries = filled(reg, pack, list);
+    g_autoptr(GArray) entries = filled(registry, pack, list);
 
     if (list->len == before)
       continue;
     if (!mm_store_may_write(node->store, 1))
       break;
-    mm_txn_guard(&txn, MM_KEY_PACK, name, pack != NULL ? pack->mark : (MmMark){ 0 });
+    mm_txn_guard(&txn, MM_KEY_PACK, name, pack != NULL ? pack->version : (MmKeyVersion){ 0 });
     mm_txn_put(&txn, MM_KEY_PACK, name, pack_json(entries), 0);
   }
-  reg->writing = txn.puts > 0;
-  mm_store_commit_any(node->store, &txn, entered, reg);
+  registry->writing = txn.puts > 0;
+  mm_store_commit_any(node->store, &txn, entered, registry);
 }
 
 /* ---- taking off ---- */
 
 static void
 dropped(gpointer data, int status, json_t *body) {
-  ((MmRegister *)data)->dropping = FALSE;
+  ((MmRegistry *)data)->dropping = FALSE;
 }
 
 /* A machine is in one session at a time: hearing a newer one ends the older. */
@@ -285,16 +285,17 @@
 
 /* The pack other than this one that holds the same session of the machine, or NULL. */
 static const char *
-find_copy(const MmRegister *reg, const MmPack *except, const MmEntry *e, MmMark *mark) {
+find_copy(const MmRegistry *registry, const MmPack *except, const MmEntry *e,
+          MmKeyVersion *version) {
   GHashTableIter iter;
   gpointer name, value;
 
-  g_hash_table_iter_init(&iter, reg->packs);
+  g_hash_table_iter_init(&iter, registry->packs);
   while (g_hash_table_iter_next(&iter, &name, &value)) {
     const MmPack *pack = value;
     const MmEntry *copy = pack != except ? find_entry(pack->entries, e->machine.s) : NULL;
     if (copy != NULL && copy->session == e->session) {
-      *mark = pack->mark;
+      *version = pack->version;
       return name;
     }
   }
@@ -316,32 +317,32 @@
  * limits, without what has been copied to another pack. That pack must then stay as it is until
  * this one is written: of two copies one has to remain. */
 static GArray *
-entries_kept(MmRegister *reg, const MmPack *pack, MmTxn *guards) {
+entries_kept(MmRegistry *registry, const MmPack *pack, MmTxn *guards) {
   GArray *kept = g_array_new(FALSE, TRUE, sizeof(MmEntry));
-  gboolean too_large = entries_bytes(pack->entries) > pack_limit(reg);
+  gboolean too_large = entries_bytes(pack->entries) > pack_limit(registry);
 
   for (guint i = 0; i < pack->entries->len; i++) {
     const MmEntry *e = &g_array_index(pack->entries, MmEntry, i);
-    const MmMachine *machine = mm_roster_find(reg->node->roster, e->machine.s);
+    const MmMachine *machine = mm_machine_table_find(registry->node->machine_table, e->machine.s);
     const char *copied_to = NULL;
-    MmMark mark;
+    MmKeyVersion version;
     if (machine != NULL && is_over(machine, e))
       continue;
     if (too_large)
-      copied_to = find_copy(reg, pack, e, &mark);
+      copied_to = find_copy(registry, pack, e, &version);
     if (copied_to == NULL)
       g_array_append_val(kept, *e);
     else if (!is_guarded(guards, copied_to))
-      mm_txn_guard(guards, MM_KEY_PACK, copied_to, mark);
+      mm_txn_guard(guards, MM_KEY_PACK, copied_to, version);
   }
   return kept;
 }
 
 static char *
-unused_pack_name(const MmRegister *reg) {
+unused_pack_name(const MmRegistry *registry) {
   for (guint k = 0;; k++) {
-    char *name = g_strdup_printf("%s/%u", reg->node->settings->label.s, k);
-    if (!g_hash_table_contains(reg->packs, name))
+    char *name = g_strdup_printf("%s/%u", registry->node->settings->label.s, k);
+    if (!g_hash_table_contains(registry->packs, name))
       return name;
     g_free(name);
   }
@@ -351,11 +352,11 @@
  * pack. They leave this one once the replica shows the copies: no reader ever finds a machine in
  * neither. */
 static void
-copy_overflow(MmRegister *reg, const char *name, const MmPack *pack, const GArray *kept,
+copy_overflow(MmRegistry *registry, const char *name, const MmPack *pack, const GArray *kept,
               MmTxn *txn) {
   g_autoptr(GArray) moved = g_array_new(FALSE, TRUE, sizeof(MmEntry));
-  g_autofree char *to = unused_pack_name(reg);
-  gsize most = pack_limit(reg), left = entries_bytes(kept), bytes = 0;
+  g_autofree char *to = unused_pack_name(registry);
+  gsize most = pack_limit(registry), left = entries_bytes(kept), bytes = 0;
 
   for (guint i = kept->len; i > 0 && left > most; i--) {
     const MmEntry *e = &g_array_index(kept, MmEntry, i - 1);
@@ -365,14 +366,14 @@
     left -= entry_bytes(e);
     g_array_append_val(moved, *e);
   }
-  mm_txn_guard(txn, MM_KEY_PACK, name, pack->mark);
-  mm_txn_guard(txn, MM_KEY_PACK, to, (MmMark){ 0 });
+  mm_txn_guard(txn, MM_KEY_PACK, name, pack->version);
+  mm_txn_guard(txn, MM_KEY_PACK, to, (MmKeyVersion){ 0 });
   mm_txn_put(txn, MM_KEY_PACK, to, pack_json(moved), 0);
 }
 
 static void
 write_kept(const char *name, const MmPack *pack, const GArray *kept, MmTxn *txn) {
-  mm_txn_guard(txn, MM_KEY_PACK, name, pack->mark);
+  mm_txn_guard(txn, MM_KEY_PACK, name, pack->version);
   if (kept->len > 0)
     mm_txn_put(txn, MM_KEY_PACK, name, pack_json(kept), 0);
   else
@@ -381,18 +382,19 @@
 
 /* One pack a transaction where guards for copies are needed. */
 static void
-drop_from_pack(MmRegister *reg, const char *name, const MmPack *pack, MmTxn *txn) {
+drop_from_pack(MmRegistry *registry, const char *name, const MmPack *pack, MmTxn *txn) {
   MmTxn guards = mm_txn();
-  g_autoptr(GArray) kept = entries_kept(reg, pack, &guards);
-  guint most_guards = 4 * reg->node->settings->state_txn_ops;
-  gboolean too_large = entries_bytes(kept) > pack_limit(reg);
+  g_autoptr(GArray) kept = entries_kept(registry, pack, &guards);
+  guint most_guards = 4 * registry->node->settings->state_txn_ops;
+  gboolean too_large = entries_bytes(kept) > pack_limit(registry);
   gboolean alone = too_large || json_array_size(guards.guards) > 0;
 
   if (kept->len < pack->entries->len && !(alone && txn->puts > 0)
-      && json_array_size(guards.guards) < most_guards && mm_store_may_write(reg->node->store, 1)) {
+      && json_array_size(guards.guards) < most_guards
+      && mm_store_may_write(registry->node->store, 1)) {
     json_array_extend(txn->guards, guards.guards);
     if (too_large)
-      copy_overflow(reg, name, pack, kept, txn);
+      copy_overflow(registry, name, pack, kept, txn);
     else
       write_kept(name, pack, kept, txn);
   }
@@ -401,20 +403,20 @@
 }
 
 void
-mm_register_drop_lost(MmRegister *reg) {
-  MmNode *node = reg->node;
+mm_registry_drop_lost(MmRegistry *registry) {
+  MmNode *node = registry->node;
   GHashTableIter iter;
   gpointer name, value;
   MmTxn txn;
 
-  if (reg->dropping || mm_store_in_trouble(node->store))
+  if (registry->dropping || mm_store_in_trouble(node->store))
     return;
   txn = mm_txn();
-  g_hash_table_iter_init(&iter, reg->packs);
+  g_hash_table_iter_init(&iter, registry->packs);
   while (txn.puts < node->settings->state_txn_ops
          && json_array_size(txn.guards) <= node->settings->state_txn_ops
          && g_hash_table_iter_next(&iter, &name, &value))
-    drop_from_pack(reg, name, value, &txn);
-  reg->dropping = txn.puts > 0;
-  mm_store_commit_any(node->store, &txn, dropped, reg);
+    drop_from_pack(registry, name, value, &txn);
+  registry->dropping = txn.puts > 0;
+  mm_store_commit_any(node->store, &txn, dropped, registry);
 }
--- a/src/checkin/register.h
+++ b/src/checkin/registry.h
@@ -4,7 +4,7 @@
  * change of sessions. */
 #pragma once
 
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "node/node.h"
 
 struct MmEntry {
@@ -17,11 +17,11 @@
 };
 
 typedef struct {
-  MmMark mark;
+  MmKeyVersion version;
   GArray *entries; /* MmEntry */
 } MmPack;
 
-struct MmRegister {
+struct MmRegistry {
   MmNode *node;
   GHashTable *packs; /* name -> MmPack, as the replica shows them */
   gboolean writing;
@@ -29,17 +29,18 @@
   MmTime next;
 };
 
-MmRegister *mm_register_new(MmNode *node);
-void mm_register_free(MmRegister *reg);
+MmRegistry *mm_registry_new(MmNode *node);
+void mm_registry_free(MmRegistry *registry);
 
 /* From the replica. */
-void mm_register_put(MmRegister *reg, const char *name, const json_t *value, MmMark mark);
-void mm_register_remove(MmRegister *reg, const char *name);
-void mm_register_list_keys(const MmRegister *reg, const char *prefix, GPtrArray *keys);
+void mm_registry_put(MmRegistry *registry, const char *name, const json_t *value,
+                     MmKeyVersion version);
+void mm_registry_remove(MmRegistry *registry, const char *name);
+void mm_registry_list_keys(const MmRegistry *registry, const char *prefix, GPtrArray *keys);
 
 /* Enters the sessions heard here that are not in the register yet. */
-void mm_register_tick(MmRegister *reg);
+void mm_registry_tick(MmRegistry *registry);
 /* Takes lost and returned machines off: nobody need wait to hear them after the next taking of a
- * part. Guarded by the marks of their packs, which a newer session entered there would change; one
- * entered elsewhere stays. */
-void mm_register_drop_lost(MmRegister *reg);
+ * part. Guarded by the versions of their packs, which a newer session entered there would change;
+ * one entered elsewhere stays. */
+void mm_registry_drop_lost(MmRegistry *registry);
--- a/src/dependencies/dependencies.c
+++ b/src/dependencies/dependencies.c
@@ -37,7 +37,7 @@
   }
   for (guint i = 0; i < change->ready->len; i++) {
     const MmVertex *vertex = g_ptr_array_index(change->ready, i);
-    MmJob *job = mm_book_find(node->book, vertex->job.s);
+    MmJob *job = mm_job_table_find(node->job_table, vertex->job.s);
     if (job != NULL)
       mm_owner_job_ready(node->owner, job);
   }
@@ -54,13 +54,13 @@
 /* What this node knows already of the jobs that the new one depends on. */
 static void
 add_known_needs(MmDependencies *dependencies, const MmJob *job, MmGraphChange *change) {
-  MmBook *book = dependencies->node->book;
+  MmJobTable *job_table = dependencies->node->job_table;
 
   for (guint i = 0; i < job->spec.n_needs; i++) {
     const char *id = job->spec.needs[i].s;
-    MmJob *needed = mm_book_find(book, id);
+    MmJob *needed = mm_job_table_find(job_table, id);
     MmFinalState final;
-    if (mm_book_final_state(book, id, &final))
+    if (mm_job_table_final_state(job_table, id, &final))
       mm_graph_finish(dependencies->graph, id, final.cancelled, final.done_ms, change);
     if (needed != NULL)
       add_vertex(dependencies, needed, change);
@@ -137,7 +137,7 @@
     vertex->look_up_after = mm_time_add_ms(mm_node_now(node), LOOKUP_RETRY_MS);
   }
   if (status == 200)
-    mm_book_keep_final(node->book, lookup->job.s, mm_json_get(body, WIRE_VALUE));
+    mm_job_table_keep_final(node->job_table, lookup->job.s, mm_json_get(body, WIRE_VALUE));
   g_free(lookup);
 }
 
--- a/src/dependencies/dependencies.h
+++ b/src/dependencies/dependencies.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "dependencies/graph.h"
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "node/node.h"
 
 struct MmDependencies {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -3,7 +3,7 @@
 #include <math.h>
 
 #include "base/wire.h"
-#include "checkin/register.h"
+#include "checkin/registry.h"
 #include "owner/owner.h"
 #include "peers/links.h"
 #include "parts/claims.h"
@@ -159,7 +159,7 @@
   for (guint i = 0; i < release->ids->len; i++) {
     const char *id = g_ptr_array_index(release->ids, i);
     MmListed *listed = g_hash_table_lookup(fleet->listed, id);
-    MmMachine *machine = mm_roster_find(node->roster, id);
+    MmMachine *machine = mm_machine_table_find(node->machine_table, id);
 
     if (listed != NULL)
       listed->releasing = status == 200;
@@ -176,10 +176,10 @@
       continue;
     /* A 200 proves that the machine and all on it are gone. */
     mm_info("machine %s has been returned", id);
-    mm_roster_gone(node->roster, id);
+    mm_machine_table_gone(node->machine_table, id);
     mm_links_tell_gone(node->links, id);
     if (!machine->registered)
-      mm_roster_remove(node->roster, machine);
+      mm_machine_table_remove(node->machine_table, machine);
   }
   g_ptr_array_unref(release->ids);
   g_free(release);
@@ -190,12 +190,12 @@
 static void
 probe_answered(gpointer data, int status, json_t *body) {
   MmFleet *fleet = data;
-  MmRoster *roster = fleet->node->roster;
+  MmMachineTable *machine_table = fleet->node->machine_table;
   const char *id = mm_json_string(body, WIRE_MACHINE);
-  MmMachine *machine = id != NULL ? mm_roster_find(roster, id) : NULL;
+  MmMachine *machine = id != NULL ? mm_machine_table_find(machine_table, id) : NULL;
 
   if (status == 200)
-    roster->heard_here = mm_node_now(fleet->node);
+    machine_table->heard_here = mm_node_now(fleet->node);
   if (status == 200 && machine != NULL)
     machine->seen = mm_time_max(machine->seen, mm_node_now(fleet->node));
   if (machine != NULL)
@@ -241,14 +241,14 @@
  * healthy machines that reported to its peers a little late. */
 static gboolean
 reaches_workers(const MmFleet *fleet, const MmMachine *machine) {
-  return mm_time_before(machine->probed, fleet->node->roster->heard_here);
+  return mm_time_before(machine->probed, fleet->node->machine_table->heard_here);
 }
 
 /* Where few machines report to this node, it may hear of none for long: it asks the one that was
  * heard of last, by whichever node. */
 static void
 probe_control(MmFleet *fleet) {
-  const GPtrArray *order = fleet->node->roster->order;
+  const GPtrArray *order = fleet->node->machine_table->order;
   MmMachine *control = NULL;
 
   for (guint i = 0; i < order->len; i++) {
@@ -306,7 +306,7 @@
 
 static void
 count_quiet(MmFleet *fleet) {
-  const GPtrArray *order = fleet->node->roster->order;
+  const GPtrArray *order = fleet->node->machine_table->order;
   MmTime now = mm_node_now(fleet->node);
   /* Long before the patience ends: when the first of many that fell silent together is given up on,
    * the others must count already. */
@@ -333,7 +333,7 @@
   g_hash_table_iter_init(&iter, fleet->listed);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     const MmListed *listed = value;
-    const MmMachine *machine = mm_roster_find(fleet->node->roster, listed->id.s);
+    const MmMachine *machine = mm_machine_table_find(fleet->node->machine_table, listed->id.s);
     MmZoneQuiet *zone;
     if (!listed->running || listed->releasing
         || (machine != NULL && (machine->heard || machine->registered)))
@@ -357,7 +357,7 @@
 useless(MmFleet *fleet, MmListed *listed) {
   MmNode *node = fleet->node;
   MmTime now = mm_node_now(node);
-  MmMachine *machine = mm_roster_find(node->roster, listed->id.s);
+  MmMachine *machine = mm_machine_table_find(node->machine_table, listed->id.s);
   const MmType *type = mm_types_find(node->types, &listed->type);
   double patience_s
       = type != NULL ? MAX(type->boot_s * node->operators->boot_patience, BOOT_FLOOR_S) : 600;
@@ -394,7 +394,7 @@
  * anew from starting anything for all that time. */
 static void
 add_unlisted(MmFleet *fleet, GPtrArray *ids, json_t *names) {
-  const GPtrArray *order = fleet->node->roster->order;
+  const GPtrArray *order = fleet->node->machine_table->order;
 
   for (guint i = 0; i < order->len && ids->len < RELEASE_MAX; i++) {
     MmMachine *machine = g_ptr_array_index(order, i);
@@ -426,7 +426,7 @@
   g_hash_table_iter_init(&iter, fleet->listed);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     MmListed *listed = value;
-    MmMachine *machine = mm_roster_find(node->roster, listed->id.s);
+    MmMachine *machine = mm_machine_table_find(node->machine_table, listed->id.s);
     if (mm_time_ms_since(now, listed->listed) > UNLISTED_MS) {
       /* Gone from the list for long: taken or returned. */
       if (machine == NULL || machine->lost || listed->releasing)
@@ -547,7 +547,7 @@
   g_hash_table_iter_init(&iter, fleet->listed);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     const MmListed *listed = value;
-    const MmMachine *machine = mm_roster_find(fleet->node->roster, listed->id.s);
+    const MmMachine *machine = mm_machine_table_find(fleet->node->machine_table, listed->id.s);
     if (!listed->releasing && !listed->failed && (machine == NULL || !machine->heard)
         && mm_time_ms_since(now, listed->listed) < UNLISTED_MS)
       offer_for(fleet, &listed->type, &listed->zone, listed->spot)->coming++;
@@ -628,7 +628,7 @@
   for (guint v = 0; v < rank->n_views; v++) {
     for (guint i = 0; i < rank->views[v].waiting->len; i++) {
       const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
-      const MmJob *job = mm_book_find(node->book, waiting->job.s);
+      const MmJob *job = mm_job_table_find(node->job_table, waiting->job.s);
       g_autoptr(GArray) options = NULL;
       guint tasks = 0;
 
@@ -682,6 +682,6 @@
   return_machines(fleet);
   /* A lost machine stays on the register for nobody: after the next taking of a part it would have
    * to be proved lost once more before its tasks, or any others, could be given out. */
-  mm_register_drop_lost(node->reg);
+  mm_registry_drop_lost(node->registry);
   plan(fleet);
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,7 +1,7 @@
 /* The one part that talks to the cloud about machines: what should be rented or returned. */
 #pragma once
 
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "node/node.h"
 
 typedef struct {
--- a/src/fleet/types.c
+++ b/src/fleet/types.c
@@ -117,7 +117,7 @@
 }
 
 void
-mm_types_stored(MmTypes *types, const json_t *value, MmMark mark) {
+mm_types_stored(MmTypes *types, const json_t *value, MmKeyVersion version) {
   const json_t *list = mm_json_get(value, WIRE_TYPES);
   size_t i;
   json_t *item;
@@ -126,7 +126,7 @@
     return;
   g_free(types->stored);
   types->stored = lasting_text(list);
-  types->mark = mark;
+  types->version = version;
   /* What the cloud itself has said since is newer. */
   if (mm_types_known(types))
     return;
@@ -145,7 +145,7 @@
     return;
   txn = mm_txn();
   /* One that is carried out late must not bring back what the cloud has changed since. */
-  mm_txn_guard(&txn, MM_KEY_TYPES, "", types->mark);
+  mm_txn_guard(&txn, MM_KEY_TYPES, "", types->version);
   mm_txn_put(&txn, MM_KEY_TYPES, "", json_pack("{s:O}", WIRE_TYPES, list), 0);
   /* Should it fail, the cloud's next answer is stored. */
   mm_store_commit(node->store, &txn, NULL, NULL);
--- a/src/fleet/types.h
+++ b/src/fleet/types.h
@@ -20,15 +20,15 @@
   GPtrArray *types; /* MmType; grows and changes, entries are never freed while the node lives */
   gboolean asking;
   MmTime next;
-  char *stored; /* the types as the state service holds them, prices aside, */
-  MmMark mark;  /* and the mark of that record */
+  char *stored;         /* the types as the state service holds them, prices aside, */
+  MmKeyVersion version; /* and the version of that record */
 };
 
 MmTypes *mm_types_new(MmNode *node);
 void mm_types_free(MmTypes *types);
 void mm_types_tick(MmTypes *types);
 /* The types that a node saw earlier: nodes that start while the cloud is down go by them. */
-void mm_types_stored(MmTypes *types, const json_t *value, MmMark mark);
+void mm_types_stored(MmTypes *types, const json_t *value, MmKeyVersion version);
 gboolean mm_types_known(const MmTypes *types);
 const MmType *mm_types_find(const MmTypes *types, const MmName *name);
 gboolean mm_types_any_fits(const MmTypes *types, const MmSpec *spec);
--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -4,9 +4,9 @@
 #include "jobs/api.h"
 
 #include "base/wire.h"
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "dependencies/dependencies.h"
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "jobs/call.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
@@ -94,17 +94,17 @@
 static gboolean
 all_know(const MmCall *call) {
   const MmNode *node = call->node;
-  const MmJob *job = mm_book_find(node->book, call->id.s);
+  const MmJob *job = mm_job_table_find(node->job_table, call->id.s);
 
   if (!node->replica->loaded)
     return FALSE;
   /* Finished as cancelled: its tasks were all gone. */
   if (job == NULL)
-    return mm_book_is_over(node->book, call->id.s);
+    return mm_job_table_is_over(node->job_table, call->id.s);
   /* None of its tasks has ever been started, and every node works out that it is cancelled. */
   if (mm_job_needs_cancelled(job))
     return TRUE;
-  if (job->cancel_mark.v == 0 || node->replica->epoch < job->cancel_mark.v)
+  if (job->cancel_version.v == 0 || node->replica->revision < job->cancel_version.v)
     return FALSE;
   if (node->store->served_us - job->cancel_served_us >= mm_claims_staleness_bound(node->claims) * 2)
     return TRUE;
@@ -142,7 +142,7 @@
 
 void
 mm_api_cancel_acked(MmApi *api, guint peer, const char *id) {
-  MmJob *job = mm_book_find(api->node->book, id);
+  MmJob *job = mm_job_table_find(api->node->job_table, id);
   GList *next;
 
   if (job != NULL)
@@ -158,7 +158,7 @@
 static gboolean
 let_go_decided(MmApi *api, GList *link) {
   MmCall *call = link->data;
-  const MmJob *job = mm_book_find(api->node->book, call->id.s);
+  const MmJob *job = mm_job_table_find(api->node->job_table, call->id.s);
 
   if (job != NULL && mm_dependencies_undecided(api->node->dependencies, job))
     return FALSE;
@@ -234,8 +234,8 @@
 /* Counts are for display only. */
 static void
 answer_unfinished(MmCall *call, gboolean cancelled) {
-  MmJob *job = mm_book_find(call->node->book, call->id.s);
-  guint running = mm_roster_running(call->node->roster, call->id.s);
+  MmJob *job = mm_job_table_find(call->node->job_table, call->id.s);
+  guint running = mm_machine_table_running(call->node->machine_table, call->id.s);
   guint done = 0;
   const char *state = WIRE_PENDING;
 
@@ -253,7 +253,7 @@
 static void
 final_read(gpointer data, int status, json_t *body) {
   MmCall *call = data;
-  MmBook *book = call->node->book;
+  MmJobTable *job_table = call->node->job_table;
   json_t *final = NULL;
 
   if (status == 404) {
@@ -261,8 +261,8 @@
     return;
   }
   if (status == 200) {
-    mm_book_keep_final(book, call->id.s, mm_json_get(body, WIRE_VALUE));
-    final = mm_book_final(book, call->id.s);
+    mm_job_table_keep_final(job_table, call->id.s, mm_json_get(body, WIRE_VALUE));
+    final = mm_job_table_final(job_table, call->id.s);
   }
   if (final != NULL)
     mm_call_finish(call, 200, final, 0);
@@ -273,7 +273,7 @@
 static void
 cancel_written(gpointer data, int status, json_t *body) {
   MmCall *call = data;
-  guint64 epoch;
+  guint64 revision;
 
   if (status == 409 && ++call->tries < CANCEL_TRIES) {
     mm_call_look_up(call);
@@ -288,22 +288,22 @@
     return;
   }
   /* The watch may be behind, or stop here. */
-  epoch = mm_json_count(body, WIRE_REVISION, 0);
-  if (epoch > call->node->replica->epoch && call->node->replica->loaded)
-    mm_book_put(call->node->book, call->id.s, call->record, (MmMark){ epoch });
+  revision = mm_json_count(body, WIRE_REVISION, 0);
+  if (revision > call->node->replica->revision && call->node->replica->loaded)
+    mm_job_table_put(call->node->job_table, call->id.s, call->record, (MmKeyVersion){ revision });
   mm_owner_cancelled(call->node->owner, call->id.s);
   answer_cancelled(call);
 }
 
 static void
-write_cancel(MmCall *call, MmMark mark) {
+write_cancel(MmCall *call, MmKeyVersion version) {
   MmTxn txn = mm_txn();
 
   json_object_set_new(call->record, "c", json_integer(1));
   /* Written under larger limits: which of its tasks are done matters no more. */
   if (json_dumpb(call->record, NULL, 0, JSON_COMPACT) > call->node->settings->state_value_bytes)
     json_object_del(call->record, "d");
-  mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, mark);
+  mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, version);
   mm_txn_put(&txn, MM_KEY_JOB, call->id.s, json_incref(call->record), 0);
   mm_store_commit(call->node->store, &txn, cancel_written, call);
 }
@@ -324,7 +324,7 @@
   json_decref(call->record);
   call->record = json_deep_copy(mm_json_get(body, WIRE_VALUE));
   if (call->cancel && mm_json_count(call->record, "c", 0) == 0)
-    write_cancel(call, (MmMark){ mm_json_count(body, WIRE_VERSION, 0) });
+    write_cancel(call, (MmKeyVersion){ mm_json_count(body, WIRE_VERSION, 0) });
   else if (mm_json_count(call->record, "c", 0) == 0 && mm_json_get(call->record, "w") != NULL)
     mm_call_answer_when_current(call); /* cancelled all the same, if what it depends on is */
   else
@@ -333,7 +333,7 @@
 
 void
 mm_call_look_up(MmCall *call) {
-  json_t *final = mm_book_final(call->node->book, call->id.s);
+  json_t *final = mm_job_table_final(call->node->job_table, call->id.s);
 
   if (final != NULL)
     mm_call_finish(call, 200, final, 0);
@@ -357,8 +357,8 @@
 static void
 replica_current(gpointer data, gboolean current) {
   MmCall *call = data;
-  const MmJob *job = mm_book_find(call->node->book, call->id.s);
-  json_t *final = mm_book_final(call->node->book, call->id.s);
+  const MmJob *job = mm_job_table_find(call->node->job_table, call->id.s);
+  json_t *final = mm_job_table_final(call->node->job_table, call->id.s);
 
   if (final != NULL)
     mm_call_finish(call, 200, final, 0);
@@ -379,7 +379,7 @@
 
 void
 mm_api_status(MmNode *node, const char *id, MmExchange *exchange) {
-  json_t *final = mm_book_final(node->book, id);
+  json_t *final = mm_job_table_final(node->job_table, id);
 
   if (final != NULL)
     mm_exchange_answer(exchange, 200, final, 0);
--- a/src/jobs/call.h
+++ b/src/jobs/call.h
@@ -1,7 +1,7 @@
 /* One request of a user while it is worked on: within the users' interface only. */
 #pragma once
 
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "node/node.h"
 
 typedef struct MmCall MmCall;
--- a/src/jobs/book.c
+++ b/src/jobs/job-table.c
@@ -1,4 +1,4 @@
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 
 #include "base/wire.h"
 #include "dependencies/dependencies.h"
@@ -21,35 +21,35 @@
   g_free(job);
 }
 
-MmBook *
-mm_book_new(MmNode *node) {
-  MmBook *book = g_new0(MmBook, 1);
+MmJobTable *
+mm_job_table_new(MmNode *node) {
+  MmJobTable *job_table = g_new0(MmJobTable, 1);
 
-  book->node = node;
-  book->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
-  book->order = g_ptr_array_new();
-  book->generation = 1;
-  book->finals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  book->final_order = g_queue_new();
-  book->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  book->ended_order = g_queue_new();
-  return book;
+  job_table->node = node;
+  job_table->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+  job_table->order = g_ptr_array_new();
+  job_table->generation = 1;
+  job_table->finals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  job_table->final_order = g_queue_new();
+  job_table->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  job_table->ended_order = g_queue_new();
+  return job_table;
 }
 
 void
-mm_book_free(MmBook *book) {
-  g_ptr_array_unref(book->order);
-  g_hash_table_unref(book->jobs);
-  g_queue_free(book->final_order);
-  g_hash_table_unref(book->finals);
-  g_queue_free(book->ended_order);
-  g_hash_table_unref(book->ended);
-  g_free(book);
+mm_job_table_free(MmJobTable *job_table) {
+  g_ptr_array_unref(job_table->order);
+  g_hash_table_unref(job_table->jobs);
+  g_queue_free(job_table->final_order);
+  g_hash_table_unref(job_table->finals);
+  g_queue_free(job_table->ended_order);
+  g_hash_table_unref(job_table->ended);
+  g_free(job_table);
 }
 
 MmJob *
-mm_book_find(const MmBook *book, const char *id) {
-  return g_hash_table_lookup(book->jobs, id);
+mm_job_table_find(const MmJobTable *job_table, const char *id) {
+  return g_hash_table_lookup(job_table->jobs, id);
 }
 
 static gint
@@ -62,10 +62,10 @@
 }
 
 void
-mm_book_put(MmBook *book, const char *id, const json_t *value, MmMark mark) {
-  MmJob *job = mm_book_find(book, id);
+mm_job_table_put(MmJobTable *job_table, const char *id, const json_t *value, MmKeyVersion version) {
+  MmJob *job = mm_job_table_find(job_table, id);
 
-  if (job != NULL && mark.v < job->mark.v)
+  if (job != NULL && version.v < job->version.v)
     return;
   if (job == NULL) {
     const char *reason = NULL;
@@ -85,24 +85,24 @@
     job->waits_from_ms = job->submitted_ms;
     job->priority = job->spec.priority;
     job->part = mm_claims_shard_of_team(&job->spec.team);
-    job->team = mm_settings_team_index(book->node->settings, &job->spec.team);
+    job->team = mm_settings_team_index(job_table->node->settings, &job->spec.team);
     mm_done_set_init(&job->recorded, job->spec.tasks);
-    g_hash_table_insert(book->jobs, job->spec.id.s, job);
-    g_ptr_array_add(book->order, job);
-    book->generation++;
-    g_ptr_array_sort(book->order, older_first);
-    mm_rank_note(book->node->rank, &job->spec);
-    mm_dependencies_job_added(book->node->dependencies, job);
+    g_hash_table_insert(job_table->jobs, job->spec.id.s, job);
+    g_ptr_array_add(job_table->order, job);
+    job_table->generation++;
+    g_ptr_array_sort(job_table->order, older_first);
+    mm_rank_note(job_table->node->rank, &job->spec);
+    mm_dependencies_job_added(job_table->node->dependencies, job);
   }
-  job->mark = mark;
+  job->version = version;
   if (!mm_done_set_parse(&job->recorded, mm_json_string(value, "d")))
     mm_error("job record %s: done set is not readable", id);
   if (mm_json_count(value, "c", 0) != 0) {
-    if (job->cancel_mark.v == 0)
-      job->cancel_mark = mark;
-    mm_owner_cancelled(book->node->owner, id);
+    if (job->cancel_version.v == 0)
+      job->cancel_version = version;
+    mm_owner_cancelled(job_table->node->owner, id);
   }
-  mm_owner_job_changed(book->node->owner, job);
+  mm_owner_job_changed(job_table->node->owner, job);
 }
 
 static void
@@ -119,29 +119,31 @@
 }
 
 void
-mm_book_remove(MmBook *book, const char *id) {
-  MmJob *job = mm_book_find(book, id);
+mm_job_table_remove(MmJobTable *job_table, const char *id) {
+  MmJob *job = mm_job_table_find(job_table, id);
 
-  bounded_add(book->ended, book->ended_order, ENDED_KEPT, id, NULL);
+  bounded_add(job_table->ended, job_table->ended_order, ENDED_KEPT, id, NULL);
   if (job == NULL)
     return;
-  mm_owner_job_removed(book->node->owner, job);
-  g_ptr_array_remove(book->order, job);
-  book->generation++;
-  g_hash_table_remove(book->jobs, id);
-  mm_dependencies_job_removed(book->node->dependencies, id);
+  mm_owner_job_removed(job_table->node->owner, job);
+  g_ptr_array_remove(job_table->order, job);
+  job_table->generation++;
+  g_hash_table_remove(job_table->jobs, id);
+  mm_dependencies_job_removed(job_table->node->dependencies, id);
 }
 
 void
-mm_book_list_keys(const MmBook *book, const char *prefix, GPtrArray *keys) {
-  for (guint i = 0; i < book->order->len; i++)
+mm_job_table_list_keys(const MmJobTable *job_table, const char *prefix, GPtrArray *keys) {
+  for (guint i = 0; i < job_table->order->len; i++)
     g_ptr_array_add(
-        keys, g_strconcat(prefix, ((MmJob *)g_ptr_array_index(book->order, i))->spec.id.s, NULL));
+        keys,
+        g_strconcat(prefix, ((MmJob *)g_ptr_array_index(job_table->order, i))->spec.id.s, NULL));
 }
 
 gboolean
-mm_book_is_over(const MmBook *book, const char *id) {
-  return g_hash_table_contains(book->finals, id) || g_hash_table_contains(book->ended, id);
+mm_job_table_is_over(const MmJobTable *job_table, const char *id) {
+  return g_hash_table_contains(job_table->finals, id)
+         || g_hash_table_contains(job_table->ended, id);
 }
 
 json_t *
@@ -162,18 +164,19 @@
 }
 
 void
-mm_book_keep_final(MmBook *book, const char *id, const json_t *value) {
+mm_job_table_keep_final(MmJobTable *job_table, const char *id, const json_t *value) {
   MmFinalState state;
 
   if (!mm_final_parse(value, &state))
     return;
-  bounded_add(book->finals, book->final_order, FINALS_KEPT, id, g_memdup2(&state, sizeof state));
-  mm_dependencies_job_over(book->node->dependencies, id, state.cancelled, state.done_ms);
+  bounded_add(job_table->finals, job_table->final_order, FINALS_KEPT, id,
+              g_memdup2(&state, sizeof state));
+  mm_dependencies_job_over(job_table->node->dependencies, id, state.cancelled, state.done_ms);
 }
 
 gboolean
-mm_book_final_state(const MmBook *book, const char *id, MmFinalState *state) {
-  const MmFinalState *kept = g_hash_table_lookup(book->finals, id);
+mm_job_table_final_state(const MmJobTable *job_table, const char *id, MmFinalState *state) {
+  const MmFinalState *kept = g_hash_table_lookup(job_table->finals, id);
 
   if (kept != NULL)
     *state = *kept;
@@ -181,10 +184,10 @@
 }
 
 json_t *
-mm_book_final(const MmBook *book, const char *id) {
+mm_job_table_final(const MmJobTable *job_table, const char *id) {
   MmFinalState state;
 
-  if (!mm_book_final_state(book, id, &state))
+  if (!mm_job_table_final_state(job_table, id, &state))
     return NULL;
   return json_pack("{s:s, s:s, s:I, s:i}", WIRE_JOB_ID, id, WIRE_STATE,
                    state.cancelled ? WIRE_CANCELLED : WIRE_DONE, WIRE_DONE, (json_int_t)state.done,
--- a/src/jobs/book.h
+++ b/src/jobs/job-table.h
@@ -56,11 +56,11 @@
   gint64 waits_from_ms; /* time of day: submitted, or the last job that it depends on was done */
   gboolean cancelled;
   MmVertex *vertex; /* in the dependency graph; NULL: it depends on nothing and is needed by none */
-  MmPriority priority;     /* its own, or that of a job that depends on it where this is higher */
-  guint64 cancel_acks;     /* the peers that have taken note of that, a bit each */
-  MmMark cancel_mark;      /* of the record that showed it; 0 while it is known by word only */
+  MmPriority priority; /* its own, or that of a job that depends on it where this is higher */
+  guint64 cancel_acks; /* the peers that have taken note of that, a bit each */
+  MmKeyVersion cancel_version; /* of the record that showed it; 0 while it is known by word only */
   gint64 cancel_served_us; /* the state service's time of service, see mm_store_tick, when it was */
-  MmMark mark;
+  MmKeyVersion version;
   char *part;
   MmDoneSet recorded; /* what the state service holds */
 
@@ -99,7 +99,7 @@
   gint64 done_ms; /* time of day; 0: written by a version that did not say */
 } MmFinalState;
 
-struct MmBook {
+struct MmJobTable {
   MmNode *node;
   GHashTable *jobs;   /* id -> MmJob */
   GPtrArray *order;   /* MmJob, oldest submission first */
@@ -110,21 +110,22 @@
   GQueue *ended_order;
 };
 
-MmBook *mm_book_new(MmNode *node);
-void mm_book_free(MmBook *book);
+MmJobTable *mm_job_table_new(MmNode *node);
+void mm_job_table_free(MmJobTable *job_table);
 
-MmJob *mm_book_find(const MmBook *book, const char *id);
-void mm_book_put(MmBook *book, const char *id, const json_t *value, MmMark mark);
-void mm_book_remove(MmBook *book, const char *id);
-void mm_book_list_keys(const MmBook *book, const char *prefix, GPtrArray *keys);
+MmJob *mm_job_table_find(const MmJobTable *job_table, const char *id);
+void mm_job_table_put(MmJobTable *job_table, const char *id, const json_t *value,
+                      MmKeyVersion version);
+void mm_job_table_remove(MmJobTable *job_table, const char *id);
+void mm_job_table_list_keys(const MmJobTable *job_table, const char *prefix, GPtrArray *keys);
 
 /* Known to be over: its record is gone, or its final state is known. */
-gboolean mm_book_is_over(const MmBook *book, const char *id);
+gboolean mm_job_table_is_over(const MmJobTable *job_table, const char *id);
 /* Takes note of a final record that is in the state service; what is no such record is ignored. */
-void mm_book_keep_final(MmBook *book, const char *id, const json_t *value);
-gboolean mm_book_final_state(const MmBook *book, const char *id, MmFinalState *state);
+void mm_job_table_keep_final(MmJobTable *job_table, const char *id, const json_t *value);
+gboolean mm_job_table_final_state(const MmJobTable *job_table, const char *id, MmFinalState *state);
 /* The final answer for the user, or NULL. */
-json_t *mm_book_final(const MmBook *book, const char *id);
+json_t *mm_job_table_final(const MmJobTable *job_table, const char *id);
 
 json_t *mm_job_record(const MmSpec *spec, gint64 submitted_ms, gboolean cancelled,
                       const char *done_text);
--- a/src/jobs/submit.c
+++ b/src/jobs/submit.c
@@ -49,8 +49,8 @@
     return;
   }
   txn = mm_txn();
-  mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, (MmMark){ 0 });
-  mm_txn_guard(&txn, MM_KEY_FINAL, call->id.s, (MmMark){ 0 });
+  mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, (MmKeyVersion){ 0 });
+  mm_txn_guard(&txn, MM_KEY_FINAL, call->id.s, (MmKeyVersion){ 0 });
   mm_txn_put(&txn, MM_KEY_JOB, call->id.s, record, 0);
   mm_store_commit(node->store, &txn, submit_written, call);
 }
@@ -67,18 +67,18 @@
 /* Goes on to the first job that is not known here. FALSE when the call is over. */
 static gboolean
 pass_known_needs(MmCall *call) {
-  const MmBook *book = call->node->book;
+  const MmJobTable *job_table = call->node->job_table;
 
   for (; call->next_need < call->spec.n_needs; call->next_need++) {
     const char *id = call->spec.needs[call->next_need].s;
-    const MmJob *needed = mm_book_find(book, id);
+    const MmJob *needed = mm_job_table_find(job_table, id);
     MmFinalState final;
 
     if (needed != NULL && needed->spec.kind == MM_KIND_SERVICE) {
       refuse_needs(call, "a job cannot depend on a service");
       return FALSE;
     }
-    if (needed == NULL && !mm_book_final_state(book, id, &final))
+    if (needed == NULL && !mm_job_table_final_state(job_table, id, &final))
       return TRUE;
   }
   return TRUE;
@@ -98,8 +98,8 @@
     mm_call_give_up(call);
     return;
   }
-  mm_book_keep_final(call->node->book, call->spec.needs[call->next_need].s,
-                     mm_json_get(body, WIRE_VALUE));
+  mm_job_table_keep_final(call->node->job_table, call->spec.needs[call->next_need].s,
+                          mm_json_get(body, WIRE_VALUE));
   call->next_need++;
   look_up_needs(call);
 }
@@ -170,7 +170,8 @@
 
 static gboolean
 is_known(const MmNode *node, const char *id) {
-  return mm_book_find(node->book, id) != NULL || mm_book_is_over(node->book, id);
+  return mm_job_table_find(node->job_table, id) != NULL
+         || mm_job_table_is_over(node->job_table, id);
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -2,13 +2,13 @@
 
 #include "base/wire.h"
 #include "checkin/checkin.h"
-#include "checkin/register.h"
-#include "checkin/roster.h"
+#include "checkin/registry.h"
+#include "checkin/machine-table.h"
 #include "dependencies/dependencies.h"
 #include "fleet/fleet.h"
 #include "fleet/types.h"
 #include "jobs/api.h"
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
 #include "peers/links.h"
@@ -37,13 +37,13 @@
   node->store = mm_store_new(node);
   node->replica = mm_replica_new(node);
   node->claims = mm_claims_new(node);
-  node->book = mm_book_new(node);
+  node->job_table = mm_job_table_new(node);
   node->api = mm_api_new(node);
   node->dependencies = mm_dependencies_new(node);
   node->versions = mm_versions_new(node);
   node->types = mm_types_new(node);
-  node->roster = mm_roster_new(node);
-  node->reg = mm_register_new(node);
+  node->machine_table = mm_machine_table_new(node);
+  node->registry = mm_registry_new(node);
   node->checkin = mm_checkin_new(node);
   node->rank = mm_rank_new(node);
   node->owner = mm_owner_new(node);
@@ -61,10 +61,10 @@
   mm_fleet_free(node->fleet);
   mm_owner_free(node->owner);
   mm_rank_free(node->rank);
-  mm_register_free(node->reg);
-  mm_roster_free(node->roster);
+  mm_registry_free(node->registry);
+  mm_machine_table_free(node->machine_table);
   mm_types_free(node->types);
-  mm_book_free(node->book);
+  mm_job_table_free(node->job_table);
   mm_dependencies_free(node->dependencies);
   mm_versions_free(node->versions);
   mm_claims_free(node->claims);
@@ -111,8 +111,8 @@
   mm_links_tick(node->links);
   mm_types_tick(node->types);
   mm_checkin_tick(node->checkin);
-  mm_roster_tick(node->roster);
-  mm_register_tick(node->reg);
+  mm_machine_table_tick(node->machine_table);
+  mm_registry_tick(node->registry);
   mm_owner_tick(node->owner);
   mm_rank_tick(node->rank);
   mm_fleet_tick(node->fleet);
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -61,7 +61,7 @@
 
 /* `claims_at` zero: only tasks that are or may be on machines count. */
 static gboolean
-place_allowed(const MmRoster *roster, const MmJob *job, const MmMachine *machine,
+place_allowed(const MmMachineTable *machine_table, const MmJob *job, const MmMachine *machine,
               MmTime claims_at) {
   guint here = 0;
 
@@ -74,7 +74,7 @@
     const MmMachine *at = task->machine;
     gboolean same;
     if (at == NULL && claims_at.us != 0 && mm_time_before(claims_at, task->claimed))
-      at = mm_roster_find(roster, task->claimed_on.s);
+      at = mm_machine_table_find(machine_table, task->claimed_on.s);
     if (at == NULL)
       continue;
     same = mm_name_equal(&at->zone, &machine->zone);
@@ -92,7 +92,7 @@
 
 gboolean
 mm_owner_place_hoped(const MmOwner *owner, const MmJob *job, const MmMachine *machine) {
-  return place_allowed(owner->node->roster, job, machine, mm_node_now(owner->node));
+  return place_allowed(owner->node->machine_table, job, machine, mm_node_now(owner->node));
 }
 
 static void
@@ -125,7 +125,7 @@
   held->unheard_room = (MmResources){ 0 };
   g_hash_table_iter_init(&iter, held->unheard);
   while (g_hash_table_iter_next(&iter, &id, NULL)) {
-    const MmMachine *machine = mm_roster_find(owner->node->roster, id);
+    const MmMachine *machine = mm_machine_table_find(owner->node->machine_table, id);
     add_kind(held, machine);
     if (machine == NULL || machine->type == NULL)
       held->unheard_any = held->unheard_changed = TRUE; /* its type may become known */
@@ -172,7 +172,7 @@
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    const MmJob *other = mm_book_find(owner->node->book, seen->job.s);
+    const MmJob *other = mm_job_table_find(owner->node->job_table, seen->job.s);
     n += seen->state != MM_SEEN_ENDED && other != NULL && other->priority >= job->priority;
   }
   for (guint i = 0; i < machine->placed->len; i++) {
@@ -197,8 +197,8 @@
                                                                                       : NULL;
   owner->looks--;
   *outlook = (MmOutlook){ .at = now, .best_s = -1, .next_s = -1, .least_crowd = G_MAXUINT };
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     double delay_s = mm_owner_delay_on(owner, job, machine);
 
     if (delay_s < 0)
@@ -357,17 +357,18 @@
   MmTaskRef task = g_array_index(whose->kept, MmTaskRef, at);
 
   g_array_remove_index(whose->kept, at);
-  return try_task(owner, mm_book_find(owner->node->book, task.job.s), task.number, ask, approval);
+  return try_task(owner, mm_job_table_find(owner->node->job_table, task.job.s), task.number, ask,
+                  approval);
 }
 
 /* A random task from the longest kept-list; without any, the oldest unassigned task that fits. */
 static gboolean
 try_pull(MmOwner *owner, const MmAsk *ask, GPtrArray *jobs, MmApproval *approval) {
-  MmRoster *roster = owner->node->roster;
+  MmMachineTable *machine_table = owner->node->machine_table;
   MmMachine *longest = NULL;
 
-  for (guint i = 0; i < roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(roster->order, i);
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(machine_table->order, i);
     if (machine->kept->len > (longest != NULL ? longest->kept->len : 0))
       longest = machine;
   }
@@ -385,14 +386,14 @@
 /* In an order as old as the last slow tick at most. */
 const GPtrArray *
 mm_owner_pressing(MmOwner *owner) {
-  MmBook *book = owner->node->book;
+  MmJobTable *job_table = owner->node->job_table;
 
   if (!owner->pressing_stale)
     return owner->pressing;
   owner->pressing_stale = FALSE;
   g_ptr_array_set_size(owner->pressing, 0);
-  for (guint i = 0; i < book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(book->order, i);
+  for (guint i = 0; i < job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(job_table->order, i);
     if (job->tasks != NULL && !mm_job_is_gang(job) && !job->cancelled)
       g_ptr_array_add(owner->pressing, job);
   }
@@ -402,17 +403,19 @@
 
 gboolean
 mm_owner_ask(MmOwner *owner, MmAsk *ask, MmApproval *approval) {
-  MmBook *book = owner->node->book;
+  MmJobTable *job_table = owner->node->job_table;
   g_autoptr(GPtrArray) jobs = NULL;
   const GPtrArray *pressing;
 
-  if (!mm_claims_valid(owner->node->claims) || !mm_machine_usable(owner->node->roster, ask->machine)
+  if (!mm_claims_valid(owner->node->claims)
+      || !mm_machine_usable(owner->node->machine_table, ask->machine)
       || mm_stamp_newer(ask->machine->stamp, ask->stamp)
       || mm_time_before(mm_node_now(owner->node), ask->machine->full_until))
     return FALSE;
   if (mm_owner_reserved(owner, ask, approval))
     return TRUE;
-  ask->room = mm_resources_least(ask->room, mm_machine_free(owner->node->roster, ask->machine));
+  ask->room
+      = mm_resources_least(ask->room, mm_machine_free(owner->node->machine_table, ask->machine));
   pressing = mm_owner_pressing(owner);
   jobs = g_ptr_array_sized_new(pressing->len);
   for (guint i = 0; i < pressing->len; i++) {
@@ -429,11 +432,11 @@
     if (try_kept(owner, ask, ask->machine, 0, approval))
       return TRUE;
   for (guint i = 0; i < ask->n; i++) {
-    if (!try_task(owner, mm_book_find(book, ask->tasks[i].job.s), ask->tasks[i].number, ask,
-                  approval))
+    if (!try_task(owner, mm_job_table_find(job_table, ask->tasks[i].job.s), ask->tasks[i].number,
+                  ask, approval))
       continue;
     for (guint k = i + 1; k < ask->n; k++) {
-      const MmJob *job = mm_book_find(book, ask->tasks[k].job.s);
+      const MmJob *job = mm_job_table_find(job_table, ask->tasks[k].job.s);
       if (job != NULL && job->tasks != NULL && ask->tasks[k].number < job->spec.tasks
           && job->tasks[ask->tasks[k].number].state == MM_TASK_IDLE)
         keep(ask->machine, &ask->tasks[k]);
@@ -445,7 +448,7 @@
 
 void
 mm_owner_peer_ask(MmOwner *owner, guint peer, const Mm__Ask *message) {
-  MmMachine *machine = mm_roster_find(owner->node->roster, message->machine);
+  MmMachine *machine = mm_machine_table_find(owner->node->machine_table, message->machine);
   Mm__Frame frame = MM__FRAME__INIT;
   Mm__Answer answer = MM__ANSWER__INIT;
   Mm__Approval granted = MM__APPROVAL__INIT;
--- a/src/owner/command.c
+++ b/src/owner/command.c
@@ -42,7 +42,7 @@
  * placed there: perhaps no part's holder can be reached, or none is left. */
 static void
 stop_seen(MmOwner *owner, const MmJob *job) {
-  const GPtrArray *machines = owner->node->roster->order;
+  const GPtrArray *machines = owner->node->machine_table->order;
 
   for (guint i = 0; i < machines->len; i++) {
     MmMachine *machine = g_ptr_array_index(machines, i);
@@ -58,10 +58,10 @@
 
 gboolean
 mm_owner_cancelled(MmOwner *owner, const char *id) {
-  MmJob *job = mm_book_find(owner->node->book, id);
+  MmJob *job = mm_job_table_find(owner->node->job_table, id);
 
   if (job == NULL)
-    return mm_book_is_over(owner->node->book, id);
+    return mm_job_table_is_over(owner->node->job_table, id);
   if (job->cancelled)
     return TRUE;
   job->cancelled = TRUE;
@@ -89,12 +89,12 @@
   if (status != 200 && status != 409)
     return;
   if (mm_report_parse(&report, body, &reason)) {
-    MmMachine *machine = mm_roster_find(owner->node->roster, report.machine.s);
+    MmMachine *machine = mm_machine_table_find(owner->node->machine_table, report.machine.s);
     gboolean echo = machine != NULL && report.token.v > machine->token.v;
     report.direct = TRUE;
     if (machine != NULL)
-      machine
-          = mm_roster_take(owner->node->roster, &report, mm_node_now(owner->node), MM_HOST_NONE);
+      machine = mm_machine_table_take(owner->node->machine_table, &report, mm_node_now(owner->node),
+                                      MM_HOST_NONE);
     /* Other nodes may wait for the same echo. */
     if (echo && machine != NULL)
       mm_links_tell_direct(owner->node->links, machine);
@@ -179,13 +179,13 @@
 
   if (mm_checkin_is_settling(node->checkin))
     return;
-  for (guint i = 0; i < node->roster->order->len && left > 0; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len && left > 0; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     gboolean deaf;
 
     if (machine->lost || mm_time_ms_since(now, machine->echo_asked) < ECHO_EVERY_MS)
       continue;
-    deaf = mm_health_is_deaf(node->roster, machine);
+    deaf = mm_health_is_deaf(node->machine_table, machine);
     if (!deaf && !echo_would_be_late(node, machine, newest)
         && (mm_time_ms_since(now, machine->reported) < quiet_ms || !is_unheard(owner, machine)))
       continue;
@@ -200,8 +200,8 @@
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
 
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     for (guint k = 0; k < machine->placed->len; k++) {
       const MmPlaced *placed = g_ptr_array_index(machine->placed, k);
       const MmTask *task = &placed->job->tasks[placed->number];
--- a/src/owner/gang.c
+++ b/src/owner/gang.c
@@ -39,19 +39,19 @@
 
 static GArray *
 open_places(MmOwner *owner, const MmJob *job, const MmName *zone) {
-  MmRoster *roster = owner->node->roster;
+  MmMachineTable *machine_table = owner->node->machine_table;
   GArray *places = g_array_new(FALSE, FALSE, sizeof(Place));
   MmTime now = mm_node_now(owner->node);
   gint64 recent_ms = (gint64)(owner->node->settings->report_s * 2500);
 
-  for (guint i = 0; i < roster->order->len; i++) {
-    Place place = { g_ptr_array_index(roster->order, i), { 0 } };
-    if (!mm_machine_usable(roster, place.machine) || !mm_rank_allows(job, place.machine)
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    Place place = { g_ptr_array_index(machine_table->order, i), { 0 } };
+    if (!mm_machine_usable(machine_table, place.machine) || !mm_rank_allows(job, place.machine)
         || mm_time_ms_since(now, place.machine->reported) > recent_ms
         || mm_time_before(now, place.machine->full_until)
         || (zone != NULL && !mm_name_equal(&place.machine->zone, zone)))
       continue;
-    place.room = mm_machine_free(roster, place.machine);
+    place.room = mm_machine_free(machine_table, place.machine);
     if (mm_resources_fits(job->spec.need, place.room))
       g_array_append_val(places, place);
   }
@@ -106,8 +106,8 @@
       mm_owner_clear_for_gang(owner, job, job->spec.tasks);
     return;
   }
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     if (machine->type != NULL && reserve(owner, held, job, &machine->zone))
       return;
   }
@@ -120,8 +120,8 @@
   g_autoptr(GPtrArray) jobs = g_ptr_array_new();
   gint64 patience_ms = (gint64)(node->settings->report_s * 1000 * RESERVED_PERIODS);
 
-  for (guint i = 0; i < node->book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(node->book->order, i);
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
     if (job->tasks != NULL && mm_job_is_gang(job) && mm_owner_open(owner, job))
       g_ptr_array_add(jobs, job);
   }
--- a/src/owner/guarantee.c
+++ b/src/owner/guarantee.c
@@ -33,8 +33,8 @@
     timed = timed || g_array_index(node->settings->aims, MmAim, i).kind == MM_AIM_GUARANTEE;
   sums = g_new0(MmResources, teams->len);
   memset(owner->team_used, 0, teams->len * sizeof *owner->team_used);
-  for (guint i = 0; i < node->book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(node->book->order, i);
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
     const MmTeamSettings *team;
     job->within = job->favoured = FALSE;
     if (job->team < 0 || job->cancelled || !mm_job_is_ready(job))
@@ -45,12 +45,12 @@
     job->within = fits(&team->guaranteed, &sums[job->team], &job->spec);
     job->favoured = job->within && !timed;
   }
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    const MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     for (guint k = 0; k < machine->tasks->len; k++) {
       const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, k);
       const MmJob *job
-          = seen->state != MM_SEEN_ENDED ? mm_book_find(node->book, seen->job.s) : NULL;
+          = seen->state != MM_SEEN_ENDED ? mm_job_table_find(node->job_table, seen->job.s) : NULL;
       if (job != NULL && job->team >= 0)
         owner->team_used[job->team] = mm_resources_add(owner->team_used[job->team], job->spec.need);
     }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -172,10 +172,10 @@
 
 static void
 drop_part(MmOwner *owner, const char *name) {
-  MmBook *book = owner->node->book;
+  MmJobTable *job_table = owner->node->job_table;
 
-  for (guint i = 0; i < book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(book->order, i);
+  for (guint i = 0; i < job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(job_table->order, i);
     if (strcmp(job->part, name) == 0)
       drop_job(owner, job);
   }
@@ -200,21 +200,21 @@
 
   held->name = g_strdup(name);
   held->term = part->term;
-  held->mark = part->mark;
+  held->version = part->version;
   held->team = team;
   held->taken = mm_node_now(node);
   held->unheard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   held->unheard_kinds = g_array_new(FALSE, TRUE, sizeof(MmMachineKind));
   g_hash_table_insert(owner->held, held->name, held);
-  for (guint i = 0; i < node->book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(node->book->order, i);
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
     if (strcmp(job->part, name) == 0)
       adopt_job(owner, held, job);
   }
   /* Machines registered later than this term only ever get starts of this term or a later one:
    * whoever answers them has seen their registration, and so the term, in the replica. */
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     if (!machine->registered || machine->lost)
       continue;
     if (machine->heard && machine->token.v >= held->term.v)
@@ -260,7 +260,7 @@
     adopt_job(owner, held, job);
     /* The watch shows changes in order: this job came after the part was taken, so no earlier
      * holder can have started any of it. */
-    job->known_after_claim = job->mark.v > held->mark.v && owner->node->replica->loaded;
+    job->known_after_claim = job->version.v > held->version.v && owner->node->replica->loaded;
   }
   if (job->tasks != NULL && job->cancelled)
     mm_rank_changed(owner->node->rank);
@@ -338,8 +338,8 @@
 
 void
 mm_owner_backlog(MmOwner *owner, GPtrArray *waiting, GArray *reserved) {
-  MmBook *book = owner->node->book;
-  const GPtrArray *machines = owner->node->roster->order;
+  MmJobTable *job_table = owner->node->job_table;
+  const GPtrArray *machines = owner->node->machine_table->order;
   g_autoptr(GPtrArray) jobs = g_ptr_array_new();
   guint budget = BACKLOG_TASKS;
 
@@ -348,8 +348,8 @@
     if (has_reserved(machine))
       g_array_append_val(reserved, machine->id);
   }
-  for (guint i = 0; i < book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(book->order, i);
+  for (guint i = 0; i < job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(job_table->order, i);
     /* What its team's limit keeps from starting need not be asked for, nor machines rented. */
     if (job->tasks != NULL && job->idle > 0 && mm_owner_open(owner, job)
         && mm_owner_quota_allows(owner, job->held, job, mm_job_is_gang(job) ? job->spec.tasks : 1))
@@ -362,11 +362,11 @@
 
 guint
 mm_owner_unfinished(const MmOwner *owner) {
-  MmBook *book = owner->node->book;
+  MmJobTable *job_table = owner->node->job_table;
   guint unfinished = 0;
 
-  for (guint i = 0; i < book->order->len; i++) {
-    const MmJob *job = g_ptr_array_index(book->order, i);
+  for (guint i = 0; i < job_table->order->len; i++) {
+    const MmJob *job = g_ptr_array_index(job_table->order, i);
     if (job->tasks != NULL && !job->cancelled && mm_job_is_ready(job))
       unfinished += job->idle;
   }
@@ -378,7 +378,7 @@
 /* Sums that are kept as tasks come and go are taken anew now and then: amounts are fractions. */
 static void
 sum_up(MmOwner *owner) {
-  MmBook *book = owner->node->book;
+  MmJobTable *job_table = owner->node->job_table;
   GHashTableIter iter;
   gpointer value;
 
@@ -389,8 +389,8 @@
     held->owed_to = NULL;
     mm_owner_sum_unheard(owner, held);
   }
-  for (guint i = 0; i < book->order->len; i++) {
-    const MmJob *job = g_ptr_array_index(book->order, i);
+  for (guint i = 0; i < job_table->order->len; i++) {
+    const MmJob *job = g_ptr_array_index(job_table->order, i);
     MmOwnedShard *held = job->tasks != NULL ? job->held : NULL;
     if (held != NULL && job->idle > 0 && (job->aged || job->spec.priority >= MM_URGENT)
         && mm_owner_open(owner, job)
@@ -415,7 +415,7 @@
 static void
 find_yield(MmOwner *owner) {
   MmNode *node = owner->node;
-  MmBook *book = node->book;
+  MmJobTable *job_table = node->job_table;
   gint64 now_ms = mm_node_wall_ms(node);
   gint64 bound_ms = (gint64)(node->operators->wait_bound_s * 1000);
   const MmJob *aged = NULL, *waits = NULL;
@@ -425,7 +425,7 @@
     const GPtrArray *list = node->rank->views[v].waiting;
     for (guint i = 0; i < list->len; i++) {
       const MmWaiting *waiting = g_ptr_array_index(list, i);
-      const MmJob *job = mm_book_find(book, waiting->job.s);
+      const MmJob *job = mm_job_table_find(job_table, waiting->job.s);
       const MmJob **best;
       gint64 waited_ms;
       if (job == NULL || job->cancelled || job->spec.need.accelerators <= 0
@@ -454,8 +454,8 @@
     return;
   owner->next_slow = mm_time_add_ms(now, SLOW_TICK_MS);
   /* The newest first: a job's dependents come after it. */
-  for (guint i = owner->node->book->order->len; i > 0; i--) {
-    MmJob *job = g_ptr_array_index(owner->node->book->order, i - 1);
+  for (guint i = owner->node->job_table->order->len; i > 0; i--) {
+    MmJob *job = g_ptr_array_index(owner->node->job_table->order, i - 1);
     mm_owner_set_due(owner, job);
     if (job->tasks != NULL)
       job->aged = job->live == 0 && job->done.count == 0 && !job->cancelled && mm_job_is_ready(job)
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -6,8 +6,8 @@
  * hold. */
 #pragma once
 
-#include "checkin/roster.h"
-#include "jobs/book.h"
+#include "checkin/machine-table.h"
+#include "jobs/job-table.h"
 #include "node/node.h"
 #include "peers.pb-c.h"
 #include "rank/rank.h"
@@ -15,7 +15,7 @@
 struct MmOwnedShard {
   char *name;
   MmTerm term;
-  MmMark mark;
+  MmKeyVersion version;
   MmTime taken;
   const MmTeamSettings *team;
   MmResources used;         /* by tasks that are or may be on machines */
--- a/src/owner/preempt.c
+++ b/src/owner/preempt.c
@@ -46,7 +46,7 @@
 static gboolean
 is_spared(const MmOwner *owner, const MmJob *job) {
   return mm_job_waited_s(owner->node, job) > owner->node->operators->starve_s
-         && mm_roster_running(owner->node->roster, job->spec.id.s) <= SPARED_TASKS;
+         && mm_machine_table_running(owner->node->machine_table, job->spec.id.s) <= SPARED_TASKS;
 }
 
 /* The tasks to stop on the machine so that the job's task fits: how many, or -1 when that is not to
@@ -63,7 +63,7 @@
     const MmJob *other;
     if (seen->state == MM_SEEN_ENDED || seen->state == MM_SEEN_SAVING)
       continue;
-    other = mm_book_find(owner->node->book, seen->job.s);
+    other = mm_job_table_find(owner->node->job_table, seen->job.s);
     if (other != NULL
         && (other->priority < job->priority || mm_owner_may_reclaim(owner, job, other))
         && !is_spared(owner, other))
@@ -93,10 +93,10 @@
 
   owner->looked++;
   if (silent_ms > 2 * period_ms || machine->addr[0] == '\0'
-      || !mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->full_until)
-      || !mm_owner_place_hoped(owner, job, machine))
+      || !mm_machine_usable(node->machine_table, machine)
+      || mm_time_before(now, machine->full_until) || !mm_owner_place_hoped(owner, job, machine))
     return -1;
-  room = mm_machine_free(node->roster, machine);
+  room = mm_machine_free(node->machine_table, machine);
   if (mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE)
     return -1;
   if (mm_time_before(now, machine->clearing))
@@ -158,7 +158,7 @@
 
 void
 mm_owner_clear_for_gang(MmOwner *owner, MmJob *job, guint machines) {
-  const GPtrArray *order = owner->node->roster->order;
+  const GPtrArray *order = owner->node->machine_table->order;
   MmTime now = mm_node_now(owner->node);
   Victim victims[VICTIMS_MAX];
   gint n = 0;
@@ -185,8 +185,8 @@
   double best_s = 0;
   gint n = 0;
 
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     double delay_s = delay_on(owner, job, machine, victims, &n);
 
     if (delay_s < 0)
@@ -208,10 +208,10 @@
 /* Where a replica that runs on `from` could run again shortly, or NULL. */
 static MmMachine *
 new_home(MmOwner *owner, const MmJob *job, const MmMachine *from, double most_fetch_s) {
-  MmRoster *roster = owner->node->roster;
+  MmMachineTable *machine_table = owner->node->machine_table;
 
-  for (guint i = 0; i < roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(roster->order, i);
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(machine_table->order, i);
     double delay_s;
     if (machine == from || mm_owner_fetch_s(job, machine) > most_fetch_s)
       continue;
@@ -237,15 +237,15 @@
       || mm_time_ms_since(now, task->since) < MOVE_AFTER_MS)
     return FALSE;
   owner->next_move = mm_time_add_ms(now, MOVE_EVERY_MS);
-  from = node->roster->order->len > 0
-             ? (guint)g_rand_int_range(node->rand, 0, (gint32)node->roster->order->len)
+  from = node->machine_table->order->len > 0
+             ? (guint)g_rand_int_range(node->rand, 0, (gint32)node->machine_table->order->len)
              : 0;
-  for (guint i = 0; i < node->roster->order->len && homes > 0; i++) {
-    MmMachine *machine
-        = g_ptr_array_index(node->roster->order, (from + i) % node->roster->order->len);
-    MmResources room = mm_machine_free(node->roster, machine);
+  for (guint i = 0; i < node->machine_table->order->len && homes > 0; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order,
+                                           (from + i) % node->machine_table->order->len);
+    MmResources room = mm_machine_free(node->machine_table, machine);
 
-    if (!mm_machine_usable(node->roster, machine) || mm_time_before(now, machine->clearing)
+    if (!mm_machine_usable(node->machine_table, machine) || mm_time_before(now, machine->clearing)
         || !mm_owner_place_hoped(owner, job, machine)
         || mm_rank_leaves(node->rank, job, machine, room) >= MM_WOULD_TAKE)
       continue;
@@ -305,12 +305,12 @@
  * time. */
 static gboolean
 low_work_runs(const MmOwner *owner) {
-  const MmBook *book = owner->node->book;
+  const MmJobTable *job_table = owner->node->job_table;
 
-  for (guint i = 0; i < book->order->len; i++) {
-    const MmJob *job = g_ptr_array_index(book->order, i);
+  for (guint i = 0; i < job_table->order->len; i++) {
+    const MmJob *job = g_ptr_array_index(job_table->order, i);
     if (job->priority == MM_LOW
-        && mm_roster_running(owner->node->roster, job->spec.id.s) > SPARED_TASKS)
+        && mm_machine_table_running(owner->node->machine_table, job->spec.id.s) > SPARED_TASKS)
       return TRUE;
   }
   return FALSE;
--- a/src/owner/record.c
+++ b/src/owner/record.c
@@ -30,17 +30,17 @@
   Write *write = data;
   MmOwner *owner = write->owner;
   MmNode *node = owner->node;
-  guint64 epoch = mm_json_count(body, WIRE_REVISION, 0);
+  guint64 revision = mm_json_count(body, WIRE_REVISION, 0);
 
   owner->writing = FALSE;
   if (status == 409)
     owner->solo = write->jobs->len;
   for (guint i = 0; i < write->jobs->len; i++) {
     const Written *w = &g_array_index(write->jobs, Written, i);
-    MmJob *job = mm_book_find(node->book, w->id.s);
+    MmJob *job = mm_job_table_find(node->job_table, w->id.s);
 
     if (status == 200 && w->final != NULL)
-      mm_book_keep_final(node->book, w->id.s, w->final);
+      mm_job_table_keep_final(node->job_table, w->id.s, w->final);
     if (job == NULL)
       continue;
     job->writing = FALSE;
@@ -50,7 +50,7 @@
     }
     if (w->final == NULL) {
       mm_done_set_parse(&job->recorded, w->text);
-      job->mark.v = MAX(job->mark.v, epoch);
+      job->version.v = MAX(job->version.v, revision);
     }
   }
   g_array_unref(write->jobs);
@@ -79,8 +79,8 @@
              gboolean final) {
   Written w = { .id = job->spec.id };
 
-  mm_txn_guard(txn, MM_KEY_JOB, job->spec.id.s, job->mark);
-  mm_txn_guard(txn, MM_KEY_SHARD, held->name, held->mark);
+  mm_txn_guard(txn, MM_KEY_JOB, job->spec.id.s, job->version);
+  mm_txn_guard(txn, MM_KEY_SHARD, held->name, held->version);
   if (final) {
     mm_info("%s (%s, %u tasks, guess %.0f s) is %s after %.1f s, due %.0f s, runs seen %.0f s",
             job->spec.id.s, job->spec.job_class.s, job->spec.tasks, job->spec.estimate_s,
@@ -116,8 +116,8 @@
   write = g_new(Write, 1);
   *write = (Write){ owner, g_array_new(FALSE, TRUE, sizeof(Written)) };
   g_array_set_clear_func(write->jobs, written_clear);
-  for (guint i = 0; i < node->book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(node->book->order, i);
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
     MmOwnedShard *held = job->tasks != NULL ? mm_owner_held(owner, job) : NULL;
     gboolean final;
 
--- a/src/owner/reports.c
+++ b/src/owner/reports.c
@@ -122,7 +122,7 @@
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    MmJob *job = mm_book_find(owner->node->book, seen->job.s);
+    MmJob *job = mm_job_table_find(owner->node->job_table, seen->job.s);
     unsettled = unsettled || job == NULL || seen->state == MM_SEEN_ENDED;
     if (job == NULL || job->tasks == NULL || seen->number >= job->spec.tasks)
       continue;
@@ -155,7 +155,7 @@
         continue;
       mm_debug("start of %s/%u on %s was not carried out", job->spec.id.s, number, machine->id.s);
       if (report->stamp.session == task->issued.session)
-        mm_health_note_refused_start(owner->node->roster, machine);
+        mm_health_note_refused_start(owner->node->machine_table, machine);
     }
     mm_owner_unplace(owner, job, number);
   }
@@ -169,7 +169,7 @@
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    MmJob *job = mm_book_find(owner->node->book, seen->job.s);
+    MmJob *job = mm_job_table_find(owner->node->job_table, seen->job.s);
     MmCommand command = { MM_OP_FORGET, seen->job, seen->number, seen->attempt, 0 };
     MmTask *task;
 
--- a/src/owner/urgency.c
+++ b/src/owner/urgency.c
@@ -110,14 +110,14 @@
  * old as the last round where they are not worked out before this one. */
 static void
 inherit(const MmOwner *owner, MmJob *job, double run_s) {
-  const MmBook *book = owner->node->book;
+  const MmJobTable *job_table = owner->node->job_table;
   gint64 before_ms = NO_DUE_MS;
 
   job->inherited_priority = job->spec.priority;
   job->inherited_due_ms = NO_DUE_MS;
   for (guint i = 0; job->vertex != NULL && i < job->vertex->dependents->len; i++) {
     const MmVertex *vertex = g_ptr_array_index(job->vertex->dependents, i);
-    const MmJob *dependent = mm_book_find(book, vertex->job.s);
+    const MmJob *dependent = mm_job_table_find(job_table, vertex->job.s);
     if (dependent == NULL || dependent->cancelled)
       continue;
     job->inherited_priority = MAX(job->inherited_priority, dependent->inherited_priority);
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -1,7 +1,7 @@
 #include "parts/claims.h"
 
 #include "base/wire.h"
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "peers/links.h"
 #include "store/replica.h"
 #include "store/store.h"
@@ -236,7 +236,7 @@
   const MmReplica *replica = claims->node->replica;
   const MmNodeClaim *mine = g_hash_table_lookup(replica->nodes, claims->node->settings->label.s);
 
-  return claims->claim != 0 && replica->loaded && replica->epoch >= claims->announced.v
+  return claims->claim != 0 && replica->loaded && replica->revision >= claims->announced.v
          && (mine == NULL || mine->claim != claims->claim);
 }
 
@@ -272,7 +272,7 @@
   if (status == 409) {
     /* Each try costs writes that others need: first the watch must show what has changed. */
     mm_debug("the part map had changed meanwhile");
-    claims->stale_epoch = claims->node->replica->epoch;
+    claims->stale_revision = claims->node->replica->revision;
     claims->next_parts = mm_time_add_ms(mm_node_now(claims->node), CONFLICT_MS);
   }
 }
@@ -309,12 +309,12 @@
   guint64 term = replica->term.v + 1;
   MmTxn txn = mm_txn();
 
-  mm_txn_guard(&txn, MM_KEY_TERM, "", replica->term_mark);
+  mm_txn_guard(&txn, MM_KEY_TERM, "", replica->term_version);
   mm_txn_put(&txn, MM_KEY_TERM, "", json_pack("{s:I}", "t", (json_int_t)term), 0);
   for (guint i = 0; i < most; i++) {
     const char *name = g_ptr_array_index(wanted, i);
     const MmShard *part = mm_replica_shard(replica, name);
-    mm_txn_guard(&txn, MM_KEY_SHARD, name, part != NULL ? part->mark : (MmMark){ 0 });
+    mm_txn_guard(&txn, MM_KEY_SHARD, name, part != NULL ? part->version : (MmKeyVersion){ 0 });
     mm_txn_put(&txn, MM_KEY_SHARD, name,
                json_pack("{s:s, s:I, s:I}", "n", claims->node->settings->label.s, "c",
                          (json_int_t)claims->claim, "t", (json_int_t)term),
@@ -334,7 +334,7 @@
     const char *name = g_ptr_array_index(claims->names, i - 1);
     if (!mm_claims_holds(claims, name))
       continue;
-    mm_txn_guard(&txn, MM_KEY_SHARD, name, mm_replica_shard(claims->node->replica, name)->mark);
+    mm_txn_guard(&txn, MM_KEY_SHARD, name, mm_replica_shard(claims->node->replica, name)->version);
     mm_txn_delete(&txn, MM_KEY_SHARD, name);
     if (txn.puts >= claims->node->settings->state_txn_ops)
       break;
@@ -420,7 +420,7 @@
   guint mine = shares->held[shares->me];
   guint fewest = shares->held[shares_least(shares)];
 
-  if (mine < fewest + 2 || !mm_roster_all_heard(claims->node->roster)) {
+  if (mine < fewest + 2 || !mm_machine_table_all_heard(claims->node->machine_table)) {
     claims->uneven.us = 0;
   } else if (claims->uneven.us == 0) {
     claims->uneven = now;
@@ -456,7 +456,7 @@
 static gboolean
 parts_are_due(const MmClaims *claims) {
   const MmReplica *replica = claims->node->replica;
-  gboolean changed = claims->stale_epoch != 0 && replica->epoch > claims->stale_epoch;
+  gboolean changed = claims->stale_revision != 0 && replica->revision > claims->stale_revision;
 
   return !claims->moving && !mm_store_in_trouble(claims->node->store)
          && (changed || !mm_time_before(mm_node_now(claims->node), claims->next_parts));
@@ -469,7 +469,7 @@
   if (!parts_are_due(claims))
     return;
   claims->next_parts = mm_time_add_ms(mm_node_now(claims->node), PARTS_EVERY_MS);
-  claims->stale_epoch = 0;
+  claims->stale_revision = 0;
   shares_count(claims, &shares);
   share_out(claims, &shares);
   shares_clear(&shares);
--- a/src/parts/claims.h
+++ b/src/parts/claims.h
@@ -14,10 +14,10 @@
   gboolean moving;        /* a transaction about parts is under way */
   MmTime next;            /* when to renew, or to ask again */
   MmTime next_parts;      /* when to look at the part map again */
-  guint64 stale_epoch;    /* the replica's when a transaction on parts failed; 0: none has */
+  guint64 stale_revision; /* the replica's when a transaction on parts failed; 0: none has */
   MmTime uneven;          /* since when the map has been uneven */
-  MmMark announced;       /* of the key that shows the claim */
-  MmMark key;             /* of the node's key as read before the claim was asked for */
+  MmKeyVersion announced; /* of the key that shows the claim */
+  MmKeyVersion key;       /* of the node's key as read before the claim was asked for */
   MmTime proved;          /* the newest proof of an outage */
   GPtrArray *names;       /* all part names, in a fixed order */
   GHashTable *free_since; /* part name -> MmTime */
--- a/src/peers/links.c
+++ b/src/peers/links.c
@@ -284,7 +284,7 @@
 static void
 tell_answered(MmLinks *links, guint peer) {
   MmNode *node = links->node;
-  const GPtrArray *order = node->roster->order;
+  const GPtrArray *order = node->machine_table->order;
   MmTime now = mm_node_now(node);
   gint64 recent_ms = (gint64)(node->settings->lease_s * 2000);
   g_autoptr(GPtrArray) others = g_ptr_array_new();
@@ -338,13 +338,13 @@
  * a few bytes each time its connection is opened anew. */
 static void
 introduce(MmLinks *links, guint peer) {
-  const MmBook *book = links->node->book;
+  const MmJobTable *job_table = links->node->job_table;
 
   links->peers[peer].up = TRUE;
   mm_debug("link to %s stands", links->peers[peer].label.s);
   tell_answered(links, peer);
-  for (guint i = 0; i < book->order->len; i++) {
-    const MmJob *job = g_ptr_array_index(book->order, i);
+  for (guint i = 0; i < job_table->order->len; i++) {
+    const MmJob *job = g_ptr_array_index(job_table->order, i);
     /* What depends on a cancelled job, the peer works out by itself. */
     if (job->cancelled && !mm_job_needs_cancelled(job))
       tell_cancelled(links, peer, job->spec.id.s);
@@ -444,7 +444,8 @@
   MmMachine *machine;
 
   if (mm_name_is_empty(&report.machine)
-      || (report.direct && mm_roster_find(links->node->roster, report.machine.s) == NULL))
+      || (report.direct
+          && mm_machine_table_find(links->node->machine_table, report.machine.s) == NULL))
     return;
   g_strlcpy(report.addr, message->addr, sizeof report.addr);
   report.tasks = g_array_sized_new(FALSE, TRUE, sizeof(MmSeenTask), (guint)message->n_tasks);
@@ -458,11 +459,11 @@
                         .saved = task->saved };
     g_array_append_val(report.tasks, seen);
   }
-  machine = mm_roster_take(links->node->roster, &report,
-                           mm_time_add_ms(mm_node_now(links->node), -(gint64)message->age_ms),
-                           (gint)peer);
+  machine = mm_machine_table_take(
+      links->node->machine_table, &report,
+      mm_time_add_ms(mm_node_now(links->node), -(gint64)message->age_ms), (gint)peer);
   if (machine != NULL && !message->unanswered)
-    mm_health_count_answer(links->node->roster, machine, (MmTerm){ message->term });
+    mm_health_count_answer(links->node->machine_table, machine, (MmTerm){ message->term });
   mm_report_clear(&report);
 }
 
@@ -474,18 +475,18 @@
     return;
   for (size_t i = 0; i < beats->n_machines; i++) {
     MmStamp stamp = { beats->sessions[i], beats->seqs[i] };
-    MmMachine *machine = mm_roster_find(links->node->roster, beats->machines[i]);
-    mm_roster_beat(links->node->roster, beats->machines[i], stamp, now, (gint)peer);
+    MmMachine *machine = mm_machine_table_find(links->node->machine_table, beats->machines[i]);
+    mm_machine_table_beat(links->node->machine_table, beats->machines[i], stamp, now, (gint)peer);
     if (machine != NULL)
-      mm_health_count_answer(links->node->roster, machine, (MmTerm){ beats->term });
+      mm_health_count_answer(links->node->machine_table, machine, (MmTerm){ beats->term });
   }
   for (size_t i = 0; i < beats->n_unproved; i++)
-    mm_roster_answered(links->node->roster, beats->unproved[i], now);
+    mm_machine_table_answered(links->node->machine_table, beats->unproved[i], now);
 }
 
 static void
 take_commands(MmLinks *links, const Mm__Commands *message) {
-  MmMachine *machine = mm_roster_find(links->node->roster, message->machine);
+  MmMachine *machine = mm_machine_table_find(links->node->machine_table, message->machine);
 
   if (machine == NULL || machine->host != MM_HOST_SELF
       || machine->stamp.session != message->session)
@@ -572,7 +573,7 @@
     mm_api_cancel_acked(links->node->api, index, frame->cancel_ack->job);
     break;
   case MM__FRAME__BODY_GONE:
-    mm_roster_gone(links->node->roster, frame->gone->machine);
+    mm_machine_table_gone(links->node->machine_table, frame->gone->machine);
     break;
   default:
     mm_debug("a frame of unknown kind from %s", peer->label.s);
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -2,7 +2,7 @@
  * to when all its answers are known here, and whether it too is refused by the state service. */
 #pragma once
 
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "node/node.h"
 #include "peers.pb-c.h"
 
--- a/src/rank/rank.c
+++ b/src/rank/rank.c
@@ -125,7 +125,7 @@
   for (size_t i = 0; i < backlog->n_waiting; i++) {
     const Mm__Waiting *item = backlog->waiting[i];
     MmWaiting *waiting = g_new0(MmWaiting, 1);
-    MmJob *job = mm_book_find(rank->node->book, item->job);
+    MmJob *job = mm_job_table_find(rank->node->job_table, item->job);
     waiting->job = mm_name(item->job);
     waiting->first = item->first;
     waiting->aged = item->aged;
@@ -190,7 +190,7 @@
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
+    const MmJob *there = mm_job_table_find(rank->node->job_table, seen->job.s);
     if (seen->state != MM_SEEN_ENDED && there != NULL && there->spec.need.accelerators > 0)
       others = mm_resources_sub(others, there->spec.need);
   }
@@ -212,7 +212,7 @@
 
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    const MmJob *there = mm_book_find(rank->node->book, seen->job.s);
+    const MmJob *there = mm_job_table_find(rank->node->job_table, seen->job.s);
     if (seen->state != MM_SEEN_ENDED && there != NULL && lasts(rank, there))
       taken = mm_resources_add(taken, there->spec.need);
   }
@@ -250,7 +250,7 @@
   for (guint v = 0; v < rank->n_views; v++)
     for (guint i = 0; i < rank->views[v].waiting->len; i++) {
       const MmWaiting *waiting = g_ptr_array_index(rank->views[v].waiting, i);
-      const MmJob *job = mm_book_find(rank->node->book, waiting->job.s);
+      const MmJob *job = mm_job_table_find(rank->node->job_table, waiting->job.s);
       if (job != NULL && !job->cancelled && job->spec.need.accelerators > 0)
         return TRUE;
     }
@@ -261,7 +261,7 @@
 runs_accelerated_work(const MmRank *rank, const MmMachine *machine) {
   for (guint i = 0; i < machine->tasks->len; i++) {
     const MmSeenTask *seen = &g_array_index(machine->tasks, MmSeenTask, i);
-    const MmJob *job = mm_book_find(rank->node->book, seen->job.s);
+    const MmJob *job = mm_job_table_find(rank->node->job_table, seen->job.s);
     if (seen->state != MM_SEEN_ENDED && job != NULL && job->spec.need.accelerators > 0)
       return TRUE;
   }
@@ -280,14 +280,14 @@
 /* Machines that accelerated work could have at once, or after stopping what they are lent to. */
 static GPtrArray *
 idle_accelerated(const MmRank *rank, guint *all) {
-  const GPtrArray *order = rank->node->roster->order;
+  const GPtrArray *order = rank->node->machine_table->order;
   GPtrArray *idle = g_ptr_array_new();
 
   *all = 0;
   for (guint i = 0; i < order->len; i++) {
     MmMachine *machine = g_ptr_array_index(order, i);
-    if (!mm_machine_usable(rank->node->roster, machine) || machine->type->room.accelerators <= 0
-        || (machine->spot && !rank->accelerated_spot))
+    if (!mm_machine_usable(rank->node->machine_table, machine)
+        || machine->type->room.accelerators <= 0 || (machine->spot && !rank->accelerated_spot))
       continue;
     ++*all;
     if (!runs_accelerated_work(rank, machine) && !is_reserved(rank, machine)
@@ -346,7 +346,7 @@
 
 gboolean
 mm_rank_may_give_up(MmRank *rank, const MmMachine *machine) {
-  const MmRoster *roster = rank->node->roster;
+  const MmMachineTable *machine_table = rank->node->machine_table;
   const MmMachine *next = NULL;
   guint n = 0, given_up = 0;
   MmTime now = mm_node_now(rank->node);
@@ -354,9 +354,9 @@
   if (mm_time_ms_since(now, rank->given_up_at) < GIVE_UP_EVERY_MS)
     return machine == rank->next_given_up;
 
-  for (guint i = 0; i < roster->order->len; i++) {
-    const MmMachine *other = g_ptr_array_index(roster->order, i);
-    if (!mm_machine_usable(roster, other) || other->type->room.accelerators <= 0
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    const MmMachine *other = g_ptr_array_index(machine_table->order, i);
+    if (!mm_machine_usable(machine_table, other) || other->type->room.accelerators <= 0
         || (other->spot && !rank->accelerated_spot))
       continue;
     n++;
@@ -396,7 +396,7 @@
 /* Gangs are listed for the fleet; their places are the owner's to pick. */
 static const MmJob *
 fitting(MmRank *rank, const MmWaiting *waiting, const MmMachine *machine, MmResources room) {
-  const MmJob *job = mm_book_find(rank->node->book, waiting->job.s);
+  const MmJob *job = mm_job_table_find(rank->node->job_table, waiting->job.s);
 
   return job != NULL && !job->cancelled && !mm_job_is_gang(job) && waiting->ranges->len > 0
                  && mm_resources_fits(job->spec.need, room) && mm_rank_allows(job, machine)
@@ -435,7 +435,7 @@
 choose_cached(MmRank *rank, const MmMachine *machine, MmResources room, const GArray *tried,
               MmChoice *choice) {
   g_autoptr(GArray) ranked = g_array_new(FALSE, FALSE, sizeof(Ranked));
-  guint n = rank->node->roster->order->len, m = rank->n_views, f = 0, z = 0;
+  guint n = rank->node->machine_table->order->len, m = rank->n_views, f = 0, z = 0;
   guint most = MIN((guint)rank->node->operators->candidates, MM_RANK_CANDIDATES_MAX);
 
   for (guint v = 0; v < rank->n_views; v++)
--- a/src/store/replica.c
+++ b/src/store/replica.c
@@ -2,9 +2,9 @@
 
 #include "base/wire.h"
 #include "checkin/checkin.h"
-#include "checkin/register.h"
+#include "checkin/registry.h"
 #include "fleet/types.h"
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "owner/owner.h"
 #include "parts/claims.h"
 #include "store/store.h"
@@ -25,8 +25,8 @@
   MmCurrent call;
   gpointer data;
   MmTime deadline;
-  guint64 read;  /* which read of the revision answers for it; 0: none yet */
-  guint64 epoch; /* what the replica must have reached; 0: not known yet */
+  guint64 read;     /* which read of the revision answers for it; 0: none yet */
+  guint64 revision; /* what the replica must have reached; 0: not known yet */
 } Waiter;
 
 static void load(gpointer data);
@@ -60,13 +60,13 @@
 }
 
 static void
-put_part(MmReplica *replica, const char *name, const json_t *value, MmMark mark) {
+put_part(MmReplica *replica, const char *name, const json_t *value, MmKeyVersion version) {
   MmShard *part = g_new0(MmShard, 1);
 
   part->holder = mm_name(mm_json_string(value, "n"));
   part->claim = mm_json_count(value, "c", 0);
   part->term.v = mm_json_count(value, "t", 0);
-  part->mark = mark;
+  part->version = version;
   g_hash_table_replace(replica->parts, g_strdup(name), part);
 }
 
@@ -93,22 +93,22 @@
 }
 
 static void
-apply_put(MmReplica *replica, const char *key, json_t *value, MmMark mark) {
+apply_put(MmReplica *replica, const char *key, json_t *value, MmKeyVersion version) {
   if (strcmp(key, MM_KEY_TERM) == 0) {
     replica->term.v = MAX(replica->term.v, mm_json_count(value, "t", 0));
-    replica->term_mark = mark;
+    replica->term_version = version;
   } else if (strcmp(key, MM_KEY_TYPES) == 0) {
-    mm_types_stored(replica->node->types, value, mark);
+    mm_types_stored(replica->node->types, value, version);
   } else if (g_str_has_prefix(key, MM_KEY_SHARD)) {
-    put_part(replica, key + strlen(MM_KEY_SHARD), value, mark);
+    put_part(replica, key + strlen(MM_KEY_SHARD), value, version);
   } else if (g_str_has_prefix(key, MM_KEY_NODE)) {
     put_node(replica, key + strlen(MM_KEY_NODE), value);
   } else if (g_str_has_prefix(key, MM_KEY_PACK)) {
-    mm_register_put(replica->node->reg, key + strlen(MM_KEY_PACK), value, mark);
+    mm_registry_put(replica->node->registry, key + strlen(MM_KEY_PACK), value, version);
   } else if (g_str_has_prefix(key, MM_KEY_JOB)) {
-    mm_book_put(replica->node->book, key + strlen(MM_KEY_JOB), value, mark);
+    mm_job_table_put(replica->node->job_table, key + strlen(MM_KEY_JOB), value, version);
   } else if (g_str_has_prefix(key, MM_KEY_VERSION)) {
-    mm_versions_seen(replica->node->versions, key + strlen(MM_KEY_VERSION), value, mark);
+    mm_versions_seen(replica->node->versions, key + strlen(MM_KEY_VERSION), value, version);
   }
 }
 
@@ -122,9 +122,9 @@
       mm_info("node %s is gone", key + strlen(MM_KEY_NODE));
     }
   } else if (g_str_has_prefix(key, MM_KEY_PACK)) {
-    mm_register_remove(replica->node->reg, key + strlen(MM_KEY_PACK));
+    mm_registry_remove(replica->node->registry, key + strlen(MM_KEY_PACK));
   } else if (g_str_has_prefix(key, MM_KEY_JOB)) {
-    mm_book_remove(replica->node->book, key + strlen(MM_KEY_JOB));
+    mm_job_table_remove(replica->node->job_table, key + strlen(MM_KEY_JOB));
   }
 }
 
@@ -147,7 +147,7 @@
   for (GList *link = replica->waiters->head; link != NULL; link = next) {
     const Waiter *waiter = link->data;
     next = link->next;
-    if (waiter->epoch != 0 && waiter->epoch <= replica->epoch && replica->loaded)
+    if (waiter->revision != 0 && waiter->revision <= replica->revision && replica->loaded)
       let_go(replica, link, TRUE);
     else if (!mm_time_before(now, waiter->deadline))
       let_go(replica, link, FALSE);
@@ -157,17 +157,17 @@
 static void
 revision_read(gpointer data, int status, json_t *body) {
   MmReplica *replica = data;
-  guint64 epoch = mm_json_count(body, WIRE_REVISION, 0);
+  guint64 revision = mm_json_count(body, WIRE_REVISION, 0);
   GList *next;
 
   replica->reading = FALSE;
   for (GList *link = replica->waiters->head; link != NULL; link = next) {
     Waiter *waiter = link->data;
     next = link->next;
-    if (waiter->read != replica->reads || waiter->epoch != 0)
+    if (waiter->read != replica->reads || waiter->revision != 0)
       continue;
-    if (status == 404 && epoch != 0)
-      waiter->epoch = epoch;
+    if (status == 404 && revision != 0)
+      waiter->revision = revision;
     else if (status == 429)
       waiter->read = 0; /* one more try */
     else
@@ -257,8 +257,8 @@
   g_hash_table_iter_init(&iter, replica->nodes);
   while (g_hash_table_iter_next(&iter, &key, NULL))
     g_ptr_array_add(gone, g_strconcat(MM_KEY_NODE, key, NULL));
-  mm_book_list_keys(replica->node->book, MM_KEY_JOB, gone);
-  mm_register_list_keys(replica->node->reg, MM_KEY_PACK, gone);
+  mm_job_table_list_keys(replica->node->job_table, MM_KEY_JOB, gone);
+  mm_registry_list_keys(replica->node->registry, MM_KEY_PACK, gone);
   for (guint i = 0; i < gone->len; i++)
     if (!g_hash_table_contains(replica->seen, g_ptr_array_index(gone, i)))
       apply_delete(replica, g_ptr_array_index(gone, i));
@@ -268,7 +268,7 @@
  * come as far as the newest thing met, nothing is answered from here. */
 static void
 check_whole(MmReplica *replica) {
-  if (replica->loaded || replica->epoch < replica->newest_mark)
+  if (replica->loaded || replica->revision < replica->newest_version)
     return;
   replica->loaded = TRUE;
   replica->ticked = mm_node_now(replica->node);
@@ -280,7 +280,7 @@
   if (replica->first_term.v == 0)
     replica->first_term = replica->term;
   mm_info("replica loaded at revision %" G_GUINT64_FORMAT ", term %" G_GUINT64_FORMAT,
-          replica->epoch, replica->term.v);
+          replica->revision, replica->term.v);
   changed(replica);
 }
 
@@ -296,16 +296,16 @@
     return;
   }
   /* The first page's revision: the watch from there repeats what later pages may already show. */
-  if (replica->loading_epoch == 0)
-    replica->loading_epoch = mm_json_count(body, WIRE_REVISION, 0);
+  if (replica->loading_revision == 0)
+    replica->loading_revision = mm_json_count(body, WIRE_REVISION, 0);
   json_array_foreach(items, i, item) {
     const char *key = mm_json_string(item, WIRE_KEY);
     if (key == NULL)
       continue;
     g_hash_table_add(replica->seen, g_strdup(key));
-    replica->newest_mark = MAX(replica->newest_mark, mm_json_count(item, WIRE_VERSION, 0));
+    replica->newest_version = MAX(replica->newest_version, mm_json_count(item, WIRE_VERSION, 0));
     apply_put(replica, key, mm_json_get(item, WIRE_VALUE),
-              (MmMark){ mm_json_count(item, WIRE_VERSION, 0) });
+              (MmKeyVersion){ mm_json_count(item, WIRE_VERSION, 0) });
     g_free(replica->after);
     replica->after = g_strdup(key);
   }
@@ -314,7 +314,7 @@
     return;
   }
   forget_unmet(replica);
-  replica->epoch = replica->loading_epoch;
+  replica->revision = replica->loading_revision;
   check_whole(replica);
   watch(replica);
 }
@@ -327,7 +327,7 @@
   replica->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_clear_pointer(&replica->after, g_free);
   replica->loading = mm_node_now(replica->node);
-  replica->loading_epoch = 0;
+  replica->loading_revision = 0;
   replica->loaded = FALSE;
   mm_store_list(replica->node->store, MM_KEY_ROOT, NULL, PAGE, page_loaded, replica);
 }
@@ -362,11 +362,11 @@
     const char *gone = mm_json_string(event, WIRE_DELETE);
     if (put != NULL)
       apply_put(replica, put, mm_json_get(event, WIRE_VALUE),
-                (MmMark){ mm_json_count(event, WIRE_VERSION, 0) });
+                (MmKeyVersion){ mm_json_count(event, WIRE_VERSION, 0) });
     else if (gone != NULL)
       apply_delete(replica, gone);
   }
-  replica->epoch = MAX(replica->epoch, mm_json_count(body, WIRE_REVISION, 0));
+  replica->revision = MAX(replica->revision, mm_json_count(body, WIRE_REVISION, 0));
   replica->fresh = mm_time_max(replica->fresh, sent);
   replica->ticked = mm_node_now(replica->node);
   replica->stale_us = replica->ticked.us - sent.us;
@@ -391,7 +391,7 @@
   Watch *w = g_new(Watch, 1);
 
   *w = (Watch){ replica, mm_node_now(replica->node) };
-  mm_store_watch(replica->node->store, MM_KEY_ROOT, replica->epoch, WATCH_MS, watched, w);
+  mm_store_watch(replica->node->store, MM_KEY_ROOT, replica->revision, WATCH_MS, watched, w);
 }
 
 void
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -11,7 +11,7 @@
   MmName holder;
   guint64 claim;
   MmTerm term;
-  MmMark mark;
+  MmKeyVersion version;
 } MmShard;
 
 typedef struct {
@@ -22,20 +22,21 @@
 struct MmReplica {
   MmNode *node;
   gboolean loaded;
-  guint64 epoch;
+  guint64 revision;
   MmTime fresh;    /* the replica holds all that was written before this instant */
   gint64 stale_us; /* how long ago that is, without time in a proved outage, at the last tick */
   MmTime ticked;
   MmTerm term;
   MmTerm first_term; /* when this life of the node had loaded it */
-  MmMark term_mark;
+  MmKeyVersion term_version;
   GHashTable *parts; /* name -> MmShard */
   GHashTable *nodes; /* label -> MmNodeClaim */
   MmTime node_gone;  /* when a node's claim was last seen to have gone */
   MmTime loading;    /* since when */
-  guint64 loading_epoch;
-  guint64 newest_mark; /* of what loading met; the watch must have come as far before it is whole */
-  GHashTable *seen;    /* keys met while loading */
+  guint64 loading_revision;
+  guint64
+      newest_version; /* of what loading met; the watch must have come as far before it is whole */
+  GHashTable *seen;   /* keys met while loading */
   char *after;
 
   /* questions that must not be answered from a replica older than they are */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -95,11 +95,11 @@
 }
 
 void
-mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmMark mark) {
+mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmKeyVersion version) {
   g_autofree char *path = g_strconcat(prefix, key, NULL);
 
-  json_array_append_new(txn->guards,
-                        json_pack("{s:s, s:I}", WIRE_KEY, path, WIRE_VERSION, (json_int_t)mark.v));
+  json_array_append_new(
+      txn->guards, json_pack("{s:s, s:I}", WIRE_KEY, path, WIRE_VERSION, (json_int_t)version.v));
 }
 
 void
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -43,7 +43,7 @@
 void mm_store_tick(MmStore *store);
 
 MmTxn mm_txn(void);
-void mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmMark mark);
+void mm_txn_guard(MmTxn *txn, const char *prefix, const char *key, MmKeyVersion version);
 /* Takes the value. Claim 0: none. */
 void mm_txn_put(MmTxn *txn, const char *prefix, const char *key, json_t *value, guint64 claim);
 void mm_txn_delete(MmTxn *txn, const char *prefix, const char *key);
--- a/src/upgrade/versions.c
+++ b/src/upgrade/versions.c
@@ -26,12 +26,13 @@
 }
 
 void
-mm_versions_seen(MmVersions *versions, const char *label, const json_t *value, MmMark mark) {
-  guint version = (guint)MIN(mm_json_count(value, "v", 0), G_MAXUINT);
+mm_versions_seen(MmVersions *versions, const char *label, const json_t *value,
+                 MmKeyVersion version) {
+  guint understood = (guint)MIN(mm_json_count(value, "v", 0), G_MAXUINT);
 
-  g_hash_table_replace(versions->known, g_strdup(label), GUINT_TO_POINTER(version));
+  g_hash_table_replace(versions->known, g_strdup(label), GUINT_TO_POINTER(understood));
   if (strcmp(label, versions->node->settings->label.s) == 0)
-    versions->mark = mark;
+    versions->version = version;
 }
 
 static void
@@ -55,7 +56,7 @@
   versions->next = mm_time_add_ms(now, RETRY_MS);
   versions->writing = TRUE;
   txn = mm_txn();
-  mm_txn_guard(&txn, MM_KEY_VERSION, own->s, versions->mark);
+  mm_txn_guard(&txn, MM_KEY_VERSION, own->s, versions->version);
   mm_txn_put(&txn, MM_KEY_VERSION, own->s, json_pack("{s:i}", "v", MM_VERSION_CURRENT), 0);
   mm_store_commit(node->store, &txn, written, versions);
 }
--- a/src/upgrade/versions.h
+++ b/src/upgrade/versions.h
@@ -15,8 +15,8 @@
 
 struct MmVersions {
   MmNode *node;
-  GHashTable *known; /* label -> version, as a pointer's number */
-  MmMark mark;       /* of this node's own key; 0: there is none */
+  GHashTable *known;    /* label -> version, as a pointer's number */
+  MmKeyVersion version; /* of this node's own key; 0: there is none */
   gboolean writing;
   MmTime next;
 };
@@ -26,6 +26,7 @@
 /* Writes this node's key where it is missing or says less. */
 void mm_versions_tick(MmVersions *versions);
 /* A node's key, as the replica shows it. */
-void mm_versions_seen(MmVersions *versions, const char *label, const json_t *value, MmMark mark);
+void mm_versions_seen(MmVersions *versions, const char *label, const json_t *value,
+                      MmKeyVersion version);
 /* Whether every node of the settings has said that it understands the version. */
 gboolean mm_versions_all(const MmVersions *versions, MmVersion least);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -43,7 +43,7 @@
 /* Machines that the node knows, has heard of and finds on the register. */
 static guint
 machines_known(const World *world, guint node) {
-  const GPtrArray *order = world->nodes[node].node->roster->order;
+  const GPtrArray *order = world->nodes[node].node->machine_table->order;
   guint n = 0;
 
   for (guint i = 0; i < order->len; i++) {
--- a/tests/test-health.c
+++ b/tests/test-health.c
@@ -1,7 +1,7 @@
 /* Which machines are set aside: those at fault, and no others. */
 #include "base/wire.h"
 #include "checkin/health.h"
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "world/world.h"
 
 #define MACHINES 3
@@ -28,7 +28,7 @@
   for (guint i = 0; i < MACHINES; i++) {
     WorldMachine *machine = g_ptr_array_index(s.world->machines, i);
     machine->hung_until_us = s.world->now_us + 100 * (gint64)G_USEC_PER_SEC;
-    s.machines[i] = mm_roster_find(s.node->roster, machine->id);
+    s.machines[i] = mm_machine_table_find(s.node->machine_table, machine->id);
     g_assert_nonnull(s.machines[i]);
   }
   for (guint i = 0; i < JOBS; i++)
@@ -49,7 +49,7 @@
 
   if (task != NULL)
     g_array_append_val(report.tasks, *task);
-  mm_roster_take(s->node->roster, &report, mm_node_now(s->node), MM_HOST_SELF);
+  mm_machine_table_take(s->node->machine_table, &report, mm_node_now(s->node), MM_HOST_SELF);
   mm_report_clear(&report);
 }
 
@@ -110,12 +110,12 @@
   for (guint lease = 0; lease < 3; lease++) {
     for (guint i = 0; i < 15; i++) {
       take_report(&s, 0, session, NULL);
-      mm_health_count_own_answer(s.node->roster, s.machines[0]);
+      mm_health_count_own_answer(s.node->machine_table, s.machines[0]);
       s.world->now_us += second;
     }
     s.world->now_us += (gint64)(s.world->lease_s * G_USEC_PER_SEC) - second / 10;
     take_report(&s, 0, session, NULL);
-    mm_health_count_own_answer(s.node->roster, s.machines[0]);
+    mm_health_count_own_answer(s.node->machine_table, s.machines[0]);
     s.world->now_us += second / 2;
     take_report(&s, 0, ++session, NULL);
     g_assert_false(is_quarantined(&s, 0));
@@ -123,7 +123,7 @@
   for (guint lease = 0; lease < 2; lease++) {
     for (guint i = 0; i < 15; i++) {
       take_report(&s, 0, session, NULL);
-      mm_health_count_own_answer(s.node->roster, s.machines[0]);
+      mm_health_count_own_answer(s.node->machine_table, s.machines[0]);
       s.world->now_us += second;
     }
     take_report(&s, 0, ++session, NULL);
--- a/tests/test-links.c
+++ b/tests/test-links.c
@@ -1,6 +1,6 @@
 /* What nodes tell one another must carry the proofs that hang on it, however links come and go and
  * however late anything is read. */
-#include "checkin/register.h"
+#include "checkin/registry.h"
 #include "peers/links.h"
 #include "store/store.h"
 #include "world/world.h"
@@ -20,7 +20,7 @@
 static guint
 host_of(World *world, const char *id) {
   for (guint i = 0; i < WORLD_NODES; i++) {
-    const MmMachine *machine = mm_roster_find(world->nodes[i].node->roster, id);
+    const MmMachine *machine = mm_machine_table_find(world->nodes[i].node->machine_table, id);
     if (machine != NULL && machine->host == MM_HOST_SELF)
       return i;
   }
@@ -58,7 +58,7 @@
   world_kill_node(world, back, 0.2);
   world_run(world, 1);
   node = world->nodes[back].node;
-  machine = mm_roster_find(node->roster, id);
+  machine = mm_machine_table_find(node->machine_table, id);
   g_assert_nonnull(machine);
   loaded = machine->answered;
   world_run(world, 8);
@@ -69,14 +69,14 @@
   world_run(world, 0.1);
   g_assert_cmpint(host_of(world, id), ==, host);
   report = report_of(machine, TRUE);
-  mm_roster_take(node->roster, &report, mm_node_now(node), MM_HOST_SELF);
+  mm_machine_table_take(node->machine_table, &report, mm_node_now(node), MM_HOST_SELF);
   mm_report_clear(&report);
   g_assert_cmpint(machine->host, ==, MM_HOST_NONE);
   /* What an earlier version passed on: the direct answer as a report to the node that was back. */
   report = report_of(machine, FALSE);
-  mm_roster_take(world->nodes[host].node->roster, &report, (MmTime){ 1 }, 0);
+  mm_machine_table_take(world->nodes[host].node->machine_table, &report, (MmTime){ 1 }, 0);
   mm_report_clear(&report);
-  g_assert_cmpint(mm_roster_find(world->nodes[host].node->roster, id)->host, ==, 0);
+  g_assert_cmpint(mm_machine_table_find(world->nodes[host].node->machine_table, id)->host, ==, 0);
   g_assert_cmpint(machine->answered.us, ==, loaded.us);
   world_run(world, 4);
   g_assert_true(node->links->peers[0].up && node->links->peers[1].up);
@@ -123,26 +123,26 @@
   World *world = two_machines(7);
   const char *id = ((WorldMachine *)g_ptr_array_index(world->machines, 0))->id;
   MmNode *direct = world->nodes[0].node, *registered = world->nodes[1].node;
-  MmMachine *machine = mm_roster_find(direct->roster, id);
+  MmMachine *machine = mm_machine_table_find(direct->machine_table, id);
   MmReport report = report_of(machine, TRUE);
   MmTime before = machine->answered;
   MmEntry entry;
 
   world->now_us += 2 * (gint64)G_USEC_PER_SEC;
-  mm_roster_take(direct->roster, &report, mm_node_now(direct), MM_HOST_NONE);
+  mm_machine_table_take(direct->machine_table, &report, mm_node_now(direct), MM_HOST_NONE);
   g_assert_cmpint(machine->answered.us, ==, before.us);
   report.stamp.session++;
-  mm_roster_take(direct->roster, &report, mm_node_now(direct), MM_HOST_NONE);
+  mm_machine_table_take(direct->machine_table, &report, mm_node_now(direct), MM_HOST_NONE);
   g_assert_cmpint(machine->answered.us, ==, mm_node_now(direct).us);
   mm_report_clear(&report);
 
-  machine = mm_roster_find(registered->roster, id);
+  machine = mm_machine_table_find(registered->machine_table, id);
   before = machine->answered;
   entry = (MmEntry){ .machine = machine->id, .session = machine->stamp.session };
-  mm_roster_registered(registered->roster, &entry);
+  mm_machine_table_registered(registered->machine_table, &entry);
   g_assert_cmpint(machine->answered.us, ==, before.us);
   entry.session++;
-  mm_roster_registered(registered->roster, &entry);
+  mm_machine_table_registered(registered->machine_table, &entry);
   g_assert_cmpint(machine->answered.us, ==, mm_node_now(registered).us);
   world_free(world);
 }
@@ -156,8 +156,8 @@
   const char *id = ((WorldMachine *)g_ptr_array_index(world->machines, 0))->id;
   guint host = host_of(world, id), other = (host + 1) % WORLD_NODES;
   MmNode *node = world->nodes[host].node;
-  MmMachine *machine = mm_roster_find(node->roster, id);
-  const MmMachine *there = mm_roster_find(world->nodes[other].node->roster, id);
+  MmMachine *machine = mm_machine_table_find(node->machine_table, id);
+  const MmMachine *there = mm_machine_table_find(world->nodes[other].node->machine_table, id);
   MmReport report;
 
   for (guint i = 0; i < world->machines->len; i++)
@@ -165,7 +165,7 @@
         = world->now_us + 100 * (gint64)G_USEC_PER_SEC;
   world_run(world, 0.5);
   report = report_of(machine, TRUE);
-  mm_roster_take(node->roster, &report, mm_node_now(node), MM_HOST_NONE);
+  mm_machine_table_take(node->machine_table, &report, mm_node_now(node), MM_HOST_NONE);
   for (guint i = 0; i < WORLD_NODES - 1; i++)
     node->port.reconnect(node->port.self, i);
   world_run(world, 1.5);
@@ -221,8 +221,9 @@
   g_assert_cmpuint(world->nodes[host].node->links->frames_out - frames, <, 40);
   world_run(world, 9);
   g_assert_true(peer->up);
-  g_assert_cmpint(mm_time_ms_since(mm_node_now(world->nodes[still].node),
-                                   mm_roster_find(world->nodes[still].node->roster, id)->answered),
+  g_assert_cmpint(mm_time_ms_since(
+                      mm_node_now(world->nodes[still].node),
+                      mm_machine_table_find(world->nodes[still].node->machine_table, id)->answered),
                   <, 4000);
   world_assert_rules(world);
   world_free(world);
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -28,14 +28,14 @@
   world_run(s.world, 0.5);
   for (guint i = 0; i < WORLD_NODES; i++) {
     MmNode *node = s.world->nodes[i].node;
-    MmJob *known = mm_book_find(node->book, job->id);
+    MmJob *known = mm_job_table_find(node->job_table, job->id);
     g_assert_nonnull(known);
     if (mm_owner_held(node->owner, known) == NULL)
       continue;
     s.owner = node->owner;
     s.job = known;
-    s.machines[0] = mm_roster_find(node->roster, "m-000001");
-    s.machines[1] = mm_roster_find(node->roster, "m-000002");
+    s.machines[0] = mm_machine_table_find(node->machine_table, "m-000001");
+    s.machines[1] = mm_machine_table_find(node->machine_table, "m-000002");
   }
   g_assert_nonnull(s.owner);
   return s;
@@ -160,7 +160,8 @@
 static MmMachine *
 take(const Setting *s, MmReport report) {
   MmNode *node = s->owner->node;
-  MmMachine *machine = mm_roster_take(node->roster, &report, mm_node_now(node), MM_HOST_SELF);
+  MmMachine *machine
+      = mm_machine_table_take(node->machine_table, &report, mm_node_now(node), MM_HOST_SELF);
 
   mm_report_clear(&report);
   return machine;
@@ -235,7 +236,7 @@
 
 static gboolean
 is_late(const Setting *s, MmReport report) {
-  gboolean late = mm_roster_is_late(s->owner->node->roster, &report);
+  gboolean late = mm_machine_table_is_late(s->owner->node->machine_table, &report);
 
   mm_report_clear(&report);
   return late;
@@ -264,7 +265,7 @@
   machine->stamp.seq = seq + 5;
   g_assert_false(is_late(&s, report_with(&s, 0, 1, seq + 2, 0)));
   /* Nothing brings back what has been proved gone. */
-  mm_roster_gone(s.owner->node->roster, machine->id.s);
+  mm_machine_table_gone(s.owner->node->machine_table, machine->id.s);
   g_assert_true(is_late(&s, report_with(&s, 0, 9, 1, 100)));
   g_assert_null(take(&s, report_with(&s, 0, 9, 1, 100)));
   world_free(s.world);
@@ -274,21 +275,21 @@
 static void
 test_unproved(void) {
   Setting s = set_up(2);
-  const MmRoster *roster = s.owner->node->roster;
+  const MmMachineTable *machine_table = s.owner->node->machine_table;
   MmReport report = report_with(&s, 0, 3, 70, 100);
 
   s.owner->node->replica->first_term.v = 7; /* as if it had started among others */
   report.machine = mm_name("m-000999");
   report.token.v = s.owner->node->replica->first_term.v - 1;
-  g_assert_true(mm_roster_is_unproved(roster, &report));
+  g_assert_true(mm_machine_table_is_unproved(machine_table, &report));
   report.token = s.owner->node->replica->first_term;
-  g_assert_false(mm_roster_is_unproved(roster, &report));
+  g_assert_false(mm_machine_table_is_unproved(machine_table, &report));
   /* One on the register may hold tasks: whatever it shows counts. */
   report.machine = s.machines[0]->id;
   report.stamp.session = s.machines[0]->registered_session;
   report.token.v = 0;
   s.machines[0]->heard = FALSE;
-  g_assert_false(mm_roster_is_unproved(roster, &report));
+  g_assert_false(mm_machine_table_is_unproved(machine_table, &report));
   mm_report_clear(&report);
   world_free(s.world);
 }
@@ -382,7 +383,7 @@
     world_run(world, 8);
     g_assert_cmpuint(world_running(world, job, NULL), ==, 2);
     for (guint i = 0; i < WORLD_NODES; i++) {
-      const MmJob *known = mm_book_find(world->nodes[i].node->book, job->id);
+      const MmJob *known = mm_job_table_find(world->nodes[i].node->job_table, job->id);
       for (guint k = 0; known->tasks != NULL && k < 2; k++)
         own += known->tasks[k].machine->host == MM_HOST_SELF;
     }
--- a/tests/test-pipelines.c
+++ b/tests/test-pipelines.c
@@ -138,7 +138,7 @@
   g_assert_cmpint(wide->told, ==, ACCEPTED);
   g_assert_cmpuint(wide->starts, ==, 0);
   for (guint i = 0; i < WORLD_NODES; i++) {
-    const MmJob *job = mm_book_find(world->nodes[i].node->book, wide->id);
+    const MmJob *job = mm_job_table_find(world->nodes[i].node->job_table, wide->id);
     g_assert_false(mm_job_is_ready(job));
     g_assert_false(job->within);
     g_assert_false(job->aged);
@@ -163,7 +163,7 @@
 static void
 assert_priority(const World *world, const WorldJob *job, MmPriority inherited, MmPriority now) {
   for (guint i = 0; i < WORLD_NODES; i++) {
-    const MmJob *seen = mm_book_find(world->nodes[i].node->book, job->id);
+    const MmJob *seen = mm_job_table_find(world->nodes[i].node->job_table, job->id);
     g_assert_cmpint(seen->spec.priority, ==, MM_LOW);
     g_assert_cmpint(seen->inherited_priority, ==, inherited);
     g_assert_cmpint(seen->priority, ==, now);
@@ -187,10 +187,11 @@
   relaxed = critical_after(world, middle, 300);
   assert_priority(world, start, MM_CRITICAL, MM_NORMAL);
   for (guint i = 0; i < WORLD_NODES; i++) {
-    const MmBook *book = world->nodes[i].node->book;
-    const MmJob *first = mm_book_find(book, start->id), *second = mm_book_find(book, middle->id);
+    const MmJobTable *job_table = world->nodes[i].node->job_table;
+    const MmJob *first = mm_job_table_find(job_table, start->id),
+                *second = mm_job_table_find(job_table, middle->id);
     g_assert_cmpint(first->due_ms, <, second->due_ms);
-    g_assert_cmpint(second->due_ms, <, mm_book_find(book, relaxed->id)->due_ms);
+    g_assert_cmpint(second->due_ms, <, mm_job_table_find(job_table, relaxed->id)->due_ms);
   }
   hurried = critical_after(world, middle, 100);
   assert_priority(world, start, MM_CRITICAL, MM_CRITICAL);
@@ -247,7 +248,7 @@
     for (guint i = 0; i < 4000 && owner == G_MAXUINT; i++) {
       world_run(world, 0.005);
       for (guint n = 0; n < WORLD_NODES; n++)
-        if (mm_book_final_state(world->nodes[n].node->book, start->id, &state))
+        if (mm_job_table_final_state(world->nodes[n].node->job_table, start->id, &state))
           owner = n;
     }
     g_assert_cmpuint(owner, <, WORLD_NODES);
--- a/tests/test-spec.c
+++ b/tests/test-spec.c
@@ -1,7 +1,7 @@
 #include <math.h>
 
 #include "base/wire.h"
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "jobs/spec.h"
 
 static const char good[]
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -1,7 +1,7 @@
 /* Upgrades: old and new nodes side by side and on each other's data, rolled a few at a time amid
  * seeded troubles, and limits of the state service that fall at a random moment. */
 #include "base/wire.h"
-#include "jobs/book.h"
+#include "jobs/job-table.h"
 #include "peers.pb-c.h"
 #include "store/replica.h"
 #include "store/store.h"
@@ -119,7 +119,7 @@
   g_assert_cmpuint(largest_pack(world), <=, WORLD_NEXT_VALUE_BYTES);
   for (guint i = 0; i < world->machines->len; i++) {
     const WorldMachine *machine = g_ptr_array_index(world->machines, i);
-    const MmMachine *seen = mm_roster_find(world->nodes[0].node->roster, machine->id);
+    const MmMachine *seen = mm_machine_table_find(world->nodes[0].node->machine_table, machine->id);
     gboolean known = seen != NULL && seen->registered;
     if (machine->up)
       registered += known;
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -16,7 +16,7 @@
 } Watch;
 
 typedef struct {
-  guint64 mark;
+  guint64 version;
   char *path;
   json_t *event;
 } Change;
@@ -72,8 +72,8 @@
 record(World *world, const char *path, json_t *event) {
   Change *change = g_new(Change, 1);
 
-  json_object_set_new(event, WIRE_VERSION, json_integer((json_int_t)world->epoch));
-  *change = (Change){ world->epoch, g_strdup(path), event };
+  json_object_set_new(event, WIRE_VERSION, json_integer((json_int_t)world->revision));
+  *change = (Change){ world->revision, g_strdup(path), event };
   g_ptr_array_add(world->changes, change);
 }
 
@@ -87,7 +87,7 @@
 put_key(World *world, const char *path, json_t *value, guint64 lease) {
   WorldKey *key = g_new(WorldKey, 1);
 
-  *key = (WorldKey){ json_incref(value), world->epoch, lease };
+  *key = (WorldKey){ json_incref(value), world->revision, lease };
   g_tree_replace(world->keys, g_strdup(path), key);
   record(world, path, json_pack("{s:s, s:O}", WIRE_PUT, path, WIRE_VALUE, value));
 }
@@ -105,7 +105,7 @@
     events = json_array();
     for (guint k = world->changes->len; k > 0; k--) {
       const Change *change = g_ptr_array_index(world->changes, k - 1);
-      if (change->mark <= watch->since)
+      if (change->version <= watch->since)
         break;
       if (g_str_has_prefix(change->path, watch->prefix))
         json_array_insert(events, 0, change->event);
@@ -114,7 +114,8 @@
       json_decref(events);
       continue;
     }
-    answer = json_pack("{s:I, s:o}", WIRE_REVISION, (json_int_t)world->epoch, WIRE_EVENTS, events);
+    answer
+        = json_pack("{s:I, s:o}", WIRE_REVISION, (json_int_t)world->revision, WIRE_EVENTS, events);
     watch->over = TRUE;
     watch->answered(watch->data, 200, answer);
   }
@@ -180,7 +181,7 @@
 
   g_tree_foreach(world->keys, collect, &attached);
   if (attached.paths->len > 0)
-    world->epoch++;
+    world->revision++;
   for (guint i = 0; i < attached.paths->len; i++)
     delete_key(world, g_ptr_array_index(attached.paths, i));
   g_ptr_array_unref(attached.paths);
@@ -261,12 +262,12 @@
   json_array_foreach(guards, i, item) {
     const char *path = mm_json_string(item, WIRE_KEY);
     WorldKey *key = g_tree_lookup(world->keys, path);
-    if ((key != NULL ? key->mark : 0) != mm_json_count(item, WIRE_VERSION, 0))
+    if ((key != NULL ? key->version : 0) != mm_json_count(item, WIRE_VERSION, 0))
       json_array_append_new(failed, json_string(path));
   }
   if (json_array_size(failed) > 0) {
-    *answer
-        = json_pack("{s:o, s:I}", WIRE_CONFLICT, failed, WIRE_REVISION, (json_int_t)world->epoch);
+    *answer = json_pack("{s:o, s:I}", WIRE_CONFLICT, failed, WIRE_REVISION,
+                        (json_int_t)world->revision);
     world->conflicts++;
     return 409;
   }
@@ -282,7 +283,7 @@
                        world->value_bytes);
   }
   if (json_array_size(apply) > 0)
-    world->epoch++;
+    world->revision++;
   json_array_foreach(apply, i, item) {
     world->writes++;
     if (mm_json_string(item, WIRE_PUT) != NULL)
@@ -291,7 +292,7 @@
     else
       delete_key(world, mm_json_string(item, WIRE_DELETE));
   }
-  *answer = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->epoch);
+  *answer = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->revision);
   answer_watches(world);
   return 200;
 }
@@ -316,8 +317,9 @@
     listing->more = TRUE;
     return TRUE;
   }
-  json_array_append_new(listing->items, json_pack("{s:s, s:O, s:I}", WIRE_KEY, path, WIRE_VALUE,
-                                                  key->value, WIRE_VERSION, (json_int_t)key->mark));
+  json_array_append_new(listing->items,
+                        json_pack("{s:s, s:O, s:I}", WIRE_KEY, path, WIRE_VALUE, key->value,
+                                  WIRE_VERSION, (json_int_t)key->version));
   return FALSE;
 }
 
@@ -333,16 +335,17 @@
     Listing listing = { prefix, after, 7, json_array(), FALSE };
     g_tree_foreach(world->keys, list_key, &listing);
     *answer = json_pack("{s:o, s:b, s:I}", WIRE_ITEMS, listing.items, WIRE_MORE, listing.more,
-                        WIRE_REVISION, (json_int_t)world->epoch);
+                        WIRE_REVISION, (json_int_t)world->revision);
     return 200;
   }
   if (g_str_has_prefix(path, WIRE_KEYS_PATH "/")) {
     const WorldKey *key = g_tree_lookup(world->keys, path + strlen(WIRE_KEYS_PATH "/"));
     if (key == NULL) {
-      *answer = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->epoch);
+      *answer = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->revision);
       return 404;
     }
-    *answer = json_pack("{s:O, s:I}", WIRE_VALUE, key->value, WIRE_VERSION, (json_int_t)key->mark);
+    *answer
+        = json_pack("{s:O, s:I}", WIRE_VALUE, key->value, WIRE_VERSION, (json_int_t)key->version);
     return 200;
   }
   if (strcmp(path, WIRE_LEASES_PATH) == 0) {
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -627,9 +627,9 @@
 
 /* A node that is broken on purpose: it takes late copies of reports for newer ones. */
 static void
-forget_stamps(MmRoster *roster) {
-  for (guint i = 0; i < roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(roster->order, i);
+forget_stamps(MmMachineTable *machine_table) {
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(machine_table->order, i);
     machine->stamp.seq = machine->report_stamp.seq = 0;
   }
 }
@@ -641,8 +641,8 @@
   GHashTableIter iter;
   gpointer value;
 
-  for (guint i = 0; i < node->roster->order->len; i++) {
-    MmMachine *machine = g_ptr_array_index(node->roster->order, i);
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     machine->unacknowledged = 0;
     g_hash_table_iter_init(&iter, node->owner->held);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -657,9 +657,9 @@
 
 /* A node that knows of the cancellations of its own parts' jobs only. */
 static void
-forget_cancelled(const MmBook *book) {
-  for (guint i = 0; i < book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(book->order, i);
+forget_cancelled(const MmJobTable *job_table) {
+  for (guint i = 0; i < job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(job_table->order, i);
     job->cancelled = job->cancelled && job->tasks != NULL;
   }
 }
@@ -667,8 +667,8 @@
 /* Dependencies that are not done yet are taken for done. */
 static void
 forget_needs(const MmNode *node) {
-  for (guint i = 0; i < node->book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(node->book->order, i);
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
     if (job->vertex != NULL)
       job->vertex->unmet = 0;
   }
@@ -677,9 +677,9 @@
 /* What depends on a cancelled job goes on. */
 static void
 forget_ancestors(const MmNode *node) {
-  for (guint i = 0; i < node->book->order->len; i++) {
-    MmJob *job = g_ptr_array_index(node->book->order, i);
-    if (job->cancel_mark.v == 0 && mm_job_needs_cancelled(job))
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
+    if (job->cancel_version.v == 0 && mm_job_needs_cancelled(job))
       job->cancelled = FALSE;
   }
 }
@@ -711,7 +711,7 @@
   if (later->self->world->ignore_echo)
     forget_unheard(later->self->node->owner);
   if (later->self->world->believe_copies)
-    forget_stamps(later->self->node->roster);
+    forget_stamps(later->self->node->machine_table);
   if (later->self->world->answer_deaf)
     forget_deafness(later->self->node);
   if (later->self->world->claim_for_ever && later->self->node->claims->claim != 0)
@@ -723,7 +723,7 @@
   if (later->self->world->ignore_ancestors)
     forget_ancestors(later->self->node);
   if (later->self->world->judge_alone)
-    forget_cancelled(later->self->node->book);
+    forget_cancelled(later->self->node->job_table);
   mm_node_tick(later->self->node);
   world_at(later->self->world, later->self->world->now_us + MM_NODE_TICK_MS * 1000, tick, later);
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -3,7 +3,7 @@
  * that changes what runs, the rules are checked. */
 #pragma once
 
-#include "checkin/roster.h"
+#include "checkin/machine-table.h"
 #include "node/node.h"
 
 #define WORLD_NODES 3
@@ -101,7 +101,7 @@
 
 typedef struct {
   json_t *value;
-  guint64 mark;
+  guint64 version;
   guint64 lease;
 } WorldKey;
 
@@ -122,8 +122,8 @@
 
   /* state service */
   GTree *keys; /* path -> WorldKey */
-  guint64 epoch;
-  GPtrArray *changes; /* json_t events with their mark */
+  guint64 revision;
+  GPtrArray *changes; /* json_t events with their version */
   GHashTable *leases;
   guint64 next_lease;
   GPtrArray *watches;
