--- /dev/null
+++ b/tests/golden/record.c
@@ -0,0 +1,91 @@
+/* Records what a version stores and sends, for the tests of later ones: see README.md beside this.
+ *
+ * Built against the sources of the version to be recorded: it uses their simulated world. Prints
+ * one JSON object: `keys`, the state service's keys with their values at the end of a short day,
+ * and `frames`, a few of each kind that nodes sent, in hexadecimal. */
+#include <stdio.h>
+
+#include "base/wire.h"
+#include "peers.pb-c.h"
+#include "world/world.h"
+
+#define FRAME_KINDS 16
+#define FRAMES_A_KIND 3
+
+static json_t *frames;
+static guint seen[FRAME_KINDS];
+
+/* Linked with --wrap=mm__frame__pack. */
+size_t real_pack(const Mm__Frame *frame, uint8_t *out) __asm__("__real_mm__frame__pack");
+size_t recording_pack(const Mm__Frame *frame, uint8_t *out) __asm__("__wrap_mm__frame__pack");
+
+size_t
+recording_pack(const Mm__Frame *frame, uint8_t *out) {
+  size_t length = real_pack(frame, out);
+
+  if (frame->body_case < FRAME_KINDS && seen[frame->body_case]++ < FRAMES_A_KIND) {
+    g_autoptr(GString) text = g_string_new(NULL);
+    for (size_t i = 0; i < length; i++)
+      g_string_append_printf(text, "%02x", out[i]);
+    json_array_append_new(
+        frames, json_pack("{s:i, s:s}", "kind", (int)frame->body_case, "bytes", text->str));
+  }
+  return length;
+}
+
+static gboolean
+add_key(gpointer path, gpointer value, gpointer keys) {
+  json_object_set(keys, path, ((WorldKey *)value)->value);
+  return FALSE;
+}
+
+static gboolean
+is_cancelled(const World *world, const WorldJob *job) {
+  g_autofree char *path = g_strconcat("mm/r/j/", job->id, NULL);
+  const WorldKey *key = g_tree_lookup(world->keys, path);
+
+  return key != NULL && mm_json_count(key->value, "c", 0) != 0;
+}
+
+int
+main(void) {
+  World *world = world_new(3);
+  WorldJob *cancelled;
+  json_t *keys = json_object();
+  g_autoptr(json_t) recorded = NULL;
+
+  frames = json_array();
+  for (guint i = 0; i < 9; i++)
+    world_add_machine(world, i % 4 == 3 ? "big" : "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 4);
+  world_submit(world, json_pack("{s:i}", WIRE_TASKS, 3), 2);
+  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 5, WIRE_TEAM, "team-1"), 60);
+  world_submit(world,
+               json_pack("{s:i, s:s, s:b, s:s}", WIRE_TASKS, 2, WIRE_KIND, WIRE_KIND_SERVICE,
+                         WIRE_SPREAD, 1, WIRE_TEAM, "team-2"),
+               0);
+  world_submit(world,
+               json_pack("{s:i, s:s, s:s, s:f, s:[s]}", WIRE_TASKS, 2, WIRE_KIND, WIRE_KIND_GANG,
+                         WIRE_TEAM, "team-3", WIRE_DEADLINE, 400.0, WIRE_TYPES, "small"),
+               300);
+  world_run(world, 8);
+  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 40, WIRE_TEAM, "team-1"), 1);
+  world_run(world, 6);
+  world_cancel(g_ptr_array_index(world->jobs, 1));
+  world_run(world, 3);
+  /* One of which some tasks are done, and one just cancelled. */
+  world_submit(world, json_pack("{s:i}", WIRE_TASKS, 6), 2)->stagger_s = 4;
+  cancelled = world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 3, WIRE_TEAM, "team-3"), 30);
+  world_run(world, 12);
+  world_cancel(cancelled);
+  for (guint i = 0; i < 100 && !is_cancelled(world, cancelled); i++)
+    world_run(world, 0.002);
+  g_tree_foreach(world->keys, add_key, keys);
+  recorded = json_pack("{s:o, s:O}", "keys", keys, "frames", frames);
+  json_dumpf(recorded, stdout, JSON_INDENT(1) | JSON_SORT_KEYS);
+  fputc('\n', stdout);
+  world_free(world);
+  json_decref(frames);
+  return 0;
+}
--- /dev/null
+++ b/tests/test-golden.c
@@ -0,0 +1,235 @@
+/* What the version in production stores and sends is read by the present code, and what the present
+ * code writes of the same jobs is what that version wrote: tests/golden. */
+#include "base/wire.h"
+#include "checkin/registry.h"
+#include "jobs/job-table.h"
+#include "peers.pb-c.h"
+#include "store/replica.h"
+#include "store/store.h"
+#include "upgrade/versions.h"
+#include "world/world.h"
+
+static char *
+golden_text(const char *name) {
+  g_autofree char *path
+      = g_build_filename(g_getenv("MM_SOURCE_ROOT"), "tests", "golden", name, NULL);
+  char *text = NULL;
+
+  g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+  return text;
+}
+
+static json_t *
+recorded(void) {
+  g_autofree char *text = golden_text("production.json");
+  json_t *golden = json_loads(text, 0, NULL);
+
+  g_assert_nonnull(golden);
+  return golden;
+}
+
+static gboolean
+after_prefix(const char *path, const char *prefix, const char **rest) {
+  *rest = g_str_has_prefix(path, prefix) ? path + strlen(prefix) : NULL;
+  return *rest != NULL;
+}
+
+/* A state service that holds what production left, and new nodes that begin on it. */
+static World *
+world_of(json_t *keys) {
+  World *world = world_new(1);
+  const char *path;
+  json_t *value;
+
+  json_object_foreach(keys, path, value) {
+    WorldKey *key = g_new(WorldKey, 1);
+    *key = (WorldKey){ json_incref(value), ++world->revision, 0 };
+    g_tree_insert(world->keys, g_strdup(path), key);
+  }
+  world_start(world);
+  world_run(world, 3);
+  return world;
+}
+
+static void
+check_job(const MmNode *node, const char *id, const json_t *value) {
+  const MmJob *job = mm_job_table_find(node->job_table, id);
+  g_autofree char *done = NULL;
+  g_autoptr(json_t) written = NULL;
+
+  g_assert_nonnull(job);
+  g_assert_cmpint(job->cancelled, ==, mm_json_count(value, "c", 0) != 0);
+  g_assert_cmpuint(job->spec.n_needs, ==, 0);
+  done = mm_done_set_text(&job->recorded, 1000);
+  written = mm_job_record(&job->spec, job->submitted_ms, job->cancelled, done);
+  g_assert_true(json_equal(written, (json_t *)value));
+}
+
+static void
+check_pack(const MmNode *node, const json_t *value) {
+  size_t i;
+  json_t *entry;
+
+  json_array_foreach(json_object_get(value, "v"), i, entry) {
+    const MmMachine *machine
+        = mm_machine_table_find(node->machine_table, json_string_value(json_array_get(entry, 0)));
+    g_assert_nonnull(machine);
+    g_assert_true(machine->registered);
+    g_assert_cmpuint(machine->registered_session, ==,
+                     (guint64)json_integer_value(json_array_get(entry, 5)));
+    g_assert_cmpstr(machine->type_name.s, ==, json_string_value(json_array_get(entry, 2)));
+  }
+}
+
+/* New fields are beside what the version before reads, and each of its fields is there. */
+static void
+check_final(const json_t *value) {
+  MmFinalState state;
+  g_autoptr(json_t) written = NULL;
+  const char *field;
+  json_t *old;
+
+  g_assert_true(mm_final_parse(value, &state));
+  g_assert_cmpint(state.done_ms, ==, 0);
+  written = mm_final_record(&state);
+  json_object_foreach((json_t *)value, field, old)
+      g_assert_true(json_equal(json_object_get(written, field), old));
+}
+
+/* New nodes begin on it: with the term that was reached, or a later one. */
+static void
+test_begin(void) {
+  g_autoptr(json_t) golden = recorded();
+  json_t *keys = json_object_get(golden, "keys");
+  guint64 term = mm_json_count(json_object_get(keys, MM_KEY_TERM), "t", G_MAXUINT64);
+  World *world = world_of(keys);
+
+  for (guint i = 0; i < WORLD_NODES; i++) {
+    g_assert_true(world->nodes[i].node->replica->loaded);
+    g_assert_cmpuint(world->nodes[i].node->replica->term.v, >=, term);
+  }
+  world_free(world);
+}
+
+typedef struct {
+  guint jobs, cancelled, partly_done, packs, finals;
+} Counts;
+
+static void
+check_key(MmNode *node, const char *path, json_t *value, Counts *counts) {
+  const MmKeyVersion version = { 1000 };
+  const char *rest;
+
+  if (after_prefix(path, MM_KEY_JOB, &rest)) {
+    mm_job_table_put(node->job_table, rest, value, version);
+    check_job(node, rest, value);
+    counts->jobs++;
+    counts->cancelled += mm_json_get(value, "c") != NULL;
+    counts->partly_done += mm_json_get(value, "d") != NULL;
+  } else if (after_prefix(path, MM_KEY_PACK, &rest)) {
+    mm_registry_put(node->registry, rest, value, version);
+    check_pack(node, value);
+    counts->packs++;
+  } else if (after_prefix(path, MM_KEY_FINAL, &rest)) {
+    check_final(value);
+    counts->finals++;
+  }
+  /* Nothing tells what the nodes understand. */
+  g_assert_false(after_prefix(path, MM_KEY_VERSION, &rest));
+}
+
+/* Jobs, machines and final states are read as they were meant, and written as they were. */
+static void
+test_stored(void) {
+  g_autoptr(json_t) golden = recorded();
+  World *world = world_new(2);
+  Counts counts = { 0 };
+  const char *path;
+  json_t *value;
+
+  world_start(world);
+  world_run(world, 3);
+  json_object_foreach(json_object_get(golden, "keys"), path, value)
+      check_key(world->nodes[0].node, path, value, &counts);
+  g_assert_cmpuint(counts.jobs, >=, 3);
+  g_assert_cmpuint(counts.cancelled, >=, 1);
+  g_assert_cmpuint(counts.partly_done, >=, 1);
+  g_assert_cmpuint(counts.finals, >=, 3);
+  g_assert_cmpuint(counts.packs, >=, 3);
+  world_free(world);
+}
+
+static guint8 *
+from_hex(const char *text, gsize *length) {
+  guint8 *bytes;
+
+  *length = strlen(text) / 2;
+  bytes = g_malloc(*length + 1);
+  for (gsize i = 0; i < *length; i++)
+    bytes[i]
+        = (guint8)(g_ascii_xdigit_value(text[2 * i]) << 4 | g_ascii_xdigit_value(text[2 * i + 1]));
+  return bytes;
+}
+
+/* Frames of the version before unpack, and pack to the very bytes again: nothing of them is unknown
+ * or lost. */
+static void
+test_frames(void) {
+  g_autoptr(json_t) golden = recorded();
+  guint kinds = 0;
+  size_t i;
+  json_t *item;
+
+  json_array_foreach(json_object_get(golden, "frames"), i, item) {
+    gsize length;
+    g_autofree guint8 *bytes = from_hex(mm_json_string(item, "bytes"), &length);
+    g_autofree guint8 *again = g_malloc(length + 1);
+    Mm__Frame *frame = mm__frame__unpack(NULL, length, bytes);
+    g_assert_nonnull(frame);
+    g_assert_cmpuint(frame->body_case, ==, mm_json_count(item, "kind", 0));
+    g_assert_cmpuint(frame->base.n_unknown_fields, ==, 0);
+    g_assert_cmpuint(mm__frame__get_packed_size(frame), ==, length);
+    mm__frame__pack(frame, again);
+    g_assert_cmpmem(again, length, bytes, length);
+    kinds |= 1u << frame->body_case;
+    mm__frame__free_unpacked(frame, NULL);
+  }
+  /* All but `gone`, which no machine of that day was. */
+  g_assert_cmpuint(kinds, ==, 0x1ffe & ~(1u << MM__FRAME__BODY_GONE));
+}
+
+/* Each field of the version before is there with its type and number: it reads what is sent now. */
+static void
+test_messages(void) {
+  g_autofree char *before = golden_text("production.proto");
+  g_autofree char *path
+      = g_build_filename(g_getenv("MM_SOURCE_ROOT"), "src", "peers", "peers.proto", NULL);
+  g_autofree char *now = NULL;
+  g_auto(GStrv) lines = g_strsplit(before, "\n", -1);
+  const char *at;
+  guint fields = 0;
+
+  g_assert_true(g_file_get_contents(path, &now, NULL, NULL));
+  at = now;
+  for (guint i = 0; lines[i] != NULL; i++) {
+    if (strchr(lines[i], ';') == NULL && strstr(lines[i], "message ") != lines[i])
+      continue;
+    if (g_str_has_prefix(lines[i], "//"))
+      continue;
+    at = strstr(at, lines[i]);
+    g_test_message("%s", lines[i]);
+    g_assert_nonnull(at);
+    fields++;
+  }
+  g_assert_cmpuint(fields, >, 60);
+}
+
+int
+main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  g_test_add_func("/golden/begin", test_begin);
+  g_test_add_func("/golden/stored", test_stored);
+  g_test_add_func("/golden/frames", test_frames);
+  g_test_add_func("/golden/messages", test_messages);
+  return g_test_run();
+}
