--- a/src/checkin/checkin.c
+++ b/src/checkin/checkin.c
@@ -359,8 +359,8 @@
 
 /* While parts change hands, terms follow one another within a second, and a worker that is told of
  * one shows it at once, but the next only half a lease later or with a report that is due anyway:
- * parts then waited two report periods for their echoes. So reports wait a moment for the last of
- * the terms. Not for ever, should nobody take a part. */
+ * parts then waited two report periods for their acknowledgements. So reports wait a moment for the
+ * last of the terms. Not for ever, should nobody take a part. */
 gboolean
 mm_checkin_is_settling(const MmCheckin *checkin) {
   return checkin->unsettled_since.us != 0
@@ -472,8 +472,8 @@
 }
 
 /* A machine that shows no sign of having had any answer gets 503. Were it answered on, nobody could
- * ever prove its lease over, and parts that were taken meanwhile would wait for its echo without
- * end. */
+ * ever prove its lease over, and parts that were taken meanwhile would wait for its acknowledgement
+ * without end. */
 static void
 answer_report(MmCheckin *checkin, MmReport *report, MmExchange *exchange) {
   MmMachineTable *machine_table = checkin->node->machine_table;
--- a/src/checkin/machine-table.h
+++ b/src/checkin/machine-table.h
@@ -112,8 +112,8 @@
   GArray *kept;         /* MmTaskRef: the kept-list of this machine */
   MmTime clearing;      /* until when `promised` holds */
   MmResources promised; /* room, free or being cleared, that is spoken for by work in a hurry */
-  MmTime echo_asked;    /* when it was last asked to echo the term */
-  guint failed_jobs;    /* that had errors here, with no success of any job between */
+  MmTime acknowledgement_asked; /* when it was last asked to acknowledgement the term */
+  guint failed_jobs;            /* that had errors here, with no success of any job between */
   MmName last_failed_job;
   MmTime quarantined_until; /* it gets no work before */
   MmTime full_until;        /* it refused a start for lack of room */
--- a/src/owner/approve.c
+++ b/src/owner/approve.c
@@ -24,9 +24,9 @@
  * machine that the job may not use, there is none of its tasks, heard or not. So services need not
  * wait for a spot machine that was taken, nor gangs for one without accelerators. */
 static gboolean
-may_be_unheard(const MmOwnedShard *held, const MmJob *job) {
-  for (guint i = 0; i < held->unheard_kinds->len; i++) {
-    const MmMachineKind *kind = &g_array_index(held->unheard_kinds, MmMachineKind, i);
+may_be_on_unacknowledged(const MmOwnedShard *held, const MmJob *job) {
+  for (guint i = 0; i < held->unacknowledged_kinds->len; i++) {
+    const MmMachineKind *kind = &g_array_index(held->unacknowledged_kinds, MmMachineKind, i);
     if (mm_name_is_empty(&kind->type)
         || mm_spec_allows(&job->spec, &kind->type, &kind->zone, kind->spot))
       return TRUE;
@@ -40,8 +40,8 @@
 
   if (held->ready || job->known_after_claim)
     return TRUE;
-  mm_owner_sum_unheard(owner, held);
-  return !may_be_unheard(held, job);
+  mm_owner_sum_unacknowledged(owner, held);
+  return !may_be_on_unacknowledged(held, job);
 }
 
 gboolean
@@ -102,37 +102,39 @@
                            ? (MmMachineKind){ machine->type_name, machine->zone, machine->spot }
                            : (MmMachineKind){ 0 };
 
-  for (guint i = 0; i < held->unheard_kinds->len; i++) {
-    const MmMachineKind *known = &g_array_index(held->unheard_kinds, MmMachineKind, i);
+  for (guint i = 0; i < held->unacknowledged_kinds->len; i++) {
+    const MmMachineKind *known = &g_array_index(held->unacknowledged_kinds, MmMachineKind, i);
     if (mm_name_equal(&known->type, &kind.type) && mm_name_equal(&known->zone, &kind.zone)
         && known->spot == kind.spot)
       return;
   }
-  g_array_append_val(held->unheard_kinds, kind);
+  g_array_append_val(held->unacknowledged_kinds, kind);
 }
 
 void
-mm_owner_sum_unheard(MmOwner *owner, MmOwnedShard *held) {
+mm_owner_sum_unacknowledged(MmOwner *owner, MmOwnedShard *held) {
   GHashTableIter iter;
   gpointer id;
-  guint kinds = held->unheard_kinds->len;
+  guint kinds = held->unacknowledged_kinds->len;
 
-  if (!held->unheard_changed)
+  if (!held->unacknowledged_changed)
     return;
-  held->unheard_changed = FALSE;
-  g_array_set_size(held->unheard_kinds, 0);
-  held->unheard_any = FALSE;
-  held->unheard_room = (MmResources){ 0 };
-  g_hash_table_iter_init(&iter, held->unheard);
+  held->unacknowledged_changed = FALSE;
+  g_array_set_size(held->unacknowledged_kinds, 0);
+  held->unacknowledged_of_unknown_type = FALSE;
+  held->unacknowledged_resources = (MmResources){ 0 };
+  g_hash_table_iter_init(&iter, held->unacknowledged);
   while (g_hash_table_iter_next(&iter, &id, NULL)) {
     const MmMachine *machine = mm_machine_table_find(owner->node->machine_table, id);
     add_kind(held, machine);
     if (machine == NULL || machine->type == NULL)
-      held->unheard_any = held->unheard_changed = TRUE; /* its type may become known */
+      held->unacknowledged_of_unknown_type = held->unacknowledged_changed
+          = TRUE; /* its type may become known */
     else
-      held->unheard_room = mm_resources_add(held->unheard_room, machine->type->room);
+      held->unacknowledged_resources
+          = mm_resources_add(held->unacknowledged_resources, machine->type->room);
   }
-  if (held->unheard_kinds->len < kinds)
+  if (held->unacknowledged_kinds->len < kinds)
     mm_rank_changed(owner->node->rank);
 }
 
@@ -153,10 +155,10 @@
 
   if (limit.cores <= 0 && limit.accelerators <= 0)
     return TRUE;
-  mm_owner_sum_unheard(owner, held);
-  if (held->unheard_any)
+  mm_owner_sum_unacknowledged(owner, held);
+  if (held->unacknowledged_of_unknown_type)
     return FALSE;
-  used = mm_resources_add(held->used, held->unheard_room);
+  used = mm_resources_add(held->used, held->unacknowledged_resources);
   /* Else small jobs take what is left of the limit one by one: a large one never begins, and work
    * of higher priority waits for lower. */
   if (held->owed_to != NULL && held->owed_to != job
--- a/src/owner/command.c
+++ b/src/owner/command.c
@@ -11,11 +11,11 @@
 #include "store/replica.h"
 #include "store/store.h"
 
-#define ECHO_EVERY_MS 3000
+#define ASK_EVERY_MS 3000
 /* In a slow tick: each takes about half a millisecond. */
-#define ECHOES_A_CORE 40
-#define ECHOES_LEAST 2
-#define ECHOES_MOST 64
+#define ASKS_A_CORE 40
+#define ASKS_LEAST 2
+#define ASKS_MOST 64
 /* A worker shows a higher term half a second after it was told, if it does so before its next
  * report. */
 #define TAKEN_IN_MS 1200
@@ -90,13 +90,13 @@
     return;
   if (mm_report_parse(&report, body, &reason)) {
     MmMachine *machine = mm_machine_table_find(owner->node->machine_table, report.machine.s);
-    gboolean echo = machine != NULL && report.token.v > machine->token.v;
+    gboolean acknowledgement = machine != NULL && report.token.v > machine->token.v;
     report.direct = TRUE;
     if (machine != NULL)
       machine = mm_machine_table_take(owner->node->machine_table, &report, mm_node_now(owner->node),
                                       MM_HOST_NONE);
-    /* Other nodes may wait for the same echo. */
-    if (echo && machine != NULL)
+    /* Other nodes may wait for the same acknowledgement. */
+    if (acknowledgement && machine != NULL)
       mm_links_tell_direct(owner->node->links, machine);
   }
   mm_report_clear(&report);
@@ -140,13 +140,13 @@
 }
 
 static gboolean
-is_unheard(const MmOwner *owner, const MmMachine *machine) {
+is_unacknowledged(const MmOwner *owner, const MmMachine *machine) {
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value))
-    if (g_hash_table_contains(((MmOwnedShard *)value)->unheard, machine->id.s))
+    if (g_hash_table_contains(((MmOwnedShard *)value)->unacknowledged, machine->id.s))
       return TRUE;
   return FALSE;
 }
@@ -154,7 +154,7 @@
 /* Of a machine that reports, the node that it reports to asks for all: one that will not report for
  * long yet, or that has been told of the term and may not show it before its next report is due. */
 static gboolean
-echo_would_be_late(const MmNode *node, const MmMachine *machine, MmTerm term) {
+acknowledgement_would_be_late(const MmNode *node, const MmMachine *machine, MmTerm term) {
   MmTime now = mm_node_now(node);
   gint64 reported_ms = mm_time_ms_since(now, machine->reported);
 
@@ -166,16 +166,16 @@
   return reported_ms < (gint64)(node->settings->report_s * 1000 * SOON_PERIODS);
 }
 
-/* An empty command spreads the term, and its answer is an echo. A few are asked at a time, for a
- * share of the processor: asking four hundred at once took all the time there was, and claims ended
- * over it. */
+/* An empty command spreads the term, and its answer is an acknowledgement. A few are asked at a
+ * time, for a share of the processor: asking four hundred at once took all the time there was, and
+ * claims ended over it. */
 void
-mm_owner_ask_echoes(MmOwner *owner) {
+mm_owner_ask_acknowledgements(MmOwner *owner) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
   gint64 quiet_ms = (gint64)(node->settings->report_s * 1500);
   MmTerm newest = newest_taking(node);
-  guint left = (guint)CLAMP(node->settings->cpu_share * ECHOES_A_CORE, ECHOES_LEAST, ECHOES_MOST);
+  guint left = (guint)CLAMP(node->settings->cpu_share * ASKS_A_CORE, ASKS_LEAST, ASKS_MOST);
 
   if (mm_checkin_is_settling(node->checkin))
     return;
@@ -183,13 +183,14 @@
     MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
     gboolean deaf;
 
-    if (machine->lost || mm_time_ms_since(now, machine->echo_asked) < ECHO_EVERY_MS)
+    if (machine->lost || mm_time_ms_since(now, machine->acknowledgement_asked) < ASK_EVERY_MS)
       continue;
     deaf = mm_health_is_deaf(node->machine_table, machine);
-    if (!deaf && !echo_would_be_late(node, machine, newest)
-        && (mm_time_ms_since(now, machine->reported) < quiet_ms || !is_unheard(owner, machine)))
+    if (!deaf && !acknowledgement_would_be_late(node, machine, newest)
+        && (mm_time_ms_since(now, machine->reported) < quiet_ms
+            || !is_unacknowledged(owner, machine)))
       continue;
-    machine->echo_asked = now;
+    machine->acknowledgement_asked = now;
     left--;
     send_direct(owner, machine, json_array());
   }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -18,8 +18,8 @@
 held_free(gpointer data) {
   MmOwnedShard *held = data;
 
-  g_hash_table_unref(held->unheard);
-  g_array_unref(held->unheard_kinds);
+  g_hash_table_unref(held->unacknowledged);
+  g_array_unref(held->unacknowledged_kinds);
   g_free(held->name);
   g_free(held);
 }
@@ -185,7 +185,7 @@
 
 void
 mm_owner_check_ready(MmOwner *owner, MmOwnedShard *held) {
-  if (held->ready || g_hash_table_size(held->unheard) > 0)
+  if (held->ready || g_hash_table_size(held->unacknowledged) > 0)
     return;
   held->ready = TRUE;
   mm_info("part %s is ready %" G_GINT64_FORMAT " ms after it was taken", held->name,
@@ -203,8 +203,8 @@
   held->version = part->version;
   held->team = team;
   held->taken = mm_node_now(node);
-  held->unheard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  held->unheard_kinds = g_array_new(FALSE, TRUE, sizeof(MmMachineKind));
+  held->unacknowledged = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  held->unacknowledged_kinds = g_array_new(FALSE, TRUE, sizeof(MmMachineKind));
   g_hash_table_insert(owner->held, held->name, held);
   for (guint i = 0; i < node->job_table->order->len; i++) {
     MmJob *job = g_ptr_array_index(node->job_table->order, i);
@@ -220,13 +220,13 @@
     if (machine->heard && machine->token.v >= held->term.v)
       mm_owner_take_tasks(owner, machine, name);
     else
-      g_hash_table_insert(held->unheard, g_strdup(machine->id.s),
+      g_hash_table_insert(held->unacknowledged, g_strdup(machine->id.s),
                           GSIZE_TO_POINTER(machine->registered_session));
-    machine->echo_asked.us = 0;
+    machine->acknowledgement_asked.us = 0;
   }
-  held->unheard_changed = TRUE;
+  held->unacknowledged_changed = TRUE;
   mm_info("part %s is held here with term %" G_GUINT64_FORMAT ", %u machines to hear", name,
-          held->term.v, g_hash_table_size(held->unheard));
+          held->term.v, g_hash_table_size(held->unacknowledged));
   mm_owner_check_ready(owner, held);
 }
 
@@ -381,7 +381,7 @@
     MmOwnedShard *held = value;
     held->used = held->owed = (MmResources){ 0 };
     held->owed_to = NULL;
-    mm_owner_sum_unheard(owner, held);
+    mm_owner_sum_unacknowledged(owner, held);
   }
   for (guint i = 0; i < job_table->order->len; i++) {
     const MmJob *job = g_ptr_array_index(job_table->order, i);
@@ -460,7 +460,7 @@
   sum_up(owner);
   owner->pressing_stale = TRUE;
   owner->looks = LOOKS_A_ROUND;
-  mm_owner_ask_echoes(owner);
+  mm_owner_ask_acknowledgements(owner);
   mm_owner_repeat_stops(owner);
   mm_owner_plan_gangs(owner);
   mm_owner_preempt(owner);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -1,9 +1,9 @@
 /* The one judge of a team's tasks: where each may be, what may start, what must stop.
  *
  * A part is a team. Whoever holds it rebuilds its view from the machines' reports: a machine counts
- * as heard once it echoes the part's term, for then every start given out under an older term has
- * either shown in that report or will be refused. Nothing is approved that an unheard machine might
- * hold. */
+ * as heard once it acknowledgements the part's term, for then every start given out under an older
+ * term has either shown in that report or will be refused. Nothing is approved that an
+ * unacknowledged machine might hold. */
 #pragma once
 
 #include "checkin/machine-table.h"
@@ -18,14 +18,15 @@
   MmKeyVersion version;
   MmTime taken;
   const MmTeamSettings *team;
-  MmResources used;         /* by tasks that are or may be on machines */
-  const MmJob *owed_to;     /* the most pressing job that waits and is in a hurry, */
-  MmResources owed;         /* and what it needs of the team's limit */
-  MmResources unheard_room; /* what unheard machines might hold beside them */
-  gboolean unheard_any;     /* one of them is of an unknown type: that may be anything */
-  gboolean unheard_changed;
-  GArray *unheard_kinds; /* MmMachineKind: each kind of machine that some of them are of */
-  GHashTable *unheard;   /* ids of machines that may hold tasks that are not known of */
+  MmResources used;                     /* by tasks that are or may be on machines */
+  const MmJob *owed_to;                 /* the most pressing job that waits and is in a hurry, */
+  MmResources owed;                     /* and what it needs of the team's limit */
+  MmResources unacknowledged_resources; /* what unacknowledged machines might hold beside them */
+  gboolean
+      unacknowledged_of_unknown_type; /* one of them is of an unknown type: that may be anything */
+  gboolean unacknowledged_changed;
+  GArray *unacknowledged_kinds; /* MmMachineKind: each kind of machine that some of them are of */
+  GHashTable *unacknowledged;   /* ids of machines that may hold tasks that are not known of */
   gboolean ready;
 };
 
@@ -106,7 +107,7 @@
  * has been heard that it was ever allowed on. */
 gboolean mm_owner_knows(MmOwner *owner, const MmJob *job);
 /* Takes up which machines are still to be heard, if that has changed. */
-void mm_owner_sum_unheard(MmOwner *owner, MmOwnedShard *held);
+void mm_owner_sum_unacknowledged(MmOwner *owner, MmOwnedShard *held);
 /* Whether the job's tasks may be given out at all at the moment. */
 gboolean mm_owner_open(MmOwner *owner, const MmJob *job);
 /* The last of the jobs that it depends on is done: its waiting times count from then. */
@@ -147,7 +148,7 @@
 void mm_owner_stop_task(MmOwner *owner, MmJob *job, guint number);
 /* The smallest grace that lets the job save. */
 double mm_owner_grace_s(const MmJob *job);
-void mm_owner_ask_echoes(MmOwner *owner);
+void mm_owner_ask_acknowledgements(MmOwner *owner);
 /* Tasks that were told to stop are told again, should the command have got lost. */
 void mm_owner_repeat_stops(MmOwner *owner);
 
--- a/src/owner/reports.c
+++ b/src/owner/reports.c
@@ -206,15 +206,15 @@
     mm_links_tell_commands(owner->node->links, (guint)machine->host, machine, commands);
 }
 
-/* Its report echoes the part's term; or it shows a newer session than any that was on the register
- * when the part was taken: the old session's tasks are gone, and starts for the new one need an
- * entry that only who has seen the part's term can believe. */
+/* Its report acknowledgements the part's term; or it shows a newer session than any that was on the
+ * register when the part was taken: the old session's tasks are gone, and starts for the new one
+ * need an entry that only who has seen the part's term can believe. */
 static gboolean
 is_heard(const MmOwnedShard *held, const MmMachine *machine) {
   gpointer session;
 
   return machine->token.v >= held->term.v
-         || (g_hash_table_lookup_extended(held->unheard, machine->id.s, NULL, &session)
+         || (g_hash_table_lookup_extended(held->unacknowledged, machine->id.s, NULL, &session)
              && machine->stamp.session > GPOINTER_TO_SIZE(session));
 }
 
@@ -232,8 +232,8 @@
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     MmOwnedShard *held = value;
     if (!held->ready && is_heard(held, machine)
-        && g_hash_table_remove(held->unheard, machine->id.s)) {
-      held->unheard_changed = TRUE;
+        && g_hash_table_remove(held->unacknowledged, machine->id.s)) {
+      held->unacknowledged_changed = TRUE;
       mm_owner_check_ready(owner, held);
     }
   }
@@ -253,8 +253,8 @@
   g_hash_table_iter_init(&iter, owner->held);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     MmOwnedShard *held = value;
-    if (g_hash_table_remove(held->unheard, machine->id.s)) {
-      held->unheard_changed = TRUE;
+    if (g_hash_table_remove(held->unacknowledged, machine->id.s)) {
+      held->unacknowledged_changed = TRUE;
       mm_owner_check_ready(owner, held);
     }
   }
--- a/src/peers/links.h
+++ b/src/peers/links.h
@@ -60,7 +60,7 @@
 /* A report that was heard here and is about to be answered: whole when it shows anything new, else
  * in one of the batches that keep peers informed of who was answered. */
 void mm_links_tell_report(MmLinks *links, MmMachine *machine, gboolean answered);
-/* What a direct answer showed: good as an echo, and proof of nothing else. */
+/* What a direct answer showed: good as an acknowledgement, and proof of nothing else. */
 void mm_links_tell_direct(MmLinks *links, MmMachine *machine);
 void mm_links_tell_unproved(MmLinks *links, const MmName *machine);
 void mm_links_tell_cancelled(MmLinks *links, const char *job);
--- a/tests/test-broken.c
+++ b/tests/test-broken.c
@@ -4,12 +4,12 @@
 
 /* Machines that are cut off while all nodes restart, on many days; TRUE when a rule was broken. */
 static gboolean
-days_break_a_rule(gboolean ignore_echo, double believed_lease_s) {
+days_break_a_rule(gboolean ignore_acknowledgements, double believed_lease_s) {
   gboolean broken = FALSE;
 
   for (guint seed = 1; seed <= 8 && !broken; seed++) {
     World *world = world_new(seed);
-    world->ignore_echo = ignore_echo;
+    world->ignore_acknowledgements = ignore_acknowledgements;
     world->believed_lease_s = believed_lease_s;
     for (guint i = 0; i < 6; i++)
       world_add_machine(world, "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
@@ -41,7 +41,7 @@
 
 /* Tasks are given out though a machine that may hold them has not been heard. */
 static void
-test_ignores_the_echo(void) {
+test_ignores_acknowledgements(void) {
   g_assert_true(days_break_a_rule(TRUE, 0));
 }
 
@@ -184,7 +184,7 @@
   if (g_getenv("LOG_LEVEL") != NULL)
     mm_log_setup();
   g_test_add_func("/broken/sound", test_sound);
-  g_test_add_func("/broken/ignores-the-echo", test_ignores_the_echo);
+  g_test_add_func("/broken/ignores-acknowledgements", test_ignores_acknowledgements);
   g_test_add_func("/broken/too-hasty", test_too_hasty);
   g_test_add_func("/broken/believes-copies", test_believes_copies);
   g_test_add_func("/broken/answers-the-deaf", test_answers_the_deaf);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -55,7 +55,7 @@
 
 /* Machines that some owner still waits for. */
 static guint
-machines_unheard(const World *world) {
+machines_unacknowledged(const World *world) {
   guint n = 0;
 
   for (guint i = 0; i < WORLD_NODES; i++) {
@@ -63,7 +63,7 @@
     gpointer value;
     g_hash_table_iter_init(&iter, world->nodes[i].node->owner->held);
     while (g_hash_table_iter_next(&iter, NULL, &value))
-      n += g_hash_table_size(((const MmOwnedShard *)value)->unheard);
+      n += g_hash_table_size(((const MmOwnedShard *)value)->unacknowledged);
   }
   return n;
 }
@@ -93,7 +93,7 @@
   for (guint i = 0; i < WORLD_NODES; i++)
     if (machines_known(world, i) != machines_up(world))
       return FALSE;
-  return machines_unheard(world) == 0 && shards_owned(world) == 4;
+  return machines_unacknowledged(world) == 0 && shards_owned(world) == 4;
 }
 
 #define KNOWN_WITHIN_S (5 * REPORT_S)
--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -160,9 +160,10 @@
   return held == 4;
 }
 
-/* A node ends and the others take its parts: most machines echo the new term by their reports,
- * those that would be late are asked, each by the node that it reports to, and only so many at once
- * as the share of a processor allows. Workers of the node that ended find another after 5 s here.
+/* A node ends and the others take its parts: most machines acknowledgement the new term by their
+ * reports, those that would be late are asked, each by the node that it reports to, and only so
+ * many at once as the share of a processor allows. Workers of the node that ended find another
+ * after 5 s here.
  */
 static void
 test_few_are_asked(void) {
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -196,8 +196,8 @@
   s.job->known_after_claim = FALSE;
   g_assert_true(mm_owner_knows(s.owner, s.job));
   held->ready = FALSE;
-  held->unheard_changed = TRUE;
-  g_hash_table_insert(held->unheard, g_strdup(spot->id.s), GSIZE_TO_POINTER(1));
+  held->unacknowledged_changed = TRUE;
+  g_hash_table_insert(held->unacknowledged, g_strdup(spot->id.s), GSIZE_TO_POINTER(1));
   spot->spot = TRUE;
   s.job->spec.spot = TRUE;
   g_assert_false(mm_owner_knows(s.owner, s.job));
@@ -209,8 +209,8 @@
   s.job->spec.zone = mm_name("elsewhere");
   g_assert_true(mm_owner_knows(s.owner, s.job));
   /* One of which nothing is known may hold anything. */
-  g_hash_table_insert(held->unheard, g_strdup("m-999999"), GSIZE_TO_POINTER(1));
-  held->unheard_changed = TRUE;
+  g_hash_table_insert(held->unacknowledged, g_strdup("m-999999"), GSIZE_TO_POINTER(1));
+  held->unacknowledged_changed = TRUE;
   g_assert_false(mm_owner_knows(s.owner, s.job));
   world_free(s.world);
 }
--- /dev/null
+++ b/tests/world/broken.c
@@ -0,0 +1,113 @@
+/* Nodes that are broken on purpose, so that the checks of the rules are seen to fail. */
+#include "dependencies/dependencies.h"
+#include "owner/owner.h"
+#include "parts/claims.h"
+#include "store/replica.h"
+#include "world/world.h"
+
+/* An owner that is broken on purpose: it takes every machine for heard at once. */
+static void
+forget_unacknowledged(MmOwner *owner) {
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init(&iter, owner->held);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    g_hash_table_remove_all(((MmOwnedShard *)value)->unacknowledged);
+    ((MmOwnedShard *)value)->ready = TRUE;
+  }
+}
+
+/* A node that is broken on purpose: it takes late copies of reports for newer ones. */
+static void
+forget_stamps(MmMachineTable *machine_table) {
+  for (guint i = 0; i < machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(machine_table->order, i);
+    machine->stamp.seq = machine->report_stamp.seq = 0;
+  }
+}
+
+/* Another: it answers every machine on, and waits for the acknowledgement of each that reports,
+ * whatever else its reports prove. */
+static void
+forget_deafness(const MmNode *node) {
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < node->machine_table->order->len; i++) {
+    MmMachine *machine = g_ptr_array_index(node->machine_table->order, i);
+    machine->unacknowledged = 0;
+    g_hash_table_iter_init(&iter, node->owner->held);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+      MmOwnedShard *held = value;
+      if (!machine->heard || machine->lost || machine->token.v >= held->term.v)
+        continue;
+      g_hash_table_insert(held->unacknowledged, g_strdup(machine->id.s),
+                          GSIZE_TO_POINTER(G_MAXSIZE));
+      held->ready = FALSE;
+    }
+  }
+}
+
+/* A node that knows of the cancellations of its own parts' jobs only. */
+static void
+forget_cancelled(const MmJobTable *job_table) {
+  for (guint i = 0; i < job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(job_table->order, i);
+    job->cancelled = job->cancelled && job->tasks != NULL;
+  }
+}
+
+/* Dependencies that are not done yet are taken for done. */
+static void
+forget_needs(const MmNode *node) {
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
+    if (job->vertex != NULL)
+      job->vertex->unmet = 0;
+  }
+}
+
+/* What depends on a cancelled job goes on. */
+static void
+forget_ancestors(const MmNode *node) {
+  for (guint i = 0; i < node->job_table->order->len; i++) {
+    MmJob *job = g_ptr_array_index(node->job_table->order, i);
+    if (job->cancel_version.v == 0 && mm_job_needs_cancelled(job))
+      job->cancelled = FALSE;
+  }
+}
+
+/* One for which what it has read does not grow old. */
+static void
+forget_staleness(const MmNode *node, MmTime now) {
+  node->replica->stale_us = 0;
+  node->replica->ticked = now;
+}
+
+/* And one that goes on as if its claim could not end either. */
+static void
+forget_claim_ends(const MmNode *node, MmTime now) {
+  node->claims->valid = mm_time_add_ms(now, 60000);
+  forget_staleness(node, now);
+}
+
+void
+world_break_node(const World *world, MmNode *node, MmTime now) {
+  if (world->ignore_acknowledgements)
+    forget_unacknowledged(node->owner);
+  if (world->believe_copies)
+    forget_stamps(node->machine_table);
+  if (world->answer_deaf)
+    forget_deafness(node);
+  if (world->claim_for_ever && node->claims->claim != 0)
+    forget_claim_ends(node, now);
+  if (world->never_stale)
+    forget_staleness(node, now);
+  if (world->ignore_needs)
+    forget_needs(node);
+  if (world->ignore_ancestors)
+    forget_ancestors(node);
+  if (world->judge_alone)
+    forget_cancelled(node->job_table);
+}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -181,15 +181,15 @@
   gint64 watched_us;       /* when waiting was last looked at */
 
   /* switches for the tests that break something on purpose */
-  gboolean ignore_echo;      /* owners take every machine for heard */
-  gboolean believe_copies;   /* nodes forget how new a machine's last report was */
-  gboolean answer_deaf;      /* nodes answer machines on that show no sign of hearing */
-  gboolean claim_for_ever;   /* a node goes on as if its claim could not end */
-  gboolean never_stale;      /* nodes answer on however old what they have read is */
-  gboolean ignore_needs;     /* nodes take every dependency for done */
-  gboolean ignore_ancestors; /* nodes don't cancel what depends on a cancelled job */
-  gboolean judge_alone;      /* only who holds a job's part knows that it is cancelled */
-  double believed_lease_s;   /* what the nodes' settings say; 0: the truth */
+  gboolean ignore_acknowledgements; /* owners take every machine for heard */
+  gboolean believe_copies;          /* nodes forget how new a machine's last report was */
+  gboolean answer_deaf;             /* nodes answer machines on that show no sign of hearing */
+  gboolean claim_for_ever;          /* a node goes on as if its claim could not end */
+  gboolean never_stale;             /* nodes answer on however old what they have read is */
+  gboolean ignore_needs;            /* nodes take every dependency for done */
+  gboolean ignore_ancestors;        /* nodes don't cancel what depends on a cancelled job */
+  gboolean judge_alone;             /* only who holds a job's part knows that it is cancelled */
+  double believed_lease_s;          /* what the nodes' settings say; 0: the truth */
 
   double lease_s, report_s, cancel_s;
   guint capacity;    /* machines of each type, zone and kind that the cloud has */
@@ -240,6 +240,10 @@
 void world_store_add_watch(World *world, guint node, const char *path, MmAnswered answered,
                            gpointer data);
 
+/* broken.c */
+/* Does to the node, before each of its ticks, what the world's switches say. */
+void world_break_node(const World *world, MmNode *node, MmTime now);
+
 /* troubles.c */
 /* The node that holds most parts, of those that are up. */
 guint world_leader(World *world);
