--- a/src/jobs/submit.c
+++ b/src/jobs/submit.c
@@ -8,8 +8,10 @@
 #include "store/store.h"
 #include "upgrade/versions.h"
 
-/* Of a record, what the set of done tasks and a cancellation may take. */
+/* Of a record, what the set of done tasks and a cancellation may take: so much, and at most this
+ * share of a value. */
 #define RECORD_RESERVE_BYTES 512
+#define RECORD_RESERVE_SHARE 4
 /* How long a submission may look for the jobs that it depends on. */
 #define FIND_NEEDS_MS 3500
 #define RETRY_S 1
@@ -59,10 +61,11 @@
 write_job(MmCall *call) {
   MmNode *node = call->node;
   json_t *record = mm_job_record(&call->spec, mm_node_wall_ms(node), FALSE, NULL);
+  guint most = node->settings->state_value_bytes;
+  guint reserve = MIN(RECORD_RESERVE_BYTES, most / RECORD_RESERVE_SHARE);
   MmTxn txn;
 
-  if (json_dumpb(record, NULL, 0, JSON_COMPACT) + RECORD_RESERVE_BYTES
-      > node->settings->state_value_bytes) {
+  if (json_dumpb(record, NULL, 0, JSON_COMPACT) + reserve > most) {
     json_decref(record);
     mm_call_finish(call, 400, mm_json_error("the job's description is too long"), 0);
     return;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -9,7 +9,7 @@
  * last word. Claims and users' words are not held back by this budget. */
 #define WRITE_SHARE 0.3
 /* After a 429 nothing that can wait is written for so long. */
-#define LIMITED_PAUSE_S 1.0
+#define LIMITED_PAUSE_S 0.25
 #define SERVED_MOST_MS (4 * MM_NODE_TICK_MS)
 
 MmStore *
--- a/tests/test-pipelines.c
+++ b/tests/test-pipelines.c
@@ -388,17 +388,11 @@
 
 /* ---- days ---- */
 
-static WorldJob *
-any_job(World *world) {
-  return g_ptr_array_index(world->jobs,
-                           (guint)g_rand_int_range(world->rand, 0, (gint32)world->jobs->len));
-}
-
 /* Something accepted that is no service, for a new job to name. */
 static WorldJob *
 any_need(World *world) {
   for (guint tries = 0; tries < 20; tries++) {
-    WorldJob *job = any_job(world);
+    WorldJob *job = world_any_job(world);
     if (job->ever_accepted && job->spec.kind != MM_KIND_SERVICE)
       return job;
   }
@@ -423,45 +417,6 @@
   world_submit_after(world, body, world_uniform(world, 1, 10), needs, found);
 }
 
-static void
-trouble(World *world) {
-  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
-  WorldMachine *machine = g_ptr_array_index(
-      world->machines, (guint)g_rand_int_range(world->rand, 0, (gint32)world->machines->len));
-
-  switch (g_rand_int_range(world->rand, 0, 9)) {
-  case 0:
-    world_kill_node(world, node, world_uniform(world, 0, 1) < 0.3 ? 0.2 : 3);
-    break;
-  case 1:
-    world_store_outage(world, world_uniform(world, 1, 10));
-    break;
-  case 2:
-    world->nodes[node].refused_until_us
-        = world->now_us + (gint64)(world_uniform(world, 1, 10) * SECOND);
-    break;
-  case 3:
-    machine->hung_until_us = world->now_us + (gint64)(world_uniform(world, 1, 12) * SECOND);
-    break;
-  case 4:
-    machine->cut_until_us = world->now_us + (gint64)(world_uniform(world, 1, 20) * SECOND);
-    break;
-  case 5:
-    world_freeze_node(world, node, world_uniform(world, 0.2, 2 * world->lease_s));
-    break;
-  case 6:
-    world_cut_zone(world, node, world_uniform(world, 1, 20), g_rand_boolean(world->rand));
-    break;
-  case 7:
-    world->slow_s = world_uniform(world, 0.1, 1);
-    world->slow_until_us = world->now_us + 10 * SECOND;
-    break;
-  default:
-    world_refuse_links(world, world_uniform(world, 2, 15));
-    break;
-  }
-}
-
 /* A job every other second, three of four with dependencies; some are called off. */
 static void
 play_day(World *world, gboolean troubled, guint seconds, gboolean stop_when_broken) {
@@ -469,9 +424,9 @@
     if (second % 2 == 0)
       submit_something(world);
     if (second % 9 == 5)
-      world_cancel(any_job(world));
+      world_cancel(world_any_job(world));
     if (troubled && second > 8 && world_uniform(world, 0, 1) < 0.12)
-      trouble(world);
+      world_random_trouble(world);
     world_run(world, 1);
     if (stop_when_broken && world->broken->len > 0)
       return;
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -130,18 +130,12 @@
   world_free(world);
 }
 
-static WorldJob *
-any_job(World *world) {
-  return g_ptr_array_index(world->jobs,
-                           (guint)g_rand_int_range(world->rand, 0, (gint32)world->jobs->len));
-}
-
 static void
 submit_something(World *world, gboolean pipelines) {
   g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
   json_t *body
       = json_pack("{s:s, s:i}", WIRE_TEAM, team, WIRE_TASKS, g_rand_int_range(world->rand, 1, 9));
-  WorldJob *need = pipelines ? any_job(world) : NULL;
+  WorldJob *need = pipelines ? world_any_job(world) : NULL;
 
   if (need != NULL && need->ever_accepted && need->spec.kind != MM_KIND_SERVICE)
     world_submit_after(world, body, world_uniform(world, 1, 8), &need, 1);
@@ -149,38 +143,6 @@
     world_submit(world, body, world_uniform(world, 1, 8));
 }
 
-static void
-trouble(World *world) {
-  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
-  WorldMachine *machine = g_ptr_array_index(
-      world->machines, (guint)g_rand_int_range(world->rand, 0, (gint32)world->machines->len));
-
-  switch (g_rand_int_range(world->rand, 0, 7)) {
-  case 0: /* dies before its turn and is back old, or after it and is back new */
-    world_kill_node(world, node, world_uniform(world, 0, 1) < 0.4 ? 0.2 : 2);
-    break;
-  case 1:
-    world_store_outage(world, world_uniform(world, 1, 6));
-    break;
-  case 2:
-    world->nodes[node].refused_until_us
-        = world->now_us + (gint64)(world_uniform(world, 1, 8) * SECOND);
-    break;
-  case 3:
-    machine->hung_until_us = world->now_us + (gint64)(world_uniform(world, 1, 10) * SECOND);
-    break;
-  case 4:
-    machine->cut_until_us = world->now_us + (gint64)(world_uniform(world, 1, 15) * SECOND);
-    break;
-  case 5:
-    world_cut_zone(world, node, world_uniform(world, 1, 15), g_rand_boolean(world->rand));
-    break;
-  default:
-    world_kill_machine(world, machine);
-    break;
-  }
-}
-
 /* The nodes' turns come at random moments; what is new is asked for once all have had theirs, and
  * the limits fall at some moment after that. */
 static void
@@ -197,14 +159,14 @@
     if (second % 2 == 0)
       submit_something(world, second > all_new);
     if (second % 11 == 7)
-      world_cancel(any_job(world));
+      world_cancel(world_any_job(world));
     for (guint i = 0; i < WORLD_NODES; i++)
       if (turns[i] == second)
         world_upgrade_node(world, i, world_uniform(world, 0.2, 3));
     if (second == fall)
       world_lower_limits(world);
     if (second > 5 && world_uniform(world, 0, 1) < 0.12)
-      trouble(world);
+      world_random_trouble(world);
     world_run(world, 1);
     world_assert_rules(world);
   }
--- a/tests/world/troubles.c
+++ b/tests/world/troubles.c
@@ -4,9 +4,59 @@
 #include "base/wire.h"
 #include "parts/claims.h"
 
+#define SECOND ((gint64)G_USEC_PER_SEC)
 #define WAIT_US (90 * (gint64)G_USEC_PER_SEC)
 #define LARGEST_BEGIN_US (240 * (gint64)G_USEC_PER_SEC)
 
+WorldJob *
+world_any_job(World *world) {
+  return g_ptr_array_index(world->jobs,
+                           (guint)g_rand_int_range(world->rand, 0, (gint32)world->jobs->len));
+}
+
+void
+world_random_trouble(World *world) {
+  guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
+  WorldMachine *machine = g_ptr_array_index(
+      world->machines, (guint)g_rand_int_range(world->rand, 0, (gint32)world->machines->len));
+
+  switch (g_rand_int_range(world->rand, 0, 10)) {
+  case 0:
+    world_kill_node(world, node, world_uniform(world, 0, 1) < 0.3 ? 0.2 : 3);
+    break;
+  case 1:
+    world_store_outage(world, world_uniform(world, 1, 10));
+    break;
+  case 2:
+    world->nodes[node].refused_until_us
+        = world->now_us + (gint64)(world_uniform(world, 1, 10) * SECOND);
+    break;
+  case 3:
+    machine->hung_until_us = world->now_us + (gint64)(world_uniform(world, 1, 12) * SECOND);
+    break;
+  case 4:
+    machine->cut_until_us = world->now_us + (gint64)(world_uniform(world, 1, 20) * SECOND);
+    break;
+  case 5:
+    world_freeze_node(world, node, world_uniform(world, 0.2, 2 * world->lease_s));
+    break;
+  case 6:
+    world_cut_zone(world, node, world_uniform(world, 1, 20), g_rand_boolean(world->rand));
+    break;
+  case 7:
+    world->slow_s = world_uniform(world, 0.1, 1);
+    world->slow_until_us = world->now_us + 10 * SECOND;
+    break;
+  case 8:
+    if (machine->up)
+      world_kill_machine(world, machine);
+    break;
+  default:
+    world_refuse_links(world, world_uniform(world, 2, 15));
+    break;
+  }
+}
+
 guint
 world_leader(World *world) {
   guint leader = G_MAXUINT, most = 0;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -245,6 +245,9 @@
 void world_break_node(const World *world, MmNode *node, MmTime now);
 
 /* troubles.c */
+WorldJob *world_any_job(World *world);
+/* Something befalls a node, a machine, the state service or the links, for seconds. */
+void world_random_trouble(World *world);
 /* The node that holds most parts, of those that are up. */
 guint world_leader(World *world);
 /* Users send a job that fits no machine, one without each of its fields, and a repetition of each
