Limits that fall earlier or further than announced are learned from what is refused

A transaction that the state service answers 400, other than for an ended lease, halves what this node writes at a time: first the changes, then the values. So nothing too large is sent again as it was.

--- a/src/jobs/api.c
+++ b/src/jobs/api.c
@@ -301,7 +301,7 @@
 
   json_object_set_new(call->record, "c", json_integer(1));
   /* Written under larger limits: which of its tasks are done matters no more. */
-  if (json_dumpb(call->record, NULL, 0, JSON_COMPACT) > call->node->settings->state_value_bytes)
+  if (json_dumpb(call->record, NULL, 0, JSON_COMPACT) > mm_store_value_bytes(call->node->store))
     json_object_del(call->record, "d");
   mm_txn_guard(&txn, MM_KEY_JOB, call->id.s, version);
   mm_txn_put(&txn, MM_KEY_JOB, call->id.s, json_incref(call->record), 0);
--- a/src/owner/record.c
+++ b/src/owner/record.c
@@ -69,7 +69,7 @@
 record_text(const MmOwner *owner, const MmJob *job) {
   g_autoptr(json_t) bare = mm_job_record(&job->spec, job->submitted_ms, FALSE, NULL);
   gsize base = json_dumpb(bare, NULL, 0, JSON_COMPACT) + 64;
-  gsize most = owner->node->settings->state_value_bytes;
+  gsize most = mm_store_value_bytes(owner->node->store);
 
   return mm_done_set_text(&job->done, most > base ? most - base : 0);
 }
@@ -105,7 +105,7 @@
 mm_owner_write_jobs(MmOwner *owner) {
   MmNode *node = owner->node;
   MmTime now = mm_node_now(node);
-  guint ops = node->settings->state_txn_ops;
+  guint ops = mm_store_txn_ops(node->store);
   guint guards = 4 * ops;
   MmTxn txn;
   Write *write;
--- a/src/parts/claims.c
+++ b/src/parts/claims.c
@@ -305,7 +305,7 @@
 static void
 take(MmClaims *claims, GPtrArray *wanted) {
   const MmReplica *replica = claims->node->replica;
-  guint most = MIN(wanted->len, claims->node->settings->state_txn_ops - 1);
+  guint most = MIN(wanted->len, mm_store_txn_ops(claims->node->store) - 1);
   guint64 term = replica->term.v + 1;
   MmTxn txn = mm_txn();
 
@@ -336,7 +336,7 @@
       continue;
     mm_txn_guard(&txn, MM_KEY_SHARD, name, mm_replica_shard(claims->node->replica, name)->version);
     mm_txn_delete(&txn, MM_KEY_SHARD, name);
-    if (txn.puts >= claims->node->settings->state_txn_ops)
+    if (txn.puts >= mm_store_txn_ops(claims->node->store))
       break;
     surplus--;
   }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -17,6 +17,7 @@
   MmStore *store = g_new0(MmStore, 1);
 
   store->node = node;
+  store->learned_value_bytes = store->learned_txn_ops = G_MAXUINT;
   return store;
 }
 
@@ -37,10 +38,55 @@
 typedef struct {
   MmStore *store;
   MmTime sent;
+  json_t *txn; /* NULL: it is none */
   MmAnswered answered;
   gpointer data;
 } Call;
 
+/* No limit is believed to be below these, whatever is refused: a final state and its record take
+ * two changes, and a value that is too small for most jobs would only turn them away. */
+#define TXN_OPS_LEAST 2
+#define VALUE_BYTES_LEAST 1024
+#define LEASE_ENDED_ERROR "no such lease"
+
+static guint
+largest_value(const json_t *apply) {
+  gsize most = 0;
+  size_t i;
+  json_t *item;
+
+  json_array_foreach(apply, i, item) most
+      = MAX(most, json_dumpb(mm_json_get(item, WIRE_VALUE), NULL, 0, JSON_COMPACT));
+  return (guint)most;
+}
+
+/* The limits have fallen earlier than expected, or further. Nothing is sent again as it was: what
+ * is too much is halved, first the changes, then the values. */
+static void
+learn_limits(MmStore *store, const json_t *txn, const json_t *answer) {
+  const json_t *apply = json_object_get(txn, WIRE_THEN);
+  guint ops = (guint)json_array_size(apply);
+
+  if (g_strcmp0(mm_json_string(answer, "error"), LEASE_ENDED_ERROR) == 0)
+    return;
+  if (ops > TXN_OPS_LEAST)
+    store->learned_txn_ops = MIN(store->learned_txn_ops, MAX(ops / 2, TXN_OPS_LEAST));
+  else
+    store->learned_value_bytes
+        = MIN(store->learned_value_bytes, MAX(largest_value(apply) / 2, VALUE_BYTES_LEAST));
+  mm_info("the state service refuses %u changes of up to %u bytes", ops, largest_value(apply));
+}
+
+guint
+mm_store_value_bytes(const MmStore *store) {
+  return MIN(store->node->settings->state_value_bytes, store->learned_value_bytes);
+}
+
+guint
+mm_store_txn_ops(const MmStore *store) {
+  return MIN(store->node->settings->state_txn_ops, store->learned_txn_ops);
+}
+
 static double
 write_rate(const MmStore *store) {
   return store->node->settings->state_write_rps * WRITE_SHARE;
@@ -71,24 +117,31 @@
   }
   if (status == 429)
     note_limited(call->store);
-  if (status == 400)
-    mm_error("the state service refuses a request as too large or malformed");
+  if (status == 400 && call->txn != NULL)
+    learn_limits(call->store, call->txn, body);
   if (call->answered != NULL)
     call->answered(call->data, status, body);
+  json_decref(call->txn);
   g_free(call);
 }
 
-void
-mm_store_request(MmStore *store, const char *method, const char *path, const json_t *body,
-                 guint timeout_ms, MmAnswered answered, gpointer data) {
+static void
+send_request(MmStore *store, const char *method, const char *path, const json_t *body,
+             guint timeout_ms, json_t *txn, MmAnswered answered, gpointer data) {
   Call *call = g_new(Call, 1);
 
-  *call = (Call){ store, mm_node_now(store->node), answered, data };
+  *call = (Call){ store, mm_node_now(store->node), json_incref(txn), answered, data };
   store->requests++;
   store->node->port.request(store->node->port.self, MM_TARGET_STORE, NULL, method, path, body,
                             timeout_ms, call_answered, call);
 }
 
+void
+mm_store_request(MmStore *store, const char *method, const char *path, const json_t *body,
+                 guint timeout_ms, MmAnswered answered, gpointer data) {
+  send_request(store, method, path, body, timeout_ms, NULL, answered, data);
+}
+
 MmTxn
 mm_txn(void) {
   return (MmTxn){ json_array(), json_array(), 0 };
@@ -154,7 +207,7 @@
   g_autoptr(json_t) body = json_pack("{s:o, s:o}", WIRE_IF, txn->guards, WIRE_THEN, txn->apply);
 
   store->writes += txn->puts;
-  mm_store_request(store, "POST", WIRE_TXN_PATH, body, REQUEST_TIMEOUT_MS, answered, data);
+  send_request(store, "POST", WIRE_TXN_PATH, body, REQUEST_TIMEOUT_MS, body, answered, data);
   *txn = (MmTxn){ 0 };
 }
 
@@ -175,7 +228,7 @@
   double rate = write_rate(store);
 
   store->write_tokens += rate * (double)(now.us - store->tokens_at.us) / G_USEC_PER_SEC;
-  store->write_tokens = MIN(store->write_tokens, MAX(rate, store->node->settings->state_txn_ops));
+  store->write_tokens = MIN(store->write_tokens, MAX(rate, mm_store_txn_ops(store)));
   store->tokens_at = now;
   if (store->write_tokens < puts)
     return FALSE;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -15,6 +15,9 @@
   MmTime ticked;
   guint64 writes;
   guint64 requests;
+  /* Limits learned from transactions that were refused as too large; G_MAXUINT: none yet. */
+  guint learned_value_bytes;
+  guint learned_txn_ops;
 };
 
 /* A transaction under construction. */
@@ -62,6 +65,10 @@
 void mm_store_request(MmStore *store, const char *method, const char *path, const json_t *body,
                       guint timeout_ms, MmAnswered answered, gpointer data);
 
+/* What a value and a transaction may hold: by the settings, and less where the state service has
+ * refused that much. */
+guint mm_store_value_bytes(const MmStore *store);
+guint mm_store_txn_ops(const MmStore *store);
 /* Whether work that can wait may write `puts` keys now; takes them from the budget if so. */
 gboolean mm_store_may_write(MmStore *store, guint puts);
 /* Whether the state service refuses us at the moment. */
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -143,6 +143,45 @@
     world_submit(world, body, world_uniform(world, 1, 8));
 }
 
+/* Limits that fall though nothing announced them: nodes that are refused write less at a time, and
+ * nothing is sent twice as it was for long. */
+static void
+test_unannounced(void) {
+  World *world = world_new(3);
+  guint refused;
+
+  world->unannounced = TRUE;
+  world->team_cores = 4 * 120;
+  for (guint i = 0; i < 120; i++)
+    world_add_machine(world, "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
+  world_start(world);
+  world_run(world, 4);
+  for (guint i = 0; i < 8; i++)
+    submit_something(world, FALSE);
+  world_run(world, 10);
+  world_lower_limits(world);
+  for (guint i = 0; i < world->machines->len; i += 10)
+    world_kill_machine(world, g_ptr_array_index(world->machines, i));
+  /* One takes all shards at once. */
+  for (guint i = 0; i < WORLD_NODES; i++)
+    world_kill_node(world, i, i == 0 ? 0.5 : 30);
+  world_run(world, 20);
+  for (guint i = 0; i < 20; i++) {
+    submit_something(world, FALSE);
+    world_run(world, 1);
+  }
+  refused = world->refused;
+  g_assert_cmpuint(refused, >, 0);
+  world_run(world, 60);
+  world_assert_rules(world);
+  g_test_message("%u transactions refused, %u of them in the last minute", world->refused,
+                 world->refused - refused);
+  g_assert_cmpuint(world->refused - refused, <=, 6);
+  for (guint i = 0; i < world->jobs->len; i++)
+    g_assert_cmpint(((const WorldJob *)g_ptr_array_index(world->jobs, i))->told, ==, TOLD_DONE);
+  world_free(world);
+}
+
 /* The nodes' turns come at random moments; what is new is asked for once all have had theirs, and
  * the limits fall at some moment after that. */
 static void
@@ -196,6 +235,7 @@
     days = (guint)g_ascii_strtoull(g_getenv("MM_UPGRADE_DAYS"), NULL, 10);
   g_test_add_func("/upgrade/gate", test_gate);
   g_test_add_func("/upgrade/large-packs", test_large_packs);
+  g_test_add_func("/upgrade/unannounced", test_unannounced);
   for (guint seed = 1; seed <= days; seed++) {
     g_autofree char *name = g_strdup_printf("/upgrade/roll-%u", seed);
     g_test_add_data_func(name, GUINT_TO_POINTER(seed), a_roll);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -145,6 +145,8 @@
   double write_tokens;
   gint64 tokens_us;
   guint limited;          /* requests that got 429 */
+  gboolean unannounced;   /* nodes don't know of the limits: what is too large gets 400 */
+  guint refused;          /* such transactions */
   gboolean announce_next; /* new nodes' settings name the smaller limits */
 
   /* cloud */
