--- a/tests/test-pipelines.c
+++ b/tests/test-pipelines.c
@@ -326,6 +326,37 @@
   finish_world(world);
 }
 
+/* A node's replica stays behind while a dependency ends and another is cancelled: it neither starts
+ * what waits for them too early nor keeps it, nor turns new dependents away, nor calls one of them
+ * queued that has been called cancelled. */
+static void
+test_replica_behind(void) {
+  for (guint32 seed = 1; seed <= 3; seed++) {
+    World *world = pipeline_world(seed);
+    WorldJob *done = first_job(world, 0, 1, 4), *gone = first_job(world, 1, 1, 90);
+    WorldJob *after[2], *late[2];
+
+    run_until_accepted(world, done);
+    run_until_accepted(world, gone);
+    after[0] = next_job(world, 2, 1, 2, done);
+    after[1] = next_job(world, 3, 1, 2, gone);
+    run_until_accepted(world, after[0]);
+    run_until_accepted(world, after[1]);
+    world->nodes[1].unread_until_us = world->now_us + 10 * SECOND;
+    world_cancel(gone);
+    world_run(world, 8);
+    g_assert_cmpint(done->told, ==, TOLD_DONE);
+    g_assert_nonnull(mm_job_table_find(world->nodes[1].node->job_table, done->id));
+    late[0] = next_job(world, 2, 1, 2, done);
+    late[1] = next_job(world, 3, 1, 2, gone);
+    for (guint i = 0; i < 2; i++) {
+      run_until_told(world, after[i], i == 0 ? TOLD_DONE : TOLD_CANCELLED, 60);
+      run_until_told(world, late[i], i == 0 ? TOLD_DONE : TOLD_CANCELLED, 60);
+    }
+    finish_world(world);
+  }
+}
+
 /* A cancellation comes as the last task ends: whichever is written first decides for all. */
 static void
 test_cancelled_at_the_end(void) {
@@ -508,6 +539,7 @@
   g_test_add_func("/pipelines/cancelled-then-down", test_cancelled_then_down);
   g_test_add_func("/pipelines/submitted-as-cancelled", test_submitted_as_cancelled);
   g_test_add_func("/pipelines/named-when-over", test_named_when_over);
+  g_test_add_func("/pipelines/replica-behind", test_replica_behind);
   g_test_add_func("/pipelines/cancelled-at-the-end", test_cancelled_at_the_end);
   g_test_add_func("/pipelines/restart-amid", test_restart_amid);
   for (guint seed = 1; seed <= days; seed++) {
