--- a/tests/test-pipelines.c
+++ b/tests/test-pipelines.c
@@ -467,7 +467,7 @@
 static void
 a_day(gconstpointer data) {
   World *world = pipeline_world(GPOINTER_TO_UINT(data));
-  guint over = 0, dependents = 0;
+  guint dependents = 0;
 
   world->copies = GPOINTER_TO_UINT(data) % 2 == 0 ? 0 : 0.02;
   play_day(world, TRUE, 100, FALSE);
@@ -476,15 +476,11 @@
   world_assert_rules(world);
   for (guint i = 0; i < world->jobs->len; i++) {
     const WorldJob *job = g_ptr_array_index(world->jobs, i);
-    over += job->told >= TOLD_CANCELLED;
     dependents += job->needs->len > 0;
-    if (job->told < TOLD_CANCELLED)
-      g_test_message("%s is not over: %u of %u done, %u needs", job->id, job->n_done,
-                     job->spec.tasks, job->needs->len);
   }
   g_test_message("%u jobs, %u with dependencies", world->jobs->len, dependents);
   g_assert_cmpuint(dependents, >, 20);
-  g_assert_cmpuint(over, ==, world->jobs->len);
+  world_assert_all_over(world);
   world_free(world);
 }
 
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -187,7 +187,7 @@
 static void
 a_roll(gconstpointer data) {
   World *world = old_world(GPOINTER_TO_UINT(data), 9);
-  guint turns[WORLD_NODES], all_new = 0, fall, over = 0;
+  guint turns[WORLD_NODES], all_new = 0, fall;
 
   for (guint i = 0; i < WORLD_NODES; i++) {
     turns[i] = 8 + (guint)g_rand_int_range(world->rand, 0, 25);
@@ -212,14 +212,8 @@
   world->calm_us = world->now_us + 45 * SECOND;
   world_run(world, 240);
   world_assert_rules(world);
-  for (guint i = 0; i < world->jobs->len; i++) {
-    const WorldJob *job = g_ptr_array_index(world->jobs, i);
-    over += job->told >= TOLD_CANCELLED;
-    if (job->told < TOLD_CANCELLED)
-      g_test_message("%s is not over: %u of %u done", job->id, job->n_done, job->spec.tasks);
-  }
   g_test_message("%u requests over the rate", world->limited);
-  g_assert_cmpuint(over, ==, world->jobs->len);
+  world_assert_all_over(world);
   world_free(world);
 }
 
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -230,7 +230,6 @@
   World *world = world_new(GPOINTER_TO_UINT(data));
   gboolean rough = GPOINTER_TO_UINT(data) >= ROUGH_DAYS;
   guint started_half;
-  guint finished = 0;
 
   /* On two days of three, late copies of requests come as well. */
   world->copies = GPOINTER_TO_UINT(data) % 3 == 0 ? 0 : 0.02;
@@ -270,17 +269,9 @@
   world_run(world, 240);
   world_assert_rules(world);
   g_assert_cmpuint(started_half, >, 20);
-  for (guint i = 0; i < world->jobs->len; i++) {
-    const WorldJob *job = g_ptr_array_index(world->jobs, i);
-    finished += job->told >= TOLD_CANCELLED;
-    if (job->told < TOLD_CANCELLED)
-      g_test_message("%s (%s, %u tasks, %u done) is not over", job->id,
-                     job->spec.kind == MM_KIND_GANG ? "gang" : "array", job->spec.tasks,
-                     job->n_done);
-  }
   g_test_message("%u jobs, %u starts, %" G_GUINT64_FORMAT " writes", world->jobs->len,
                  world->starts, world->writes);
-  g_assert_cmpuint(finished, ==, world->jobs->len);
+  world_assert_all_over(world);
   world_free(world);
 }
 
--- a/tests/world/rules.c
+++ b/tests/world/rules.c
@@ -81,6 +81,20 @@
   g_assert_cmpuint(world->broken->len, ==, 0);
 }
 
+void
+world_assert_all_over(const World *world) {
+  guint over = 0;
+
+  for (guint i = 0; i < world->jobs->len; i++) {
+    const WorldJob *job = g_ptr_array_index(world->jobs, i);
+    over += job->told >= TOLD_CANCELLED;
+    if (job->told < TOLD_CANCELLED)
+      g_test_message("%s is not over: %u of %u done, %u needs", job->id, job->n_done,
+                     job->spec.tasks, job->needs->len);
+  }
+  g_assert_cmpuint(over, ==, world->jobs->len);
+}
+
 guint
 world_running(const World *world, const WorldJob *job, const WorldMachine *except) {
   guint n = 0;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -317,6 +317,9 @@
 void world_check_all(World *world);
 /* Fails the test, and says which, when a rule was broken. */
 void world_assert_rules(const World *world);
+/* Fails the test, and says which, when some job's user was not told that it is done or cancelled.
+ */
+void world_assert_all_over(const World *world);
 /* How many tasks of the job run, on other machines than `except` (may be NULL). */
 guint world_running(const World *world, const WorldJob *job, const WorldMachine *except);
 static inline gboolean
