--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -344,6 +344,12 @@
             await boot()
         return name
 
+    def stop_machine(self, name):
+        """The machine stops with all that is on it. It is still listed as running for 30 s, then as failed."""
+        self.machines[name]["worker"].stop()
+        self.machines[name]["stopped_at"] = time.monotonic()
+        self.record("machine_stopped", machine=name)
+
     def workers(self):
         return [m["worker"] for m in self.machines.values() if m["worker"] is not None]
 
@@ -373,10 +379,16 @@
             worker = machine["worker"]
             rows.append({"nameId": name, "addr": worker.addr if worker else "", "breed": machine["kind"],
                          "den": machine["zone"], "strays": machine["spot"],
-                         "mood": "running" if machine["up"] else "booting", "heldS": round(age, 1)})
+                         "mood": self._mood(machine), "heldS": round(age, 1)})
         most = int(query.get("most", "500"))
         return 200, {"burrows": rows[:most], "truncated": len(rows) > most}
 
+    @staticmethod
+    def _mood(machine):
+        if "stopped_at" in machine and time.monotonic() - machine["stopped_at"] > 30:
+            return "failed"
+        return "running" if machine["up"] else "booting"
+
     async def _hire(self, body):
         if body["hire"] in self.hires:
             return 200, {"burrows": self.hires[body["hire"]]}
