--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -96,7 +96,7 @@
 
     def record(self, event, **fields):
         entry = {"t": round(self.now(), 3), "event": event, **fields}
-        if event not in self.quiet:
+        if event not in self.quiet and not self.log.closed:
             self.log.write(json.dumps(entry) + "\n")
         for listener in self.listeners:
             listener(entry)
