Log a node's memory by owner

A line at info, each minute and whenever the heap has changed by a quarter, now gives the limit, the size of the heap and the part of each owner: jobs, tasks, dependency graph, machines, and what none of them explains.

--- a/src/dependencies/dependency-graph.c
+++ b/src/dependencies/dependency-graph.c
@@ -25,6 +25,21 @@
   g_free(graph);
 }
 
+gsize
+mm_dependency_graph_memory_bytes(const MmDependencyGraph *graph) {
+  GHashTableIter iter;
+  gpointer value;
+  gsize bytes = graph->unknown->len * sizeof(gpointer);
+
+  g_hash_table_iter_init(&iter, graph->vertices);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    const MmVertex *vertex = value;
+    bytes += sizeof *vertex
+             + (vertex->dependencies->len + vertex->dependents->len) * sizeof(gpointer);
+  }
+  return bytes;
+}
+
 MmVertex *
 mm_dependency_graph_find(const MmDependencyGraph *graph, const char *job_id) {
   return g_hash_table_lookup(graph->vertices, job_id);
--- a/src/dependencies/dependency-graph.h
+++ b/src/dependencies/dependency-graph.h
@@ -43,6 +43,8 @@
 void mm_dependency_graph_free(MmDependencyGraph *graph);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(MmDependencyGraph, mm_dependency_graph_free)
 
+/* Returns the memory of the graph, in bytes. */
+gsize mm_dependency_graph_memory_bytes(const MmDependencyGraph *graph);
 /* Returns the vertex of the job, owned by the graph. Returns NULL if the job has no vertex: the job
  * has no dependencies and no unfinished job depends on it. */
 MmVertex *mm_dependency_graph_find(const MmDependencyGraph *graph, const char *job_id);
--- a/src/jobs/completed-tasks.c
+++ b/src/jobs/completed-tasks.c
@@ -15,6 +15,11 @@
   set->n_tasks = set->n_completed = 0;
 }
 
+gsize
+mm_completed_tasks_memory_bytes(const MmCompletedTasks *set) {
+  return set->bits != NULL ? (set->n_tasks + 63) / 64 * sizeof *set->bits : 0;
+}
+
 gboolean
 mm_completed_tasks_contains(const MmCompletedTasks *set, guint task_number) {
   return task_number < set->n_tasks && (set->bits[task_number / 64] >> (task_number % 64) & 1) != 0;
--- a/src/jobs/completed-tasks.h
+++ b/src/jobs/completed-tasks.h
@@ -17,6 +17,9 @@
 void mm_completed_tasks_clear(MmCompletedTasks *set);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(MmCompletedTasks, mm_completed_tasks_clear)
 
+/* Returns the memory of the set, in bytes, without the struct itself. */
+gsize mm_completed_tasks_memory_bytes(const MmCompletedTasks *set);
+
 gboolean mm_completed_tasks_contains(const MmCompletedTasks *set, guint task_number);
 /* Adds the task. Returns FALSE if the task was in the set already or the job has no such task. */
 gboolean mm_completed_tasks_add(MmCompletedTasks *set, guint task_number);
--- a/src/jobs/job-table.c
+++ b/src/jobs/job-table.c
@@ -8,6 +8,9 @@
 #define MAX_TERMINAL_STATES 4096
 #define MAX_REMOVED_IDS 8192
 
+/* Typical memory of a remembered id: the text, an element of the queue and of the hash table. */
+#define ENDED_ID_BYTES 64
+
 /* Calls the callback `member` of every observer for which this callback is not NULL. */
 #define NOTIFY(job_table, member, ...)                                                             \
   for (guint n_notified = 0; n_notified < (job_table)->observers->len; n_notified++) {             \
@@ -150,6 +153,15 @@
   }
 }
 
+gsize
+mm_job_table_ended_memory_bytes(const MmJobTable *job_table) {
+  guint n_ids
+      = g_hash_table_size(job_table->terminal_states) + g_hash_table_size(job_table->removed_ids);
+
+  return n_ids * ENDED_ID_BYTES
+         + g_hash_table_size(job_table->terminal_states) * sizeof(MmTerminalState);
+}
+
 gboolean
 mm_job_table_has_ended(const MmJobTable *job_table, const char *id) {
   return g_hash_table_contains(job_table->terminal_states, id)
--- a/src/jobs/job-table.h
+++ b/src/jobs/job-table.h
@@ -63,6 +63,8 @@
  * caller frees the strings. */
 void mm_job_table_list_keys(const MmJobTable *job_table, const char *prefix, GPtrArray *keys);
 
+/* Returns the memory of the remembered terminal states and ids of ended jobs, in bytes. */
+gsize mm_job_table_ended_memory_bytes(const MmJobTable *job_table);
 /* Returns whether the job is known to have ended: its job record was deleted, or its terminal
  * record was added. */
 gboolean mm_job_table_has_ended(const MmJobTable *job_table, const char *id);
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -10,6 +10,18 @@
   g_free(job);
 }
 
+gsize
+mm_job_spec_memory_bytes(const MmJob *job) {
+  return sizeof *job + (job->spec.n_allowed_types + job->spec.n_dependencies) * sizeof(MmName);
+}
+
+gsize
+mm_job_tasks_memory_bytes(const MmJob *job) {
+  return (job->tasks != NULL ? job->spec.n_tasks * sizeof(MmTask) : 0)
+         + mm_completed_tasks_memory_bytes(&job->recorded_completed)
+         + mm_completed_tasks_memory_bytes(&job->completed);
+}
+
 void
 mm_job_add_failed_machine(MmJob *job, const MmName *machine) {
   for (guint i = 0; i < job->n_failed_machines; i++)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -143,6 +143,11 @@
 void mm_job_free(MmJob *job);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(MmJob, mm_job_free)
 
+/* Returns the memory of the job, in bytes, without its tasks. */
+gsize mm_job_spec_memory_bytes(const MmJob *job);
+/* Returns the memory of the job's task states and of its sets of completed tasks, in bytes. */
+gsize mm_job_tasks_memory_bytes(const MmJob *job);
+
 /* Records that a task of the job ended with an error on the machine. */
 void mm_job_add_failed_machine(MmJob *job, const MmName *machine);
 /* Returns whether MM_JOB_MAX_FAILED_MACHINES machines have reported an error of the job and no task
--- a/src/machines/machine.c
+++ b/src/machines/machine.c
@@ -78,6 +78,15 @@
              && heartbeat_id.incarnation <= machine->latest_message_id.incarnation);
 }
 
+gsize
+mm_machine_memory_bytes(const MmMachine *machine) {
+  return sizeof *machine + machine->reported_tasks->len * sizeof(MmReportedTask)
+         + machine->cached_images->len * sizeof(MmCachedImage)
+         + machine->placed_tasks->len * (sizeof(gpointer) + sizeof(MmPlacedTask))
+         + machine->retained_candidates->len * sizeof(MmTaskRef)
+         + machine->queued_commands->len * sizeof(MmCommand);
+}
+
 MmResources
 mm_machine_available_resources(const MmMachineTable *machine_table, MmMachine *machine) {
   MmResources available = { 0 };
--- a/src/machines/machine.h
+++ b/src/machines/machine.h
@@ -122,6 +122,8 @@
  * task belongs to an unknown job. The result is cached for the current generation of the job
  * table. */
 MmResources mm_machine_available_resources(const MmMachineTable *machine_table, MmMachine *machine);
+/* Returns the memory of the machine, in bytes. */
+gsize mm_machine_memory_bytes(const MmMachine *machine);
 /* Returns the task as reported in the newest message, or NULL if the message does not contain it.
  * The result is borrowed and valid until the next message is applied. */
 const MmReportedTask *mm_machine_find_reported_task(const MmMachine *machine, const MmName *job_id,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -21,6 +21,7 @@
 #include "kv/kv-client.h"
 #include "upgrade/format.h"
 #include "upgrade/versions.h"
+#include "node/memory-usage.h"
 #include "node/wiring.h"
 
 /* How long is_healthy() counts a request to the key-value store as recent. The function considers
@@ -143,6 +144,7 @@
   mm_placement_tick(node->placement);
   mm_sharing_tick(node->sharing);
   mm_autoscaler_tick(node->autoscaler);
+  mm_memory_usage_tick(node);
 }
 
 /* Returns whether health checks succeed. Users are sent to healthy nodes only. A node is unhealthy
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,6 +38,9 @@
   MmTime last_tick_at;
   gint64 tick_delay_ms; /* the worst recent delay of a tick; each tick that is on time halves this
                            value */
+  MmTime memory_measured_at;      /* memory-usage.c: when the memory was last measured */
+  MmTime memory_logged_at;        /* memory-usage.c: when it was last logged */
+  gsize memory_logged_heap_bytes; /* memory-usage.c: size of the heap as last logged */
 
   MmKvClient *kv;
   MmReplica *replica;
