Keep the state of those tasks only that run or ran a short time ago

Cause: the leader of a shard allocated an MmTask of 216 bytes for each task of each unfinished job as soon as it led the shard. Every node also held one bit a task for the completed ones, and visited all tasks of a job at take-over, at cancellation, at each plan of a gang and for each rule on zones.

Change: a job's task table has entries only for tasks that are or may be on a machine, or were until a minute ago; all other pending tasks look alike, and so do the completed ones. Histories of pending tasks are forgotten after a minute, when they decide nothing any more, and sooner if there are more than the fleet explains. The sets of completed tasks are ranges. Pending tasks are listed and tried by runs. Nothing visits the tasks of a job one by one any more, but for a gang that is run again.

--- a/src/jobs/completed-tasks.c
+++ b/src/jobs/completed-tasks.c
@@ -1,47 +1,107 @@
 #include "jobs/completed-tasks.h"
 
-#include <string.h>
-
 void
 mm_completed_tasks_init(MmCompletedTasks *set, guint n_tasks) {
   set->n_tasks = n_tasks;
   set->n_completed = 0;
-  set->bits = g_new0(guint64, (n_tasks + 63) / 64);
+  set->ranges = NULL;
 }
 
 void
 mm_completed_tasks_clear(MmCompletedTasks *set) {
-  g_clear_pointer(&set->bits, g_free);
+  g_clear_pointer(&set->ranges, g_array_unref);
   set->n_tasks = set->n_completed = 0;
 }
 
 gsize
 mm_completed_tasks_memory_bytes(const MmCompletedTasks *set) {
-  return set->bits != NULL ? (set->n_tasks + 63) / 64 * sizeof *set->bits : 0;
+  return set->ranges != NULL ? sizeof *set->ranges + set->ranges->len * sizeof(MmTaskRange) : 0;
+}
+
+static guint
+count_ranges(const MmCompletedTasks *set) {
+  return set->ranges != NULL ? set->ranges->len : 0;
+}
+
+static const MmTaskRange *
+range_at(const MmCompletedTasks *set, guint index) {
+  return &g_array_index(set->ranges, MmTaskRange, index);
+}
+
+/* Returns the index of the first range that ends at or after the task, or the number of ranges if
+ * there is none. */
+static guint
+find_range_ending_from(const MmCompletedTasks *set, guint task_number) {
+  guint low = 0, high = count_ranges(set);
+
+  while (low < high) {
+    guint middle = low + (high - low) / 2;
+    if (range_at(set, middle)->last < task_number)
+      low = middle + 1;
+    else
+      high = middle;
+  }
+  return low;
 }
 
 gboolean
 mm_completed_tasks_contains(const MmCompletedTasks *set, guint task_number) {
-  return task_number < set->n_tasks && (set->bits[task_number / 64] >> (task_number % 64) & 1) != 0;
+  guint index = find_range_ending_from(set, task_number);
+
+  return index < count_ranges(set) && range_at(set, index)->first <= task_number;
+}
+
+guint
+mm_completed_tasks_end_of_range(const MmCompletedTasks *set, guint task_number) {
+  return range_at(set, find_range_ending_from(set, task_number))->last;
+}
+
+guint
+mm_completed_tasks_next(const MmCompletedTasks *set, guint task_number) {
+  guint index = find_range_ending_from(set, task_number);
+
+  return index < count_ranges(set) ? MAX(range_at(set, index)->first, task_number) : set->n_tasks;
+}
+
+/* Adds the tasks of the range, which the job must have. Replaces all ranges that overlap it or are
+ * next to it by one range. */
+static void
+add_range(MmCompletedTasks *set, MmTaskRange added) {
+  guint index = find_range_ending_from(set, added.first > 0 ? added.first - 1 : 0);
+  guint end = index;
+  MmTaskRange merged = added;
+
+  for (; end < count_ranges(set) && range_at(set, end)->first <= added.last + 1; end++) {
+    const MmTaskRange *known = range_at(set, end);
+    merged.first = MIN(merged.first, known->first);
+    merged.last = MAX(merged.last, known->last);
+    set->n_completed -= known->last - known->first + 1;
+  }
+  if (set->ranges == NULL)
+    set->ranges = g_array_new(FALSE, FALSE, sizeof(MmTaskRange));
+  if (end > index)
+    g_array_remove_range(set->ranges, index, end - index);
+  g_array_insert_val(set->ranges, index, merged);
+  set->n_completed += merged.last - merged.first + 1;
 }
 
 gboolean
 mm_completed_tasks_add(MmCompletedTasks *set, guint task_number) {
   if (task_number >= set->n_tasks || mm_completed_tasks_contains(set, task_number))
     return FALSE;
-  set->bits[task_number / 64] |= G_GUINT64_CONSTANT(1) << (task_number % 64);
-  set->n_completed++;
+  add_range(set, (MmTaskRange){ task_number, task_number });
   return TRUE;
 }
 
-typedef struct {
-  guint first;
-  guint last;
-} TaskRange;
+void
+mm_completed_tasks_add_all(MmCompletedTasks *set, const MmCompletedTasks *other) {
+  for (guint i = 0; i < count_ranges(other); i++)
+    add_range(set, *range_at(other, i));
+}
 
 static gint
 compare_longest_first(gconstpointer a, gconstpointer b) {
-  const TaskRange *x = a, *y = b;
+  const MmTaskRange *x = a, *y = b;
   guint x_length = x->last - x->first, y_length = y->last - y->first;
 
   if (x_length != y_length)
@@ -51,7 +111,7 @@
 
 static gint
 compare_lowest_first(gconstpointer a, gconstpointer b) {
-  const TaskRange *x = a, *y = b;
+  const MmTaskRange *x = a, *y = b;
 
   return x->first < y->first ? -1 : x->first > y->first;
 }
@@ -62,28 +122,12 @@
 
 /* Writes the range and a separator to the buffer, and returns the length of the text. */
 static gsize
-print_range(const TaskRange *range, char *buffer, gsize size) {
+print_range(const MmTaskRange *range, char *buffer, gsize size) {
   if (range->first == range->last)
     return (gsize)g_snprintf(buffer, size, "%u,", range->first);
   return (gsize)g_snprintf(buffer, size, "%u-%u,", range->first, range->last);
 }
 
-static GArray *
-collect_ranges(const MmCompletedTasks *set) {
-  GArray *ranges = g_array_new(FALSE, FALSE, sizeof(TaskRange));
-
-  for (guint i = 0; i < set->n_tasks; i++) {
-    TaskRange range = { i, i };
-    if (!mm_completed_tasks_contains(set, i))
-      continue;
-    while (mm_completed_tasks_contains(set, range.last + 1))
-      range.last++;
-    g_array_append_val(ranges, range);
-    i = range.last;
-  }
-  return ranges;
-}
-
 /* Keeps the longest ranges that fit into `max_bytes` and removes the others. The size of a range is
  * the length of its text including a separator. */
 static void
@@ -94,7 +138,7 @@
 
   g_array_sort(ranges, compare_longest_first);
   for (; n_kept < ranges->len; n_kept++) {
-    length += print_range(&g_array_index(ranges, TaskRange, n_kept), buffer, sizeof buffer);
+    length += print_range(&g_array_index(ranges, MmTaskRange, n_kept), buffer, sizeof buffer);
     if (length > max_bytes)
       break;
   }
@@ -103,14 +147,17 @@
 
 char *
 mm_completed_tasks_to_text(const MmCompletedTasks *set, gsize max_bytes) {
-  g_autoptr(GArray) ranges = collect_ranges(set);
+  g_autoptr(GArray) ranges = NULL;
   GString *text = g_string_new(NULL);
   char buffer[RANGE_TEXT_MAX];
 
+  if (set->ranges == NULL)
+    return g_string_free(text, FALSE);
+  ranges = g_array_copy(set->ranges);
   keep_longest_ranges(ranges, max_bytes);
   g_array_sort(ranges, compare_lowest_first);
   for (guint i = 0; i < ranges->len; i++) {
-    print_range(&g_array_index(ranges, TaskRange, i), buffer, sizeof buffer);
+    print_range(&g_array_index(ranges, MmTaskRange, i), buffer, sizeof buffer);
     g_string_append(text, buffer);
   }
   if (text->len > 0)
@@ -146,8 +193,7 @@
       return FALSE;
     if (last < first || last >= set->n_tasks || (*text != ',' && *text != '\0'))
       return FALSE;
-    for (guint64 i = first; i <= last; i++)
-      mm_completed_tasks_add(set, (guint)i);
+    add_range(set, (MmTaskRange){ (guint)first, (guint)last });
     if (*text == ',' && *++text == '\0')
       return FALSE;
   }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -7,47 +7,11 @@
 
 #include "jobs/completed-tasks.h"
 #include "jobs/job-spec.h"
+#include "jobs/task-table.h"
 
 typedef struct MmLedShard MmLedShard;
-typedef struct MmMachine MmMachine;
 typedef struct MmVertex MmVertex;
 
-/* State of a task. Only the leader of the team's shard tracks task states. */
-typedef enum {
-  MM_TASK_PENDING,          /* on no machine, and no start command is in flight */
-  MM_TASK_PLACE_RESERVED,   /* gangs: a machine is reserved; the start has not been sent yet */
-  MM_TASK_START_SENT,       /* a start command may be in flight */
-  MM_TASK_FETCHING,         /* the machine is fetching the image */
-  MM_TASK_WAITING_FOR_GANG, /* ready to run; waits for other tasks of its gang */
-  MM_TASK_RUNNING,
-  MM_TASK_CHECKPOINTING, /* saving a checkpoint before it stops */
-  MM_TASK_DONE
-} MmTaskState;
-
-/* A task, as known to the shard leader. Only src/scheduler writes it. */
-typedef struct {
-  /* task-state.c, except that admission.c and gang.c write start_heartbeat_id: the state of the
-   * task, and the machine where the task is or may be */
-  guint8 state; /* MmTaskState */
-  MmMachine *machine;
-  MmAttempt attempt;
-  MmHeartbeatId start_heartbeat_id; /* the heartbeat whose response contains the start command */
-  MmTime state_since;               /* of a pending task: since when it has waited */
-
-  /* heartbeats.c: errors */
-  guint8 n_errors;
-  MmTime retry_not_before;
-  MmName last_failed_on; /* the machine on which the task last failed */
-
-  /* preemption.c */
-  MmTime preempting_until; /* until when resources are being freed for the task by preemption */
-  MmName preempting_on;    /* the machine on which the resources are being freed */
-
-  /* stop-commands.c and heartbeats.c */
-  gboolean is_stopping; /* a stop was sent, or the machine's termination notice implies the stop */
-  MmTime stop_sent_at;  /* when the latest stop was sent */
-} MmTask;
-
 /* Estimate of where one more task of the job could run, from the latest scan of all machines. It is
  * cached for a short time: scanning all machines for each request would take most of a shard
  * leader's time once hundreds of tasks are pending. */
@@ -86,7 +50,7 @@
 
   /* led-shards.c and task-state.c: state that only the shard leader has */
   MmLedShard *led_shard; /* NULL: this node does not lead the shard */
-  MmTask *tasks;         /* array of spec.n_tasks elements; NULL if led_shard is NULL */
+  MmTaskTable *tasks;    /* NULL if led_shard is NULL */
   guint n_pending;
   guint n_maybe_on_machines;        /* number of tasks that are or may be on a machine */
   guint first_pending;              /* no pending task has a lower number */
@@ -148,6 +112,27 @@
 /* Returns the memory of the job's task states and of its sets of completed tasks, in bytes. */
 gsize mm_job_tasks_memory_bytes(const MmJob *job);
 
+/* Returns the task, which the job must have. This node must lead the job's shard. The result is
+ * valid until the entry of the task is removed, and must not be changed; for tasks without an entry
+ * it is shared. */
+const MmTask *mm_job_task(const MmJob *job, guint number);
+/* Returns the entry of the task, for changes. Adds the entry if the task has none. */
+MmTask *mm_job_edit_task(MmJob *job, guint number);
+
+/* Pending tasks with consecutive numbers that are all in the same state. */
+typedef struct {
+  guint first;
+  guint length;
+  const MmTask *task; /* any of the tasks; its field `number` is not set if length is above 1 */
+} MmPendingRun;
+
+/* Finds the first pending tasks from the number `from` on. Returns FALSE if there is none. */
+gboolean mm_job_next_pending_run(const MmJob *job, guint from, MmPendingRun *run);
+/* Removes the entries of pending tasks that have waited since before `waiting_since` and whose
+ * pauses are over by `paused_until`. Such a task then counts as having waited as long as the job's
+ * other tasks, and as never having failed. Returns how many pending tasks still have an entry. */
+guint mm_job_forget_task_history(MmJob *job, MmTime waiting_since, MmTime paused_until);
+
 /* Records that a task of the job ended with an error on the machine. */
 void mm_job_add_failed_machine(MmJob *job, const MmName *machine);
 /* Returns whether MM_JOB_MAX_FAILED_MACHINES machines have reported an error of the job and no task
--- a/src/machines/machine.c
+++ b/src/machines/machine.c
@@ -110,7 +110,7 @@
   }
   for (guint i = 0; i < machine->placed_tasks->len; i++) {
     const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i);
-    guint8 state = placed->job->tasks[placed->number].state;
+    guint8 state = placed->task->state;
     if (state == MM_TASK_START_SENT || state == MM_TASK_PLACE_RESERVED)
       available = mm_resources_sub(available, placed->job->spec.task_resources);
   }
--- a/src/machines/machine.h
+++ b/src/machines/machine.h
@@ -28,7 +28,8 @@
 /* A task placed on a machine where it runs or may run. This node leads the shard of the task's
  * job. */
 typedef struct {
-  MmJob *job; /* borrowed */
+  MmJob *job;         /* borrowed */
+  const MmTask *task; /* borrowed: the entry of the task, which exists while the task is placed */
   guint number;
 } MmPlacedTask;
 
--- a/src/placement/accelerator-reserve.c
+++ b/src/placement/accelerator-reserve.c
@@ -92,8 +92,7 @@
   }
   for (guint i = 0; i < machine->placed_tasks->len; i++) {
     const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i);
-    if (placed->job->tasks[placed->number].state == MM_TASK_START_SENT
-        && is_unpreemptible(placement, placed->job))
+    if (placed->task->state == MM_TASK_START_SENT && is_unpreemptible(placement, placed->job))
       taken = mm_resources_add(taken, placed->job->spec.task_resources);
   }
   return taken;
--- a/src/scheduler/admission.c
+++ b/src/scheduler/admission.c
@@ -71,7 +71,7 @@
 
 static gboolean
 task_may_start(MmScheduler *scheduler, MmJob *job, guint number, const MmStartRequest *request) {
-  const MmTask *task = &job->tasks[number];
+  const MmTask *task = mm_job_task(job, number);
   MmTime now = mm_node_now(scheduler->node);
 
   return task->state == MM_TASK_PENDING && !mm_time_before(now, task->retry_not_before)
@@ -88,7 +88,7 @@
   MmAttempt attempt = mm_scheduler_next_attempt(scheduler, shard);
 
   mm_scheduler_place_task(scheduler, job, number, request->machine, MM_TASK_START_SENT, attempt);
-  job->tasks[number].start_heartbeat_id = request->heartbeat_id;
+  mm_job_edit_task(job, number)->start_heartbeat_id = request->heartbeat_id;
   *approval = (MmApproval){ .job = job->spec.id,
                             .number = number,
                             .attempt = attempt,
@@ -119,17 +119,18 @@
 try_start_any_task(MmScheduler *scheduler, MmJob *job, const MmStartRequest *request,
                    MmApproval *approval) {
   guint tries_left = JOB_TASKS_TRIED_MAX;
+  MmPendingRun run;
 
   if (!job_may_start(scheduler, job, request))
     return FALSE;
-  for (guint i = job->first_pending; i < job->spec.n_tasks && tries_left > 0; i++) {
-    if (job->tasks[i].state != MM_TASK_PENDING)
-      continue;
-    if (task_may_start(scheduler, job, i, request)) {
-      approve_task(scheduler, job->led_shard, job, i, request, approval);
+  for (guint i = job->first_pending; tries_left > 0 && mm_job_next_pending_run(job, i, &run);
+       i = run.first + run.length) {
+    /* What is decided for one task of the run holds for all of them. */
+    if (task_may_start(scheduler, job, run.first, request)) {
+      approve_task(scheduler, job->led_shard, job, run.first, request, approval);
       return TRUE;
     }
-    tries_left--;
+    tries_left -= MIN(run.length, tries_left);
   }
   return FALSE;
 }
@@ -240,7 +241,7 @@
     const MmTaskRef *candidate = &request->tasks[i];
     const MmJob *job = mm_job_table_find(scheduler->node->job_table, candidate->job.s);
     if (job != NULL && job->tasks != NULL && candidate->number < job->spec.n_tasks
-        && job->tasks[candidate->number].state == MM_TASK_PENDING)
+        && mm_job_task(job, candidate->number)->state == MM_TASK_PENDING)
       add_to_retained_candidates(request->machine, candidate);
   }
 }
--- a/src/scheduler/gang.c
+++ b/src/scheduler/gang.c
@@ -33,16 +33,16 @@
  * machines. */
 static void
 release_gang(MmScheduler *scheduler, MmJob *job) {
-  for (guint i = 0; i < job->spec.n_tasks; i++) {
-    MmTask *task = &job->tasks[i];
+  for (guint i = 0; i < job->tasks->entries->len; i++) {
+    const MmTask *task = mm_task_table_at(job->tasks, i);
     if (task->state == MM_TASK_PLACE_RESERVED) {
       /* The machine did not request work in time. Whatever the reason is, the same place must not
        * be chosen again immediately. */
       task->machine->no_starts_until
           = mm_time_add_ms(mm_node_now(scheduler->node), UNUSED_RESERVATION_PAUSE_MS);
-      mm_scheduler_unplace_task(scheduler, job, i);
+      mm_scheduler_unplace_task(scheduler, job, task->number);
     } else if (task->machine != NULL && !task->is_stopping) {
-      mm_scheduler_stop_task(scheduler, job, i);
+      mm_scheduler_stop_task(scheduler, job, task->number);
     }
   }
 }
@@ -55,7 +55,7 @@
 static void
 restart_gang(MmScheduler *scheduler, MmJob *job) {
   for (guint i = 0; i < job->spec.n_tasks; i++)
-    if (job->tasks[i].state == MM_TASK_DONE)
+    if (mm_job_task(job, i)->state == MM_TASK_DONE)
       mm_scheduler_unplace_task(scheduler, job, i);
 }
 
@@ -182,8 +182,8 @@
   guint n_started = 0;
   gboolean is_reservation_expired = FALSE, is_paused = FALSE;
 
-  for (guint i = 0; i < job->spec.n_tasks; i++) {
-    const MmTask *task = &job->tasks[i];
+  for (guint i = 0; i < job->tasks->entries->len; i++) {
+    const MmTask *task = mm_task_table_at(job->tasks, i);
     is_paused = is_paused || mm_time_before(now, task->retry_not_before);
     n_started += task->machine != NULL && task->state != MM_TASK_PLACE_RESERVED;
     is_reservation_expired = is_reservation_expired
@@ -214,7 +214,7 @@
                                     MmApproval *approval) {
   for (guint i = 0; i < request->machine->placed_tasks->len; i++) {
     const MmPlacedTask *placed = g_ptr_array_index(request->machine->placed_tasks, i);
-    MmTask *task = &placed->job->tasks[placed->number];
+    MmTask *task = mm_job_edit_task(placed->job, placed->number);
     MmLedShard *shard = mm_scheduler_shard_of_job(scheduler, placed->job);
     MmResources need = placed->job->spec.task_resources;
     /* For a local request, the reserved resources have already been subtracted from the free ones,
--- a/src/scheduler/heartbeats.c
+++ b/src/scheduler/heartbeats.c
@@ -46,7 +46,7 @@
 
 static void
 task_done(MmScheduler *scheduler, MmJob *job, guint number) {
-  MmTask *task = &job->tasks[number];
+  const MmTask *task = mm_job_task(job, number);
   MmTime now = mm_node_now(scheduler->node);
 
   if (task->state == MM_TASK_DONE || job->spec.kind == MM_JOB_KIND_SERVICE)
@@ -57,10 +57,7 @@
     job->n_observed_runs++;
     update_estimate_error(scheduler, job, ran_s);
   }
-  if (task->machine != NULL)
-    mm_scheduler_unplace_task(scheduler, job, number);
-  mm_scheduler_set_task_state(scheduler, job, number, MM_TASK_DONE);
-  mm_completed_tasks_add(&job->completed, number);
+  mm_scheduler_set_task_done(scheduler, job, number);
   job->n_consecutive_errors = 0;
   if (job->unwritten_since.us == 0)
     job->unwritten_since = now;
@@ -85,7 +82,7 @@
  * the end determines how soon and on which machines the task may start again. */
 static void
 task_ended(MmScheduler *scheduler, MmJob *job, guint number, MmMachine *machine, MmEndCause cause) {
-  MmTask *task = &job->tasks[number];
+  MmTask *task = mm_job_edit_task(job, number);
   MmTime now = mm_node_now(scheduler->node);
 
   mm_scheduler_unplace_task(scheduler, job, number);
@@ -121,7 +118,7 @@
 static void
 apply_reported_task(MmScheduler *scheduler, MmMachine *machine, MmJob *job,
                     const MmReportedTask *reported) {
-  MmTask *task = &job->tasks[reported->number];
+  const MmTask *task = mm_job_task(job, reported->number);
   gboolean is_same_attempt = task->machine == machine && task->attempt.v == reported->attempt.v;
 
   if (reported->state == MM_REPORTED_ENDED) {
@@ -167,7 +164,7 @@
       continue;
     if (only_shard == NULL || strcmp(only_shard, job->shard) == 0)
       apply_reported_task(scheduler, machine, job, reported);
-    must_reapply = must_reapply || job->tasks[reported->number].machine != machine;
+    must_reapply = must_reapply || mm_job_task(job, reported->number)->machine != machine;
   }
   /* The same report must be applied again in two cases. A job's record may arrive after the
    * heartbeat that reports the job's tasks. A result may count only after another attempt of the
@@ -196,7 +193,7 @@
     const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i - 1);
     MmJob *job = placed->job;
     guint number = placed->number;
-    const MmTask *task = &job->tasks[number];
+    const MmTask *task = placed->task;
 
     if (task->state == MM_TASK_PLACE_RESERVED
         || mm_machine_find_reported_task(machine, &job->spec.id, number, task->attempt) != NULL)
@@ -226,7 +223,7 @@
 static gboolean
 must_stop_task(const MmScheduler *scheduler, const MmMachine *machine, const MmJob *job,
                const MmReportedTask *reported) {
-  const MmTask *task = &job->tasks[reported->number];
+  const MmTask *task = mm_job_task(job, reported->number);
   MmTime now = mm_node_now(scheduler->node);
 
   return job->is_cancelled || task->state == MM_TASK_DONE
@@ -242,7 +239,7 @@
 command_for_reported_task(MmScheduler *scheduler, const MmMachine *machine,
                           const MmReportedTask *reported, MmCommand *command) {
   MmJob *job = mm_job_table_find(scheduler->node->job_table, reported->job.s);
-  MmTask *task;
+  const MmTask *task;
 
   if (job == NULL || job->tasks == NULL || reported->number >= job->spec.n_tasks)
     return FALSE;
@@ -256,13 +253,12 @@
   command->grace_s = mm_scheduler_stop_grace_s(job);
   if (must_stop_task(scheduler, machine, job, reported))
     return TRUE;
-  task = &job->tasks[reported->number];
+  task = mm_job_task(job, reported->number);
   if (!machine->has_termination_notice || task->is_stopping || task->machine != machine)
     return FALSE;
   /* The cloud is about to take the machine back. A task that is stopped now can save a checkpoint,
    * or at least starts sooner on another machine. */
-  task->is_stopping = TRUE;
-  task->stop_sent_at = mm_node_now(scheduler->node);
+  mm_scheduler_mark_stopping(scheduler, job, reported->number);
   return TRUE;
 }
 
--- a/src/scheduler/led-shards.c
+++ b/src/scheduler/led-shards.c
@@ -36,9 +36,11 @@
     shard->used.cores -= job->n_maybe_on_machines * job->spec.task_resources.cores;
     shard->used.accelerators -= job->n_maybe_on_machines * job->spec.task_resources.accelerators;
   }
-  for (guint i = 0; job->tasks != NULL && i < job->spec.n_tasks; i++)
-    mm_scheduler_remove_from_machine(job->tasks[i].machine, job, i);
-  g_clear_pointer(&job->tasks, g_free);
+  for (guint i = 0; job->tasks != NULL && i < job->tasks->entries->len; i++) {
+    const MmTask *task = mm_task_table_at(job->tasks, i);
+    mm_scheduler_remove_from_machine(task->machine, job, task->number);
+  }
+  g_clear_pointer(&job->tasks, mm_task_table_free);
   mm_completed_tasks_clear(&job->completed);
   job->n_pending = job->n_maybe_on_machines = 0;
   job->is_being_written = FALSE;
@@ -47,28 +49,21 @@
   mm_placement_backlog_changed(scheduler->node->placement);
 }
 
-/* Creates the job's tasks. Tasks with recorded results are done. All other tasks are pending until
- * heartbeats show that they are on machines. */
+/* Creates the job's task table. Tasks with recorded results are done. All other tasks are pending
+ * until heartbeats show that they are on machines. */
 static void
 init_job_tasks(MmScheduler *scheduler, MmLedShard *shard, MmJob *job) {
   MmTime now = mm_node_now(scheduler->node);
 
   job->led_shard = shard;
   scheduler->is_urgency_order_stale = TRUE;
-  job->tasks = g_new0(MmTask, job->spec.n_tasks);
+  job->tasks = mm_task_table_new(now);
   mm_completed_tasks_init(&job->completed, job->spec.n_tasks);
+  mm_completed_tasks_add_all(&job->completed, &job->recorded_completed);
   job->first_pending = 0;
-  job->n_pending = job->n_maybe_on_machines = 0;
+  job->n_pending = job->spec.n_tasks - job->completed.n_completed;
+  job->n_maybe_on_machines = 0;
   job->submitted_after_acquire = FALSE;
-  for (guint i = 0; i < job->spec.n_tasks; i++) {
-    job->tasks[i].state_since = now;
-    if (mm_completed_tasks_contains(&job->recorded_completed, i)) {
-      job->tasks[i].state = MM_TASK_DONE;
-      mm_completed_tasks_add(&job->completed, i);
-    } else {
-      job->n_pending++;
-    }
-  }
   if (job->completed.n_completed == job->spec.n_tasks)
     job->unwritten_since = now;
   mm_placement_backlog_changed(scheduler->node->placement);
@@ -92,14 +87,21 @@
     mm_placement_backlog_changed(scheduler->node->placement);
 }
 
+static void
+restart_waiting_times(MmTaskTable *tasks, MmTime now) {
+  tasks->untouched_pending.state_since = now;
+  for (guint i = 0; i < tasks->entries->len; i++) {
+    MmTask *task = mm_task_table_at(tasks, i);
+    if (task->state == MM_TASK_PENDING)
+      task->state_since = now;
+  }
+}
+
 void
 mm_scheduler_job_ready(MmScheduler *scheduler, MmJob *job) {
-  MmTime now = mm_node_now(scheduler->node);
-
   job->waiting_since_ms = MAX(job->submitted_at_ms, mm_vertex_dependencies_done_at_ms(job->vertex));
-  for (guint i = 0; job->tasks != NULL && i < job->spec.n_tasks; i++)
-    if (job->tasks[i].state == MM_TASK_PENDING)
-      job->tasks[i].state_since = now;
+  if (job->tasks != NULL)
+    restart_waiting_times(job->tasks, mm_node_now(scheduler->node));
   mm_info("job %s dependencies done class=%s", job->spec.id.s, job->spec.job_class.s);
   scheduler->is_urgency_order_stale = TRUE;
   mm_placement_backlog_changed(scheduler->node->placement);
--- a/src/scheduler/pending-tasks.c
+++ b/src/scheduler/pending-tasks.c
@@ -10,17 +10,17 @@
 #define BACKLOG_TASKS_MAX 512
 #define BACKLOG_RANGES_MAX 16 /* for each job */
 
-/* Adds a task number to the ranges. The number must be higher than all numbers in the ranges.
+/* Adds task numbers to the ranges. The numbers must be higher than all numbers in the ranges.
  * `ranges` holds guint pairs: first number, length. Returns FALSE when the result would exceed
  * BACKLOG_RANGES_MAX. */
 static gboolean
-append_to_ranges(GArray *ranges, guint number) {
-  guint new_range[2] = { number, 1 };
+append_to_ranges(GArray *ranges, guint first, guint length) {
+  guint new_range[2] = { first, length };
 
   if (ranges->len > 0) {
     guint *last_range = &g_array_index(ranges, guint, ranges->len - 2);
-    if (last_range[0] + last_range[1] == number) {
-      last_range[1]++;
+    if (last_range[0] + last_range[1] == first) {
+      last_range[1] += length;
       return TRUE;
     }
   }
@@ -37,19 +37,20 @@
   MmTime now = mm_node_now(scheduler->node);
   g_autoptr(MmPendingTasks) pending = mm_pending_tasks_new(
       job->spec.id.s, mm_scheduler_has_precedence(scheduler, job), job->is_starving);
+  MmPendingRun run;
 
-  while (job->first_pending < job->spec.n_tasks
-         && job->tasks[job->first_pending].state != MM_TASK_PENDING)
-    job->first_pending++;
-  for (guint i = job->first_pending; i < job->spec.n_tasks; i++) {
-    const MmTask *task = &job->tasks[i];
-    if (*tasks_left == 0)
-      break;
-    if (task->state != MM_TASK_PENDING || mm_time_before(now, task->retry_not_before))
+  job->first_pending
+      = mm_job_next_pending_run(job, job->first_pending, &run) ? run.first : job->spec.n_tasks;
+  for (guint i = job->first_pending; *tasks_left > 0 && mm_job_next_pending_run(job, i, &run);
+       i = run.first + run.length) {
+    guint n_added = MIN(run.length, *tasks_left);
+    if (mm_time_before(now, run.task->retry_not_before))
       continue;
-    --*tasks_left;
-    if (!append_to_ranges(pending->ranges, i))
+    if (!append_to_ranges(pending->ranges, run.first, n_added)) {
+      --*tasks_left;
       break;
+    }
+    *tasks_left -= n_added;
   }
   if (pending->ranges->len > 0)
     g_ptr_array_add(list, g_steal_pointer(&pending));
@@ -60,9 +61,11 @@
  * machines have tasks. */
 static void
 add_reserved_machines(const MmJob *job, GArray *machines) {
-  for (guint i = 0; i < job->spec.n_tasks; i++)
-    if (job->tasks[i].state == MM_TASK_PLACE_RESERVED)
-      g_array_append_val(machines, job->tasks[i].machine->id);
+  for (guint i = 0; i < job->tasks->entries->len; i++) {
+    const MmTask *task = mm_task_table_at(job->tasks, i);
+    if (task->state == MM_TASK_PLACE_RESERVED)
+      g_array_append_val(machines, task->machine->id);
+  }
 }
 
 void
--- a/src/scheduler/placement-estimate.c
+++ b/src/scheduler/placement-estimate.c
@@ -32,7 +32,7 @@
   }
   for (guint i = 0; i < machine->placed_tasks->len; i++) {
     const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i);
-    n_tasks += placed->job->tasks[placed->number].state == MM_TASK_START_SENT
+    n_tasks += placed->task->state == MM_TASK_START_SENT
                && placed->job->effective_priority >= job->effective_priority;
   }
   return n_tasks;
--- a/src/scheduler/preemption.c
+++ b/src/scheduler/preemption.c
@@ -177,8 +177,9 @@
 }
 
 void
-mm_scheduler_reserve_resources(MmScheduler *scheduler, const MmJob *job, MmTask *task,
+mm_scheduler_reserve_resources(MmScheduler *scheduler, MmJob *job, guint number,
                                MmMachine *machine) {
+  MmTask *task = mm_job_edit_task(job, number);
   MmTime now = mm_node_now(scheduler->node);
   gint64 heartbeat_interval_ms = mm_scheduler_heartbeat_interval_ms(scheduler);
 
@@ -195,7 +196,7 @@
 mm_scheduler_preempt_for_gang(MmScheduler *scheduler, MmJob *job, guint max_machines) {
   const GPtrArray *order = scheduler->node->machine_table->sorted_machines;
   MmTime now = mm_node_now(scheduler->node);
-  MmTask *first_task = &job->tasks[0];
+  MmTask *first_task = mm_job_edit_task(job, 0);
   StartPlan plan;
 
   if (mm_time_before(now, first_task->preempting_until))
@@ -238,14 +239,14 @@
 /* Finds the machine on which the task would start soonest. Preempts work there if necessary, and
  * reserves the resources for the task. Returns FALSE when there is no such machine. */
 static gboolean
-preempt_for_task(MmScheduler *scheduler, const MmJob *job, MmTask *task) {
+preempt_for_task(MmScheduler *scheduler, MmJob *job, guint number) {
   MmMachine *machine = find_soonest_machine(scheduler, job);
   StartPlan plan;
 
   if (machine == NULL || !plan_start(scheduler, job, machine, &plan))
     return FALSE;
   stop_victims(scheduler, job, machine, &plan);
-  mm_scheduler_reserve_resources(scheduler, job, task, machine);
+  mm_scheduler_reserve_resources(scheduler, job, number, machine);
   return TRUE;
 }
 
@@ -263,16 +264,20 @@
                            ? (gint64)(node->operators->preempt_after_s * 1000)
                            : QUOTA_RECLAIM_AFTER_MS;
   guint tries = 0;
+  MmPendingRun run;
 
-  for (guint i = job->first_pending; i < job->spec.n_tasks && tries < max_tries; i++) {
-    MmTask *task = &job->tasks[i];
-    if (task->state != MM_TASK_PENDING || mm_time_before(now, task->preempting_until)
-        || mm_time_before(now, task->retry_not_before)
-        || mm_time_ms_since(now, task->state_since) < min_wait_ms)
+  for (guint i = job->first_pending; tries < max_tries && mm_job_next_pending_run(job, i, &run);
+       i = run.first + run.length) {
+    if (mm_time_before(now, run.task->preempting_until)
+        || mm_time_before(now, run.task->retry_not_before)
+        || mm_time_ms_since(now, run.task->state_since) < min_wait_ms)
       continue;
-    tries++;
-    if (!preempt_for_task(scheduler, job, task) && !mm_scheduler_move_replica(scheduler, job, task))
-      break;
+    for (guint k = 0; k < run.length && tries < max_tries; k++) {
+      tries++;
+      if (!preempt_for_task(scheduler, job, run.first + k)
+          && !mm_scheduler_move_replica(scheduler, job, run.first + k))
+        return tries;
+    }
   }
   return tries;
 }
--- a/src/scheduler/preemption.h
+++ b/src/scheduler/preemption.h
@@ -31,5 +31,5 @@
 double mm_scheduler_image_fetch_s(const MmJob *job, const MmMachine *machine);
 /* Reserves resources for the task on the machine for two heartbeat intervals. For the first of
  * these intervals, no further preemption is tried for the task. */
-void mm_scheduler_reserve_resources(MmScheduler *scheduler, const MmJob *job, MmTask *task,
+void mm_scheduler_reserve_resources(MmScheduler *scheduler, MmJob *job, guint number,
                                     MmMachine *machine);
--- a/src/scheduler/replica-move.c
+++ b/src/scheduler/replica-move.c
@@ -58,7 +58,7 @@
 static gboolean
 is_movable_replica(const MmJob *job, const MmPlacedTask *placed, MmResources free_resources) {
   const MmJob *other = placed->job;
-  const MmTask *replica = &other->tasks[placed->number];
+  const MmTask *replica = placed->task;
 
   return other != job && !other->is_cancelled && other->spec.kind == MM_JOB_KIND_SERVICE
          && other->effective_priority <= job->effective_priority
@@ -71,7 +71,7 @@
  * replica for the task. Subtracts 1 from `scans_left` for each replica tried. Returns FALSE when no
  * replica was stopped. */
 static gboolean
-move_replica_off_machine(MmScheduler *scheduler, const MmJob *job, MmTask *task, MmMachine *machine,
+move_replica_off_machine(MmScheduler *scheduler, MmJob *job, guint number, MmMachine *machine,
                          MmResources free_resources, double max_fetch_s, guint *scans_left) {
   for (guint i = 0; i < machine->placed_tasks->len; i++) {
     const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i);
@@ -88,8 +88,8 @@
       continue;
     mm_info("replica %s/%u stopped for move from=%s to=%s for_job=%s", other->spec.id.s,
             placed->number, machine->id.s, target->id.s, job->spec.id.s);
-    mm_scheduler_reserve_resources(scheduler, job, task, machine);
-    other->tasks[placed->number].last_failed_on = machine->id;
+    mm_scheduler_reserve_resources(scheduler, job, number, machine);
+    mm_job_edit_task(other, placed->number)->last_failed_on = machine->id;
     mm_scheduler_stop_task(scheduler, other, placed->number);
     return TRUE;
   }
@@ -97,11 +97,11 @@
 }
 
 gboolean
-mm_scheduler_move_replica(MmScheduler *scheduler, const MmJob *job, MmTask *task) {
+mm_scheduler_move_replica(MmScheduler *scheduler, MmJob *job, guint number) {
   MmNode *node = scheduler->node;
   const GPtrArray *machines = node->machine_table->sorted_machines;
   MmTime now = mm_node_now(node);
-  gint64 waited_ms = mm_time_ms_since(now, task->state_since);
+  gint64 waited_ms = mm_time_ms_since(now, mm_job_task(job, number)->state_since);
   /* A moved replica may fetch its image only if the task has already waited for longer than the
    * fetch may take. */
   double max_fetch_s = waited_ms > REPLICA_MOVE_FETCH_S * 1000 ? REPLICA_MOVE_FETCH_S : 0;
@@ -118,7 +118,7 @@
     MmResources free_resources = mm_machine_available_resources(node->machine_table, machine);
 
     if (could_host_task_after_move(scheduler, job, machine, free_resources)
-        && move_replica_off_machine(scheduler, job, task, machine, free_resources, max_fetch_s,
+        && move_replica_off_machine(scheduler, job, number, machine, free_resources, max_fetch_s,
                                     &scans_left))
       return TRUE;
   }
--- a/src/scheduler/replica-move.h
+++ b/src/scheduler/replica-move.h
@@ -8,4 +8,4 @@
 
 /* Stops a replica of another service to make room for the pending task of the job. Returns FALSE
  * when no replica was stopped. */
-gboolean mm_scheduler_move_replica(MmScheduler *scheduler, const MmJob *job, MmTask *task);
+gboolean mm_scheduler_move_replica(MmScheduler *scheduler, MmJob *job, guint number);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -9,6 +9,7 @@
 #include "scheduler/preemption.h"
 #include "scheduler/quota.h"
 #include "scheduler/stop-commands.h"
+#include "scheduler/task-history.h"
 #include "scheduler/urgency.h"
 
 #define SLOW_TICK_MS 100
@@ -77,6 +78,7 @@
   mm_scheduler_recount_resources(scheduler);
   scheduler->is_urgency_order_stale = TRUE;
   scheduler->machine_scans_left = MACHINE_SCANS_PER_TICK;
+  mm_scheduler_forget_task_history(scheduler);
   mm_scheduler_request_acknowledgements(scheduler);
   mm_scheduler_resend_stops(scheduler);
   mm_scheduler_plan_gangs(scheduler);
--- a/src/scheduler/start-rules.c
+++ b/src/scheduler/start-rules.c
@@ -34,8 +34,8 @@
     return FALSE;
   if (!job->spec.requires_one_zone && !job->spec.spreads_over_zones)
     return TRUE;
-  for (guint i = 0; i < job->spec.n_tasks; i++) {
-    const MmTask *task = &job->tasks[i];
+  for (guint i = 0; i < job->tasks->entries->len; i++) {
+    const MmTask *task = mm_task_table_at(job->tasks, i);
     const MmMachine *task_machine = task->machine;
     gboolean same_zone;
     if (task_machine == NULL && reservations_at.us != 0
--- a/src/scheduler/stop-commands.c
+++ b/src/scheduler/stop-commands.c
@@ -14,14 +14,21 @@
                                                                    : 0;
 }
 
+void
+mm_scheduler_mark_stopping(MmScheduler *scheduler, MmJob *job, guint number) {
+  MmTask *task = mm_job_edit_task(job, number);
+
+  task->is_stopping = TRUE;
+  task->stop_sent_at = mm_node_now(scheduler->node);
+}
+
 void
 mm_scheduler_stop_task(MmScheduler *scheduler, MmJob *job, guint number) {
-  MmTask *task = &job->tasks[number];
+  const MmTask *task = mm_job_task(job, number);
 
   if (task->machine == NULL || task->state == MM_TASK_PLACE_RESERVED)
     return;
-  task->is_stopping = TRUE;
-  task->stop_sent_at = mm_node_now(scheduler->node);
+  mm_scheduler_mark_stopping(scheduler, job, number);
   mm_scheduler_send_stop(scheduler, task->machine, &job->spec.id, number, task->attempt,
                          mm_scheduler_stop_grace_s(job));
 }
@@ -41,7 +48,7 @@
       const MmReportedTask *reported = &g_array_index(machine->reported_tasks, MmReportedTask, k);
       if (reported->state != MM_REPORTED_ENDED && mm_name_equal(&reported->job, &job->spec.id)
           && (job->tasks == NULL || reported->number >= job->spec.n_tasks
-              || job->tasks[reported->number].machine != machine))
+              || mm_job_task(job, reported->number)->machine != machine))
         mm_scheduler_send_stop(scheduler, machine, &reported->job, reported->number,
                                reported->attempt, 0);
     }
@@ -58,11 +65,12 @@
     return TRUE;
   job->is_cancelled = TRUE;
   job->kv_available_us_at_cancel = scheduler->node->kv->available_us;
-  for (guint i = 0; job->tasks != NULL && i < job->spec.n_tasks; i++) {
-    if (job->tasks[i].state == MM_TASK_PLACE_RESERVED)
-      mm_scheduler_unplace_task(scheduler, job, i);
-    else if (mm_task_is_live(job->tasks[i].state))
-      mm_scheduler_stop_task(scheduler, job, i);
+  for (guint i = 0; job->tasks != NULL && i < job->tasks->entries->len; i++) {
+    const MmTask *task = mm_task_table_at(job->tasks, i);
+    if (task->state == MM_TASK_PLACE_RESERVED)
+      mm_scheduler_unplace_task(scheduler, job, task->number);
+    else if (mm_task_is_live(task->state))
+      mm_scheduler_stop_task(scheduler, job, task->number);
   }
   /* No task of a job with a cancelled dependency has ever been started. */
   if (!mm_job_has_cancelled_dependency(job))
@@ -90,7 +98,7 @@
     MmMachine *machine = g_ptr_array_index(node->machine_table->sorted_machines, i);
     for (guint k = 0; k < machine->placed_tasks->len; k++) {
       const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, k);
-      const MmTask *task = &placed->job->tasks[placed->number];
+      const MmTask *task = placed->task;
       if ((placed->job->is_cancelled || task->is_stopping) && task->state != MM_TASK_CHECKPOINTING
           && mm_time_ms_since(now, task->stop_sent_at) > STOP_RESEND_MS)
         mm_scheduler_stop_task(scheduler, placed->job, placed->number);
--- a/src/scheduler/stop-commands.h
+++ b/src/scheduler/stop-commands.h
@@ -12,6 +12,8 @@
  * heartbeat responses, until the task is no longer on the machine. Does nothing for a task that is
  * on no machine or has only a reserved place. */
 void mm_scheduler_stop_task(MmScheduler *scheduler, MmJob *job, guint number);
+/* Marks a task that is on a machine as stopping, from now on. */
+void mm_scheduler_mark_stopping(MmScheduler *scheduler, MmJob *job, guint number);
 /* Returns the shortest time in seconds in which a task of the job can save a checkpoint before the
  * task stops. Returns 0 when the job saves no checkpoints or is cancelled. */
 double mm_scheduler_stop_grace_s(const MmJob *job);
--- a/src/scheduler/task-state.c
+++ b/src/scheduler/task-state.c
@@ -18,10 +18,11 @@
 
 void
 mm_scheduler_set_task_state(MmScheduler *scheduler, MmJob *job, guint number, guint8 state) {
-  MmTask *task = &job->tasks[number];
+  MmTask *task;
 
-  if (task->state == state)
+  if (mm_job_task(job, number)->state == state)
     return;
+  task = mm_job_edit_task(job, number);
   job->n_pending -= task->state == MM_TASK_PENDING;
   job->n_maybe_on_machines -= mm_task_is_live(task->state);
   job->n_pending += state == MM_TASK_PENDING;
@@ -43,12 +44,12 @@
 void
 mm_scheduler_place_task(MmScheduler *scheduler, MmJob *job, guint number, MmMachine *machine,
                         MmTaskState state, MmAttempt attempt) {
-  MmTask *task = &job->tasks[number];
+  MmTask *task = mm_job_edit_task(job, number);
 
   if (task->machine != machine) {
     MmPlacedTask *placed = g_new(MmPlacedTask, 1);
     mm_scheduler_remove_from_machine(task->machine, job, number);
-    *placed = (MmPlacedTask){ job, number };
+    *placed = (MmPlacedTask){ job, task, number };
     g_ptr_array_add(machine->placed_tasks, placed);
     task->machine = machine;
     if (state == MM_TASK_START_SENT) {
@@ -67,10 +68,19 @@
 
 void
 mm_scheduler_unplace_task(MmScheduler *scheduler, MmJob *job, guint number) {
-  MmTask *task = &job->tasks[number];
+  MmTask *task = mm_job_edit_task(job, number);
 
   mm_scheduler_remove_from_machine(task->machine, job, number);
   task->machine = NULL;
   task->is_stopping = FALSE;
   mm_scheduler_set_task_state(scheduler, job, number, MM_TASK_PENDING);
 }
+
+void
+mm_scheduler_set_task_done(MmScheduler *scheduler, MmJob *job, guint number) {
+  if (mm_job_task(job, number)->machine != NULL)
+    mm_scheduler_unplace_task(scheduler, job, number);
+  mm_scheduler_set_task_state(scheduler, job, number, MM_TASK_DONE);
+  mm_completed_tasks_add(&job->completed, number);
+  mm_task_table_remove(job->tasks, number);
+}
--- a/src/scheduler/task-state.h
+++ b/src/scheduler/task-state.h
@@ -21,6 +21,9 @@
 /* Removes the task from its machine and makes the task pending. May be called only when the task is
  * certainly on no machine. */
 void mm_scheduler_unplace_task(MmScheduler *scheduler, MmJob *job, guint number);
+/* Removes the task from its machine, adds it to the completed tasks of the job and removes its
+ * entry. */
+void mm_scheduler_set_task_done(MmScheduler *scheduler, MmJob *job, guint number);
 /* Removes the task from the machine's list of placed tasks, and changes nothing in the task.
  * `machine` may be NULL. */
 void mm_scheduler_remove_from_machine(MmMachine *machine, const MmJob *job, guint number);
--- a/src/sharing/grants.c
+++ b/src/sharing/grants.c
@@ -52,7 +52,7 @@
 subtract_reserved(const MmMachine *machine, MmResources *remaining) {
   for (guint i = 0; i < machine->placed_tasks->len; i++) {
     const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i);
-    if (placed->job->tasks[placed->number].state == MM_TASK_PLACE_RESERVED)
+    if (placed->task->state == MM_TASK_PLACE_RESERVED)
       *remaining = mm_resources_sub(*remaining, placed->job->spec.task_resources);
   }
 }
--- a/tests/test-completed-tasks.c
+++ b/tests/test-completed-tasks.c
@@ -25,6 +25,42 @@
   g_rand_free(rand);
 }
 
+/* Tasks and ranges that are added in any order are joined where they meet. */
+static void
+test_ranges_are_joined(void) {
+  GRand *rand = g_rand_new_with_seed(7);
+
+  for (guint round = 0; round < 200; round++) {
+    guint size = (guint)g_rand_int_range(rand, 1, 120);
+    gboolean is_added[120] = { FALSE };
+    MmCompletedTasks set;
+    mm_completed_tasks_init(&set, size);
+    for (guint i = 0; i < 40; i++) {
+      guint first = (guint)g_rand_int_range(rand, 0, (gint32)size);
+      guint length = (guint)g_rand_int_range(rand, 1, 7);
+      guint last = MIN(first + length, size) - 1;
+      g_autofree char *text = g_strdup_printf("%u-%u", first, last);
+      guint n_added = 0, next = size;
+      g_assert_true(mm_completed_tasks_add_text(&set, text));
+      for (guint k = first; k <= last; k++)
+        is_added[k] = TRUE;
+      for (guint k = size; k > 0; k--) {
+        n_added += is_added[k - 1];
+        next = is_added[k - 1] ? k - 1 : next;
+        g_assert_cmpint(mm_completed_tasks_contains(&set, k - 1), ==, is_added[k - 1]);
+        g_assert_cmpuint(mm_completed_tasks_next(&set, k - 1), ==, next);
+        if (is_added[k - 1])
+          g_assert_cmpuint(mm_completed_tasks_end_of_range(&set, k - 1), >=, k - 1);
+        if (is_added[k - 1] && k < size && !is_added[k])
+          g_assert_cmpuint(mm_completed_tasks_end_of_range(&set, k - 1), ==, k - 1);
+      }
+      g_assert_cmpuint(set.n_completed, ==, n_added);
+    }
+    mm_completed_tasks_clear(&set);
+  }
+  g_rand_free(rand);
+}
+
 static void
 test_runs_are_written_as_ranges(void) {
   MmCompletedTasks set;
@@ -82,6 +118,7 @@
 main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_test_add_func("/completed-tasks/text-round-trips", test_text_round_trips);
+  g_test_add_func("/completed-tasks/ranges-are-joined", test_ranges_are_joined);
   g_test_add_func("/completed-tasks/runs-are-written-as-ranges", test_runs_are_written_as_ranges);
   g_test_add_func("/completed-tasks/too-long-text-leaves-tasks-out",
                   test_too_long_text_leaves_tasks_out);
--- a/tests/test-scheduler-heartbeats.c
+++ b/tests/test-scheduler-heartbeats.c
@@ -51,8 +51,8 @@
 
     record_heartbeat(&f, heartbeat_with_task(&f, first, 1, sequence, first == 1 ? 200 : 100));
     record_heartbeat(&f, heartbeat_with_task(&f, 1 - first, 1, sequence, first == 1 ? 100 : 200));
-    g_assert_true(f.job->tasks[0].machine == f.machines[1]);
-    g_assert_cmpuint(f.job->tasks[0].attempt.v, ==, 200);
+    g_assert_true(mm_job_task(f.job, 0)->machine == f.machines[1]);
+    g_assert_cmpuint(mm_job_task(f.job, 0)->attempt.v, ==, 200);
     g_assert_cmpuint(f.job->n_maybe_on_machines, ==, 1);
     world_free(f.world);
   }
@@ -137,7 +137,7 @@
      renews the lease. */
   g_assert_null(record_heartbeat(&f, heartbeat_with_task(&f, 0, 1, sequence - 1, 0)));
   g_assert_cmpint(machine->last_possible_response_at.us, ==, answered.us);
-  g_assert_true(f.job->tasks[0].machine == machine);
+  g_assert_true(mm_job_task(f.job, 0)->machine == machine);
   /* A heartbeat overtaken by a direct reply is not a late copy. */
   machine->latest_message_id.sequence = sequence + 5;
   g_assert_false(is_stale(&f, heartbeat_with_task(&f, 0, 1, sequence + 2, 0)));
--- a/tests/test-scheduler-preemption.c
+++ b/tests/test-scheduler-preemption.c
@@ -98,7 +98,8 @@
     for (guint i = 0; i < WORLD_NODES; i++) {
       const MmJob *job_on_node = mm_job_table_find(world->nodes[i].node->job_table, job->id);
       for (guint k = 0; job_on_node->tasks != NULL && k < 2; k++)
-        n_on_own_machines += job_on_node->tasks[k].machine->serving_node == MM_SERVING_NODE_SELF;
+        n_on_own_machines
+            += mm_job_task(job_on_node, k)->machine->serving_node == MM_SERVING_NODE_SELF;
     }
     world_cancel(job);
     world_run(world, 4);
