Accept a job only while there is memory for one more unfinished job

Cause: each node keeps each unfinished job, and nothing bounded how many users submit, nor how much the lists of machine types and dependencies of the submissions in progress take: enough of them would end every node for memory, without end, as each reads them again at its start.

Change: the estimated memory of all unfinished jobs, at a node that leads all their shards, must stay within a quarter of ram_mb; otherwise a submission is answered 503 with Retry-After before anything is written. A repeated submission of an accepted job still gets its state. The job table inserts a job by binary search (it sorted the whole table for each job, which made a load quadratic), connecting a dependency no longer searches the ones before it, and the list of loaded keys is freed once the load is over.

--- a/src/dependencies/dependency-graph.c
+++ b/src/dependencies/dependency-graph.c
@@ -122,11 +122,21 @@
   }
 }
 
+/* Returns whether `vertex` was the last to be connected to `dependency`. As all dependencies of a
+ * job are connected in one go, this tells whether they have been connected to each other already.
+ */
+static gboolean
+is_newest_dependent(const MmVertex *dependency, const MmVertex *vertex) {
+  guint n_dependents = dependency->dependents->len;
+
+  return n_dependents > 0 && g_ptr_array_index(dependency->dependents, n_dependents - 1) == vertex;
+}
+
 static void
 connect_dependency(MmDependencyGraph *graph, MmVertex *vertex, const MmName *dependency_id) {
   MmVertex *dependency = find_or_create(graph, dependency_id->s);
 
-  if (dependency == vertex || g_ptr_array_find(vertex->dependencies, dependency, NULL))
+  if (dependency == vertex || is_newest_dependent(dependency, vertex))
     return;
   g_ptr_array_add(vertex->dependencies, dependency);
   g_ptr_array_add(dependency->dependents, vertex);
--- a/src/job-api/job-api.h
+++ b/src/job-api/job-api.h
@@ -14,6 +14,10 @@
   GQueue *awaiting_cancel_acks;  /* until all nodes that may answer workers know the cancellation */
   GQueue *awaiting_dependencies; /* until the states of the job's dependencies are known */
   GQueue *rate_limited; /* until a write that the key-value store rejected (429) is retried */
+  /* job-capacity.c: estimated memory of the unfinished jobs in the job table, and memory of the
+   * specs of submissions in progress */
+  gsize unfinished_jobs_bytes;
+  gsize submissions_bytes;
 };
 
 MmJobApi *mm_job_api_new(MmNode *node);
--- a/src/job-api/submission.c
+++ b/src/job-api/submission.c
@@ -4,6 +4,7 @@
 #include "dependencies/dependencies.h"
 #include "autoscaler/instance-types.h"
 #include "job-api/job-api.h"
+#include "job-api/job-capacity.h"
 #include "job-api/job-status.h"
 #include "job-api/user-request.h"
 #include "kv/replica.h"
@@ -23,6 +24,12 @@
  * that is being upgraded is expected to be back after this time. */
 #define UPGRADE_RETRY_S 2
 
+/* Retry-After, in seconds, of the 503 response while unfinished jobs take all the memory that they
+ * may take. Room comes with the end of a job. */
+#define NO_ROOM_RETRY_S 5
+/* Retry-After, in seconds, of the 503 response while too many submissions are in progress. */
+#define SUBMISSIONS_RETRY_S 1
+
 static void write_job_record(MmUserRequest *request);
 
 /* Returns whether the job is cancelled from the start, because one of its dependencies is
@@ -212,6 +219,48 @@
   return NULL;
 }
 
+static void
+on_known_terminal_record_read(gpointer data, int status, json_t *body) {
+  MmUserRequest *request = data;
+  MmJobTable *job_table = request->node->job_table;
+
+  if (status == 200)
+    mm_job_table_add_terminal_record(job_table, request->job_id.s, mm_json_get(body, WIRE_VALUE));
+  if (status == 200 && mm_job_table_has_ended(job_table, request->job_id.s))
+    mm_job_status_read_record(request);
+  else if (status == 404)
+    mm_user_request_respond(request, 503, mm_json_error("too many unfinished jobs"),
+                            NO_ROOM_RETRY_S);
+  else
+    mm_user_request_respond_unavailable(request);
+}
+
+/* Responds 503 because there is no room for one more unfinished job. A repeated submission of a job
+ * that ended long ago is answered with its state all the same. */
+static void
+reject_for_lack_of_room(MmUserRequest *request) {
+  mm_info("job not accepted: no room for unfinished jobs job=%s bytes=%" G_GSIZE_FORMAT
+          " max_bytes=%" G_GSIZE_FORMAT,
+          request->job_id.s, request->node->job_api->unfinished_jobs_bytes,
+          mm_job_capacity_max_bytes(request->node->settings));
+  mm_kv_client_get(request->node->kv, MM_KEY_TERMINAL_RECORD, request->job_id.s,
+                   on_known_terminal_record_read, request);
+}
+
+/* Counts the submission as in progress. Returns FALSE if the request was rejected and freed. */
+static gboolean
+count_submission(MmUserRequest *request) {
+  gsize bytes = (request->spec.n_allowed_types + request->spec.n_dependencies) * sizeof(MmName);
+
+  if (!mm_job_capacity_try_add_submission(request->node->job_api, bytes)) {
+    mm_user_request_respond(request, 503, mm_json_error("too many submissions in progress"),
+                            SUBMISSIONS_RETRY_S);
+    return FALSE;
+  }
+  request->submission_bytes = bytes;
+  return TRUE;
+}
+
 static gboolean
 is_known_job(const MmNode *node, const char *job_id) {
   return mm_job_table_find(node->job_table, job_id) != NULL
@@ -222,6 +271,7 @@
 mm_job_api_submit(MmNode *node, const json_t *json, MmHttpExchange *exchange) {
   MmUserRequest *request = mm_user_request_new(node, exchange, "");
   const char *reason = NULL;
+  gboolean is_known;
 
   if (!mm_job_spec_parse(&request->spec, json, &reason)) {
     mm_user_request_respond(request, 400, mm_json_error(reason), 0);
@@ -242,9 +292,14 @@
     mm_user_request_respond_unavailable(request);
     return;
   }
+  if (!count_submission(request))
+    return;
   /* A repeated submission needs no check of its dependencies. The write conflicts with the existing
    * job record, and the response is then the status of the job. */
-  if (request->spec.n_dependencies == 0 || is_known_job(node, request->job_id.s))
+  is_known = is_known_job(node, request->job_id.s);
+  if (!is_known && !mm_job_capacity_has_room(node->job_api, &request->spec))
+    reject_for_lack_of_room(request);
+  else if (request->spec.n_dependencies == 0 || is_known)
     write_job_record(request);
   else
     check_dependencies(request);
--- a/src/job-api/user-request.c
+++ b/src/job-api/user-request.c
@@ -1,6 +1,7 @@
 #include "job-api/user-request.h"
 
 #include "job-api/job-api.h"
+#include "job-api/job-capacity.h"
 #include "kv/kv-client.h"
 
 /* Time after a 503 response for which the key-value store is considered to refuse requests. */
@@ -27,6 +28,7 @@
 void
 mm_user_request_respond(MmUserRequest *request, int status, json_t *body, guint retry_after_s) {
   mm_http_exchange_respond(request->exchange, status, body, retry_after_s);
+  mm_job_capacity_remove_submission(request->node->job_api, request->submission_bytes);
   mm_job_spec_clear(&request->spec);
   json_decref(request->record);
   g_free(request);
--- a/src/job-api/user-request.h
+++ b/src/job-api/user-request.h
@@ -14,8 +14,9 @@
   MmName job_id;
   gboolean is_cancellation;
   guint n_retries;
-  MmJobSpec spec;  /* submissions only */
-  json_t *record;  /* the job record as last read, owned; NULL: not read yet */
+  MmJobSpec spec;         /* submissions only */
+  gsize submission_bytes; /* submissions only: counted in MmJobApi.submissions_bytes */
+  json_t *record;         /* the job record as last read, owned; NULL: not read yet */
   MmTime deadline; /* until when the request may wait for other nodes or the key-value store */
   MmTime cancel_broadcast_at; /* when the cancellation was last broadcast to the other nodes */
   guint next_dependency;      /* submissions: index of the first dependency not looked up yet */
--- a/src/jobs/job-spec.c
+++ b/src/jobs/job-spec.c
@@ -100,6 +100,7 @@
     if (g_hash_table_add(seen_ids, (gpointer)id))
       spec->dependencies[spec->n_dependencies++] = mm_name(id);
   }
+  spec->dependencies = g_renew(MmName, spec->dependencies, spec->n_dependencies);
   return TRUE;
 }
 
--- a/src/jobs/job-table.c
+++ b/src/jobs/job-table.c
@@ -68,6 +68,21 @@
   return strcmp(x->spec.id.s, y->spec.id.s);
 }
 
+/* Returns where the job belongs in `by_submission`, which does not contain it. */
+static guint
+find_position(const MmJobTable *job_table, MmJob *job) {
+  guint low = 0, high = job_table->by_submission->len;
+
+  while (low < high) {
+    guint middle = low + (high - low) / 2;
+    if (compare_by_submission(&g_ptr_array_index(job_table->by_submission, middle), &job) < 0)
+      low = middle + 1;
+    else
+      high = middle;
+  }
+  return low;
+}
+
 /* Adds a job that is not in the table yet. Returns the job, owned by the table, or NULL if the
  * record is malformed. */
 static MmJob *
@@ -87,9 +102,8 @@
   job->team_index = mm_settings_team_index(job_table->settings, &job->spec.team);
   mm_completed_tasks_init(&job->recorded_completed, job->spec.n_tasks);
   g_hash_table_insert(job_table->jobs, job->spec.id.s, job);
-  g_ptr_array_add(job_table->by_submission, job);
+  g_ptr_array_insert(job_table->by_submission, (gint)find_position(job_table, job), job);
   job_table->generation++;
-  g_ptr_array_sort(job_table->by_submission, compare_by_submission);
   NOTIFY(job_table, added, job);
   return job;
 }
--- a/src/kv/replica.c
+++ b/src/kv/replica.c
@@ -271,6 +271,7 @@
     return;
   }
   remove_keys_missing_after_reload(replica);
+  g_clear_pointer(&replica->loaded_keys, g_hash_table_unref);
   replica->revision = replica->first_page_revision;
   finish_load_if_caught_up(replica);
   start_watch(replica);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -75,8 +75,8 @@
   while (node->kv->unsent_transactions->len > 0)
     mm_kv_client_fail_unsent(node->kv);
   mm_heartbeat_server_free(node->heartbeat_server);
-  mm_job_api_free(node->job_api);
   mm_replica_free(node->replica); /* calls callbacks that wait for an up-to-date replica */
+  mm_job_api_free(node->job_api);
   mm_peer_links_free(node->peer_links);
   mm_sharing_free(node->sharing);
   mm_autoscaler_free(node->autoscaler);
--- a/src/node/wiring.c
+++ b/src/node/wiring.c
@@ -4,6 +4,7 @@
 #include "autoscaler/instance-types.h"
 #include "dependencies/dependencies.h"
 #include "heartbeat-server/heartbeat-server.h"
+#include "job-api/job-capacity.h"
 #include "jobs/job-table.h"
 #include "kv/kv-client.h"
 #include "kv/replica.h"
@@ -188,12 +189,23 @@
   mm_dependencies_job_ended(context, job_id, terminal->is_cancelled, terminal->completed_at_ms);
 }
 
+static void
+job_api_job_added(gpointer context, MmJob *job) {
+  mm_job_capacity_job_added(context, job);
+}
+
+static void
+job_api_job_removing(gpointer context, MmJob *job) {
+  mm_job_capacity_job_removing(context, job);
+}
+
 /* The dependencies module must be the last observer, because it calls the scheduler for each new
  * job. */
 static void
 observe_job_table(MmNode *node) {
   const MmJobObserver observers[] = {
     { .added = placement_job_added, .context = node->placement },
+    { .added = job_api_job_added, .removing = job_api_job_removing, .context = node->job_api },
     { .changed = scheduler_job_changed,
       .cancelled = scheduler_job_cancelled,
       .removing = scheduler_job_removing,
--- a/tests/world/node-settings.c
+++ b/tests/world/node-settings.c
@@ -17,7 +17,7 @@
       world->configured_lease_s > 0 ? world->configured_lease_s : world->worker_lease_s,
       "gang_wait_s", 20.0, "gang_peer_s", 4.0, "cancel_s", world->cancel_s, "state", "rps", 200.0,
       "write_rps", 20.0, "value_kb", 4.0, "txn_ops", 12, "cloud", "rps", 6.0, "list_lag_s", 2.0,
-      "resources", "cpu", 0.1, "ram_mb", 64.0, "max_sockets", 1000);
+      "resources", "cpu", 0.1, "ram_mb", world->memory_mb, "max_sockets", 1000);
   json_t *others = json_array(), *teams = json_array();
 
   g_assert_nonnull(root);
--- a/tests/world/types.h
+++ b/tests/world/types.h
@@ -195,6 +195,7 @@
    * not). */
   guint capacity;
   double team_cores;   /* limit of each team, in cores */
+  double memory_mb;    /* ram_mb in the nodes' settings */
   guint group_count;   /* number of machine groups in the operators' file; 0: no groups */
   double group_hold_s; /* group-hold-s in the operators' file */
 
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -41,6 +41,7 @@
   world->worker_lease_s = 8;
   world->heartbeat_interval_s = 1;
   world->cancel_s = 25;
+  world->memory_mb = 64;
   world->capacity = 6;
   world->team_cores = 24;
   world->avoided_node = -1;
