Give a machine no more tasks than its report and the nodes' memory take

Cause: users may name tasks that need next to nothing, and such tasks fit on a machine without end. Its report then grows beyond the 64 KiB of a request: nodes would refuse it, and the machine lose its lease with all its tasks. Each node keeps each reported task, and the time for a report grows with the square of their number.

Change: MmResources has a further dimension, task slots; a task needs one. A machine has as many as the nodes' memory allows for the fleet's size (64 to 256) and as its report has room for. All that compares resources, from candidates to preemption and scale out, so takes them into account. Places of a gang are counted by zone as they are chosen (it compared each with all before it), and machines with reserved places are announced once, not once a task.

--- a/src/autoscaler/cloud-codec.c
+++ b/src/autoscaler/cloud-codec.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/wire.h"
+#include "machines/task-slots.h"
 
 /* Default values for fields that the cloud omits from the description of a machine type. */
 #define DEFAULT_BOOT_S 60
@@ -86,7 +87,7 @@
   type->name = mm_name(name);
   type->resources = (MmResources){ mm_json_number(json, WIRE_CORES, 0),
                                    mm_json_number(json, WIRE_ACCELERATORS, 0),
-                                   mm_json_number(json, WIRE_MEMORY, 0) };
+                                   mm_json_number(json, WIRE_MEMORY, 0), MM_TASK_SLOTS_MAX };
   type->image_cache_gb = mm_json_number(json, WIRE_CACHE_GB, 0);
   type->image_fetch_gb_per_s
       = MAX(mm_json_number(json, WIRE_FETCH_RATE, DEFAULT_FETCH_GB_PER_S), MIN_FETCH_GB_PER_S);
--- a/src/autoscaler/scale-out.c
+++ b/src/autoscaler/scale-out.c
@@ -4,6 +4,7 @@
 #include "autoscaler/silence.h"
 #include "base/wire.h"
 #include "leases/node-lease.h"
+#include "machines/task-slots.h"
 #include "placement/placement.h"
 
 #define MAX_MACHINES_PER_REQUEST 50
@@ -17,7 +18,6 @@
 /* In multiples of the cloud's list delay: a launched machine that is still not in the list after
  * this time is no longer expected to appear there. */
 #define UNLISTED_LAUNCH_TIMEOUT_LIST_DELAYS 3
-#define MAX_SLOTS_PER_MACHINE 1000
 
 typedef struct {
   MmAutoscaler *autoscaler;
@@ -96,10 +96,11 @@
  * resources that are kept free on such machines for accelerated jobs (see
  * placement/accelerator-reserve.h). */
 static guint
-slots_per_machine(const MmPlacement *placement, const MmJob *job, const MmInstanceType *type) {
+slots_per_machine(const MmNode *node, const MmJob *job, const MmInstanceType *type) {
+  const MmPlacement *placement = node->placement;
   MmResources need = job->spec.task_resources;
   MmResources free_resources = type->resources;
-  guint n_slots = MAX_SLOTS_PER_MACHINE;
+  guint n_slots = mm_task_slots_per_machine(node->machine_table);
 
   if (free_resources.accelerators > 0 && need.accelerators <= 0
       && placement->has_seen_accelerated_work)
@@ -179,7 +180,7 @@
 
   for (guint i = 0; i < node->instance_types->types->len; i++) {
     const MmInstanceType *type = g_ptr_array_index(node->instance_types->types, i);
-    guint n_slots = slots_per_machine(node->placement, job, type);
+    guint n_slots = slots_per_machine(node, job, type);
     if (n_slots == 0 || !mm_job_spec_allows_type(&job->spec, &type->name))
       continue;
     for (guint zone_index = 0; zone_index < type->zones->len; zone_index++) {
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -95,6 +95,9 @@
   double cores;
   double accelerators;
   double memory_gb;
+  /* How many tasks a machine may have, see machines/task-slots.h. A task requires one slot. Not
+   * used in quotas and limits of teams. */
+  double slots;
 } MmResources;
 
 /* Tolerance for rounding errors in sums of fractional resources. */
@@ -104,24 +107,25 @@
 mm_resources_fits(MmResources need, MmResources have) {
   return need.cores <= have.cores + MM_RESOURCES_SLACK
          && need.accelerators <= have.accelerators + MM_RESOURCES_SLACK
-         && need.memory_gb <= have.memory_gb + MM_RESOURCES_SLACK;
+         && need.memory_gb <= have.memory_gb + MM_RESOURCES_SLACK
+         && need.slots <= have.slots + MM_RESOURCES_SLACK;
 }
 
 /* Returns the element-wise minimum. */
 static inline MmResources
 mm_resources_min(MmResources a, MmResources b) {
   return (MmResources){ MIN(a.cores, b.cores), MIN(a.accelerators, b.accelerators),
-                        MIN(a.memory_gb, b.memory_gb) };
+                        MIN(a.memory_gb, b.memory_gb), MIN(a.slots, b.slots) };
 }
 
 static inline MmResources
 mm_resources_add(MmResources a, MmResources b) {
   return (MmResources){ a.cores + b.cores, a.accelerators + b.accelerators,
-                        a.memory_gb + b.memory_gb };
+                        a.memory_gb + b.memory_gb, a.slots + b.slots };
 }
 
 static inline MmResources
 mm_resources_sub(MmResources a, MmResources b) {
   return (MmResources){ a.cores - b.cores, a.accelerators - b.accelerators,
-                        a.memory_gb - b.memory_gb };
+                        a.memory_gb - b.memory_gb, a.slots - b.slots };
 }
--- a/src/jobs/job-spec.c
+++ b/src/jobs/job-spec.c
@@ -158,6 +158,7 @@
     return WIRE_ACCELERATORS " must be a number, 0 or more";
   if (!read_amount(json, WIRE_MEMORY, &spec->task_resources.memory_gb, REQUIRED))
     return WIRE_MEMORY " must be a number, 0 or more";
+  spec->task_resources.slots = 1;
   if (!read_name(json, WIRE_IMAGE, &spec->image, TRUE))
     return WIRE_IMAGE " must be text";
   if (!read_amount(json, WIRE_IMAGE_GB, &spec->image_gb, REQUIRED))
--- a/src/machines/machine.c
+++ b/src/machines/machine.c
@@ -2,6 +2,7 @@
 
 #include "machines/machine-health.h"
 #include "machines/machine-table.h"
+#include "machines/task-slots.h"
 
 /* Maximum number of commands queued for a machine; further ones are dropped. */
 #define QUEUED_COMMANDS_MAX 256
@@ -114,6 +115,7 @@
     if (state == MM_TASK_START_SENT || state == MM_TASK_PLACE_RESERVED)
       available = mm_resources_sub(available, placed->job->spec.task_resources);
   }
+  available.slots = mm_task_slots_free(machine_table, machine);
   machine->available_resources = available;
   return available;
 }
--- /dev/null
+++ b/src/machines/task-slots.c
@@ -0,0 +1,50 @@
+#include "machines/task-slots.h"
+
+#define BYTES_PER_MB (1024.0 * 1024.0)
+/* Share of a node's memory for the tasks on all machines. */
+#define TASKS_MEMORY_SHARE 0.25
+/* Memory of a task on a machine, at the leader of its shard: its entry in the task table, in the
+ * machine's list of placed tasks and in the newest report. */
+#define TASK_BYTES 512
+/* In a fleet of any size, a machine may have this many tasks. */
+#define SLOTS_MIN 64
+/* Maximum length of a worker's report, with room for the fields of the machine, and length of a
+ * task in it without the id of the task's job. */
+#define REPORT_BYTES_MAX (63 * 1024)
+#define REPORTED_TASK_BYTES 96
+
+guint
+mm_task_slots_per_machine(const MmMachineTable *machine_table) {
+  double task_bytes = machine_table->node->settings->memory_mb * BYTES_PER_MB * TASKS_MEMORY_SHARE;
+  guint n_machines = MAX(machine_table->sorted_machines->len, 1);
+
+  return (guint)CLAMP(task_bytes / TASK_BYTES / n_machines, SLOTS_MIN, MM_TASK_SLOTS_MAX);
+}
+
+static gsize
+length_in_report(const MmName *job_id) {
+  return strlen(job_id->s) + REPORTED_TASK_BYTES;
+}
+
+guint
+mm_task_slots_free(const MmMachineTable *machine_table, const MmMachine *machine) {
+  guint n_slots = mm_task_slots_per_machine(machine_table), n_live = 0;
+  gsize report_bytes = 0, n_reportable;
+
+  for (guint i = 0; i < machine->reported_tasks->len; i++) {
+    const MmReportedTask *task = &g_array_index(machine->reported_tasks, MmReportedTask, i);
+    n_live += task->state != MM_REPORTED_ENDED;
+    report_bytes += length_in_report(&task->job);
+  }
+  for (guint i = 0; i < machine->placed_tasks->len; i++) {
+    const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i);
+    if (placed->task->state != MM_TASK_START_SENT && placed->task->state != MM_TASK_PLACE_RESERVED)
+      continue;
+    n_live++;
+    report_bytes += length_in_report(&placed->job->spec.id);
+  }
+  n_reportable = report_bytes < REPORT_BYTES_MAX
+                     ? (REPORT_BYTES_MAX - report_bytes) / (REPORTED_TASK_BYTES + MM_NAME_MAX)
+                     : 0;
+  return (guint)MIN(n_slots > n_live ? n_slots - n_live : 0, n_reportable);
+}
--- a/src/scheduler/admission.c
+++ b/src/scheduler/admission.c
@@ -2,6 +2,7 @@
 
 #include "base/wire.h"
 #include "leases/node-lease.h"
+#include "machines/task-slots.h"
 #include "peers/peer-links.h"
 #include "placement/accelerator-reserve.h"
 #include "scheduler/gang.h"
@@ -287,11 +288,11 @@
 
 static MmStartRequest
 start_request_from_message(MmMachine *machine, const Mm__StartRequest *message) {
-  MmStartRequest request
-      = { .machine = machine,
-          .heartbeat_id = { message->incarnation, message->sequence },
-          .free_resources = { message->cores, message->accelerators, message->memory_gb },
-          .is_pull = message->pull };
+  MmStartRequest request = { .machine = machine,
+                             .heartbeat_id = { message->incarnation, message->sequence },
+                             .free_resources = { message->cores, message->accelerators,
+                                                 message->memory_gb, MM_TASK_SLOTS_MAX },
+                             .is_pull = message->pull };
 
   for (size_t i = 0; i < message->n_candidates && request.n_tasks < MM_PLACEMENT_CANDIDATES_MAX;
        i++)
--- a/src/scheduler/gang.c
+++ b/src/scheduler/gang.c
@@ -29,6 +29,12 @@
   MmResources free_resources;
 } CandidatePlace;
 
+/* The machines chosen for the tasks of a gang. */
+typedef struct {
+  GPtrArray *machines;        /* MmMachine, one element for each task */
+  GHashTable *tasks_in_zones; /* zone -> number of tasks, with GUINT_TO_POINTER */
+} ChosenPlaces;
+
 /* Cancels the reservations of the gang, and stops the tasks of the gang that are or may be on
  * machines. */
 static void
@@ -84,34 +90,40 @@
   return places;
 }
 
-/* Returns whether one more task of the gang may be placed in the zone, given the machines that are
- * already in `chosen`. */
+static guint
+count_in_zone(const ChosenPlaces *chosen, const MmName *zone) {
+  return GPOINTER_TO_UINT(g_hash_table_lookup(chosen->tasks_in_zones, zone->s));
+}
+
+/* Returns whether one more task of the gang may be placed, given the places that are already
+ * chosen. */
 static gboolean
-zone_allows_task(const MmJob *job, const GPtrArray *chosen, const MmName *zone) {
-  guint n_in_zone = 0;
+place_allows_task(const MmJob *job, const CandidatePlace *place, const ChosenPlaces *chosen) {
+  return mm_resources_fits(job->spec.task_resources, place->free_resources)
+         && (!job->spec.spreads_over_zones
+             || count_in_zone(chosen, &place->machine->zone)
+                    < mm_job_spec_max_tasks_per_zone(&job->spec));
+}
 
-  if (!job->spec.spreads_over_zones)
-    return TRUE;
-  for (guint i = 0; i < chosen->len; i++) {
-    const MmMachine *machine = g_ptr_array_index(chosen, i);
-    n_in_zone += mm_name_equal(&machine->zone, zone);
-  }
-  return n_in_zone < mm_job_spec_max_tasks_per_zone(&job->spec);
+static void
+choose_place(const MmJob *job, CandidatePlace *place, ChosenPlaces *chosen) {
+  MmName *zone = &place->machine->zone;
+
+  place->free_resources = mm_resources_sub(place->free_resources, job->spec.task_resources);
+  g_ptr_array_add(chosen->machines, place->machine);
+  g_hash_table_insert(chosen->tasks_in_zones, zone->s,
+                      GUINT_TO_POINTER(count_in_zone(chosen, zone) + 1));
 }
 
-/* Adds a machine to `chosen` for each task, until every task has a machine or no place is left. */
+/* Chooses a place for each task, until every task has one or no place is left. */
 static void
-choose_places(const MmJob *job, GArray *places, gboolean needs_cached_image, GPtrArray *chosen) {
+choose_places(const MmJob *job, GArray *places, gboolean needs_cached_image, ChosenPlaces *chosen) {
   for (guint i = 0; i < places->len; i++) {
     CandidatePlace *place = &g_array_index(places, CandidatePlace, i);
     if (needs_cached_image && !mm_machine_has_cached_image(place->machine, &job->spec.image))
       continue;
-    while (chosen->len < job->spec.n_tasks
-           && mm_resources_fits(job->spec.task_resources, place->free_resources)
-           && zone_allows_task(job, chosen, &place->machine->zone)) {
-      place->free_resources = mm_resources_sub(place->free_resources, job->spec.task_resources);
-      g_ptr_array_add(chosen, place->machine);
-    }
+    while (chosen->machines->len < job->spec.n_tasks && place_allows_task(job, place, chosen))
+      choose_place(job, place, chosen);
   }
 }
 
@@ -120,17 +132,19 @@
 static gboolean
 reserve_gang(MmScheduler *scheduler, MmLedShard *shard, MmJob *job, const MmName *zone) {
   g_autoptr(GArray) places = free_places(scheduler, job, zone);
-  g_autoptr(GPtrArray) chosen = g_ptr_array_new();
+  g_autoptr(GPtrArray) machines = g_ptr_array_new();
+  g_autoptr(GHashTable) tasks_in_zones = g_hash_table_new(g_str_hash, g_str_equal);
+  ChosenPlaces chosen = { machines, tasks_in_zones };
   MmAttempt attempt;
 
-  choose_places(job, places, TRUE, chosen);
-  choose_places(job, places, FALSE, chosen);
-  if (chosen->len < job->spec.n_tasks)
+  choose_places(job, places, TRUE, &chosen);
+  choose_places(job, places, FALSE, &chosen);
+  if (machines->len < job->spec.n_tasks)
     return FALSE;
   attempt = mm_scheduler_next_attempt(scheduler, shard);
   for (guint i = 0; i < job->spec.n_tasks; i++)
-    mm_scheduler_place_task(scheduler, job, i, g_ptr_array_index(chosen, i), MM_TASK_PLACE_RESERVED,
-                            attempt);
+    mm_scheduler_place_task(scheduler, job, i, g_ptr_array_index(machines, i),
+                            MM_TASK_PLACE_RESERVED, attempt);
   return TRUE;
 }
 
--- a/src/scheduler/pending-tasks.c
+++ b/src/scheduler/pending-tasks.c
@@ -56,14 +56,21 @@
     g_ptr_array_add(list, g_steal_pointer(&pending));
 }
 
+static gboolean
+is_last_machine(const GArray *machines, const MmName *id) {
+  return machines->len > 0
+         && mm_name_equal(&g_array_index(machines, MmName, machines->len - 1), id);
+}
+
 /* Adds to `machines` the ids of the machines with places reserved for the gang. Looks at the gang's
  * tasks rather than at all machines, because gangs have few reserved places while thousands of
- * machines have tasks. */
+ * machines have tasks. Tasks with consecutive numbers mostly share a machine, which is added once
+ * for them. */
 static void
 add_reserved_machines(const MmJob *job, GArray *machines) {
   for (guint i = 0; i < job->tasks->entries->len; i++) {
     const MmTask *task = mm_task_table_at(job->tasks, i);
-    if (task->state == MM_TASK_PLACE_RESERVED)
+    if (task->state == MM_TASK_PLACE_RESERVED && !is_last_machine(machines, &task->machine->id))
       g_array_append_val(machines, task->machine->id);
   }
 }
--- a/tests/test-memory.c
+++ b/tests/test-memory.c
@@ -12,6 +12,8 @@
 #define LARGEST_ARRAY 100000
 #define MACHINES 20
 #define KB 1024
+/* The most tasks that a machine may have. */
+#define TASKS_PER_MACHINE_MAX 256
 /* What a node may hold for each task that is on a machine and for each unfinished job. */
 #define TASK_BYTES_MAX KB
 #define JOB_BYTES_MAX (4 * KB)
@@ -159,6 +161,80 @@
   world_free(world);
 }
 
+static WorldJob *
+submit_tiny(World *world, const char *kind, const char *priority, guint n_tasks, gboolean spread,
+            double run_s) {
+  return world_submit(world,
+                      json_pack("{s:s, s:s, s:i, s:f, s:f, s:b}", WIRE_KIND, kind, WIRE_PRIORITY,
+                                priority, WIRE_TASKS, (int)n_tasks, WIRE_CORES, 0.0, WIRE_MEMORY,
+                                0.0, WIRE_SPREAD, spread),
+                      run_s);
+}
+
+static guint
+count_tasks_on_fullest_machine(const World *world) {
+  guint most = 0;
+
+  for (guint i = 0; i < world->machines->len; i++)
+    most = MAX(most, world_machine_at(world, i)->tasks->len);
+  return most;
+}
+
+/* Tasks that name no resources fitted on a machine without end. The machine's report then grew over
+ * what a request may be, so that the machine lost its lease with all its tasks, and each node kept
+ * each of them. The simulated workers check the length of their reports. Work of a higher priority
+ * takes the place of such tasks as of any others. */
+static void
+test_tiny_tasks_fit_into_reports(void) {
+  World *world = world_new(7);
+  WorldJob *array, *service;
+
+  world->capacity = 0;
+  world_add_machines(world, 3, "small", 3);
+  world_start(world);
+  world_run(world, 3);
+  array = submit_tiny(world, WIRE_KIND_ARRAY, "normal", LARGEST_ARRAY, FALSE, 1000);
+  world_run(world, 150);
+  g_assert_cmpuint(count_tasks_on_fullest_machine(world), ==, TASKS_PER_MACHINE_MAX);
+  service = submit_tiny(world, WIRE_KIND_SERVICE, "critical", 50, TRUE, 0);
+  for (guint round = 0; round < 6; round++) {
+    world_run(world, 50);
+    if (round % 2 == 1)
+      world_kill_node(world, world_node_leading_most_shards(world), 3);
+  }
+  g_test_message("%u starts, %u tasks on the fullest machine", world->n_starts,
+                 count_tasks_on_fullest_machine(world));
+  g_assert_cmpuint(world_count_running(world, service, NULL), ==, 50);
+  g_assert_cmpuint(world_count_running(world, array, NULL), >, 300);
+  g_assert_cmpuint(count_tasks_on_fullest_machine(world), <=, TASKS_PER_MACHINE_MAX);
+  world_assert_invariants(world);
+  world_free(world);
+}
+
+/* A gang of tiny tasks finds its places over all machines, half of its tasks in one zone at most.
+ * One that is larger than what its machines may have waits, and holds up nobody. */
+static void
+test_gangs_of_tiny_tasks(void) {
+  World *world = world_new(8);
+  WorldJob *gang, *too_large;
+
+  world->capacity = 0;
+  world_add_machines(world, 4, "small", 2);
+  world_start(world);
+  world_run(world, 3);
+  too_large = submit_tiny(world, WIRE_KIND_GANG, "normal", LARGEST_ARRAY, TRUE, 5);
+  gang = submit_tiny(world, WIRE_KIND_GANG, "normal", 60, TRUE, 5);
+  world_run(world, 120);
+  g_assert_cmpint(gang->user_view, ==, USER_SEES_DONE);
+  g_assert_true(too_large->was_accepted);
+  g_assert_cmpint(too_large->first_start_at_us, ==, 0);
+  world_cancel(too_large);
+  world_run(world, 30);
+  world_assert_all_jobs_finished(world);
+  world_assert_invariants(world);
+  world_free(world);
+}
+
 /* Memory that is so small that unfinished jobs reach their share of it within a test. */
 #define SMALL_MEMORY_MB 1.0
 #define MANY_JOBS 250
@@ -316,6 +392,8 @@
   g_test_add_func("/memory/too-many-pauses-are-forgotten", test_too_many_pauses_are_forgotten);
   g_test_add_func("/memory/array-completes-between-failovers",
                   test_array_completes_between_failovers);
+  g_test_add_func("/memory/tiny-tasks-fit-into-reports", test_tiny_tasks_fit_into_reports);
+  g_test_add_func("/memory/gangs-of-tiny-tasks", test_gangs_of_tiny_tasks);
   g_test_add_func("/memory/jobs-without-room-are-retried", test_jobs_without_room_are_retried);
   g_test_add_func("/memory/estimate-covers-the-heap", test_estimate_covers_the_heap);
   return g_test_run();
--- a/tests/test-scheduler.c
+++ b/tests/test-scheduler.c
@@ -13,7 +13,7 @@
               gboolean is_pull) {
   MmStartRequest request = { .machine = f->machines[machine],
                              .heartbeat_id = f->machines[machine]->latest_message_id,
-                             .free_resources = { 16, 2, 64 },
+                             .free_resources = { 16, 2, 64, 100 },
                              .is_pull = is_pull };
   MmApproval approval;
 
@@ -111,7 +111,7 @@
   {
     MmStartRequest request = { .machine = f.machines[0],
                                .heartbeat_id = overtaken_id,
-                               .free_resources = { 16, 2, 64 },
+                               .free_resources = { 16, 2, 64, 100 },
                                .is_pull = TRUE };
     MmApproval approval;
     g_assert_false(mm_scheduler_approve_start(f.scheduler, &request, &approval));
--- a/tests/world/service-checks.c
+++ b/tests/world/service-checks.c
@@ -8,7 +8,8 @@
 static MmResources
 free_resources(const WorldMachine *machine) {
   double cores = world_type_cores(machine->type);
-  MmResources resources = { cores, 0, cores * WORLD_MEMORY_GB_PER_CORE };
+  /* Counts as room for any number of tasks, so that a bound of their number excuses no waiting. */
+  MmResources resources = { cores, 0, cores * WORLD_MEMORY_GB_PER_CORE, G_MAXUINT };
 
   for (guint k = 0; k < machine->tasks->len; k++) {
     const WorldTask *task = g_ptr_array_index(machine->tasks, k);
--- a/tests/world/worker.c
+++ b/tests/world/worker.c
@@ -6,6 +6,9 @@
 
 #include "base/wire.h"
 
+/* Maximum length of a request body. */
+#define REQUEST_BYTES_MAX (64 * 1024)
+
 /* Names of MmReportedState in the protocol. */
 static const char *const reported_state_names[]
     = { "fetching", "gathering", "running", "flushing", "ended" };
@@ -163,6 +166,18 @@
   on_heartbeat_response(data, 0, NULL);
 }
 
+/* Reports a violation if the heartbeat is longer than a request may be. A node would refuse it, and
+ * the machine would lose its lease with all its tasks. */
+static void
+check_length(World *world, const WorldMachine *machine, const json_t *heartbeat) {
+  gsize length = json_dumpb(heartbeat, NULL, 0, 0);
+
+  if (length > REQUEST_BYTES_MAX)
+    world_report_violation(world,
+                           "heartbeat: machine %s reports %u tasks in %" G_GSIZE_FORMAT " bytes",
+                           machine->id, machine->tasks->len, length);
+}
+
 static void
 send_heartbeat(WorldMachine *machine) {
   World *world = machine->world;
@@ -179,10 +194,12 @@
         + (gint64)(world->heartbeat_interval_s * world_uniform(world, 0.75, 1.25) * G_USEC_PER_SEC);
   if (world->now_us < machine->outbound_lost_until_us)
     world_schedule(world, world->now_us + 500000, on_connect_failure, request);
-  else
+  else {
+    json_t *heartbeat = world_machine_heartbeat(machine);
+    check_length(world, machine, heartbeat);
     world_send_request(world, machine->serving_node, machine, "POST", WIRE_HEARTBEAT_PATH,
-                       world_machine_heartbeat(machine), WORLD_HEARTBEAT_TIMEOUT_US,
-                       on_heartbeat_response, request);
+                       heartbeat, WORLD_HEARTBEAT_TIMEOUT_US, on_heartbeat_response, request);
+  }
 }
 
 static void
