Announce each of a leader's first 64 jobs, whatever the number of tasks of those before

What callers saw: jobs that wait beside idle machines for as long as a large array, which fits none of these machines, waits as well.

Cause: a leader announces 512 pending tasks, the most urgent jobs first. An array with more pending tasks than that took them all, and machines ask for nothing that is not announced, nor pull where nothing announced fits.

Change: of the 512, one is kept for each of the 64 jobs that may be announced. One is enough: a machine that asks for it gets others of its job as well.

Measured: large/array-without-machines-hides-no-job fails on the sources before (0 of 6 tasks done after 80 s on idle machines) and passes (6 of 6 of four jobs).

--- a/src/scheduler/pending-tasks.c
+++ b/src/scheduler/pending-tasks.c
@@ -31,29 +31,29 @@
 }
 
 /* Adds the ranges of the job's pending tasks to `list`. Leaves out tasks that must wait for a
- * retry. Adds at most `tasks_left` tasks, and reduces `tasks_left` by the number of added tasks. */
-static void
-add_pending_tasks(MmScheduler *scheduler, MmJob *job, GPtrArray *list, guint *tasks_left) {
+ * retry. Adds at most `max_tasks` tasks, and returns how many. */
+static guint
+add_pending_tasks(MmScheduler *scheduler, MmJob *job, GPtrArray *list, guint max_tasks) {
   MmTime now = mm_node_now(scheduler->node);
   g_autoptr(MmPendingTasks) pending = mm_pending_tasks_new(
       job->spec.id.s, mm_scheduler_has_precedence(scheduler, job), job->is_starving);
+  guint n_added = 0;
   MmPendingRun run;
 
   job->first_pending
       = mm_job_next_pending_run(job, job->first_pending, &run) ? run.first : job->spec.n_tasks;
-  for (guint i = job->first_pending; *tasks_left > 0 && mm_job_next_pending_run(job, i, &run);
+  for (guint i = job->first_pending; n_added < max_tasks && mm_job_next_pending_run(job, i, &run);
        i = run.first + run.length) {
-    guint n_added = MIN(run.length, *tasks_left);
+    guint length = MIN(run.length, max_tasks - n_added);
     if (mm_time_before(now, run.task->retry_not_before))
       continue;
-    if (!append_to_ranges(pending->ranges, run.first, n_added)) {
-      --*tasks_left;
+    if (!append_to_ranges(pending->ranges, run.first, length))
       break;
-    }
-    *tasks_left -= n_added;
+    n_added += length;
   }
   if (pending->ranges->len > 0)
     g_ptr_array_add(list, g_steal_pointer(&pending));
+  return n_added;
 }
 
 static gboolean
@@ -79,7 +79,7 @@
 mm_scheduler_list_backlog(MmScheduler *scheduler, GPtrArray *pending, GArray *reserved_machines) {
   MmJobTable *job_table = scheduler->node->job_table;
   g_autoptr(GPtrArray) jobs = g_ptr_array_new();
-  guint tasks_left = BACKLOG_TASKS_MAX;
+  guint tasks_left = BACKLOG_TASKS_MAX, jobs_left;
 
   for (guint i = 0; i < job_table->by_submission->len; i++) {
     MmJob *job = g_ptr_array_index(job_table->by_submission, i);
@@ -93,8 +93,14 @@
       g_ptr_array_add(jobs, job);
   }
   g_ptr_array_sort(jobs, mm_scheduler_compare_urgency);
-  for (guint i = 0; i < jobs->len && i < BACKLOG_JOBS_MAX && tasks_left > 0; i++)
-    add_pending_tasks(scheduler, g_ptr_array_index(jobs, i), pending, &tasks_left);
+  /* Keeps one task for each of the jobs that follow. Otherwise, a job with many tasks that fit no
+   * machine at present would hide these jobs, also from machines that they fit. */
+  jobs_left = MIN(jobs->len, BACKLOG_JOBS_MAX);
+  for (guint i = 0; jobs_left > 0; i++) {
+    jobs_left--;
+    tasks_left -= add_pending_tasks(scheduler, g_ptr_array_index(jobs, i), pending,
+                                    tasks_left - jobs_left);
+  }
 }
 
 guint
--- a/tests/test-large-capacity.c
+++ b/tests/test-large-capacity.c
@@ -70,6 +70,39 @@
   world_free(world);
 }
 
+/* A leader announced 512 pending tasks, the most urgent first. A large array that could start
+ * nowhere took them all, and no other job of that leader was ever asked for, beside idle machines.
+ */
+void
+test_array_without_machines_hides_no_job(void) {
+  World *world = world_new(9);
+  WorldJob *jobs[4];
+
+  world->capacity = 0;
+  world_add_machines(world, 6, "small", 2);
+  world_start(world);
+  world_run(world, 3);
+  for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
+    g_autofree char *team = g_strdup_printf("team-%u", i);
+    world_submit(world,
+                 json_pack("{s:s, s:i, s:s, s:s}", WIRE_TEAM, team, WIRE_TASKS, MM_JOB_MAX_TASKS,
+                           WIRE_PRIORITY, "urgent", WIRE_ZONE, "c"),
+                 5);
+  }
+  world_run(world, 5);
+  for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
+    g_autofree char *team = g_strdup_printf("team-%u", i);
+    jobs[i] = world_submit(world, json_pack("{s:s, s:i}", WIRE_TEAM, team, WIRE_TASKS, 6), 3);
+  }
+  world_run(world, 80);
+  for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
+    g_test_message("job %u: %u of 6 tasks done", i, jobs[i]->n_done);
+    g_assert_cmpuint(jobs[i]->n_done, ==, 6);
+  }
+  world_assert_invariants(world);
+  world_free(world);
+}
+
 /* Numbers of big machines, counted by the kinds of jobs that run on the machines. Big machines
    have accelerators. */
 typedef struct {
--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -248,6 +248,8 @@
   g_test_add_func("/large/cancellation-waits-for-cut-leader",
                   test_cancellation_waits_for_partitioned_leader);
   g_test_add_func("/large/large-jobs-do-not-starve", test_large_jobs_do_not_starve);
+  g_test_add_func("/large/array-without-machines-hides-no-job",
+                  test_array_without_machines_hides_no_job);
   g_test_add_func("/large/accelerated-machines-with-services-are-filled",
                   test_accelerated_machines_with_services_are_filled);
   g_test_add_func("/large/oversized-fleet-survives-faults", test_oversized_fleet_survives_faults);
--- a/tests/test-large.h
+++ b/tests/test-large.h
@@ -13,5 +13,6 @@
 /* Tests in test-large-capacity.c. */
 
 void test_large_jobs_do_not_starve(void);
+void test_array_without_machines_hides_no_job(void);
 void test_accelerated_machines_with_services_are_filled(void);
 void test_oversized_fleet_survives_faults(void);
