Keep a gang's places on a machine as long as the machine asks for them

What callers saw: a gang with several dozen tasks on one machine never runs, although its machines are idle.

Cause: a reserved place expires three heartbeat intervals after it was reserved, and then the whole gang is released. A machine gets eight starts in an answer by default, so it can't have asked for all places in time. Found by a test with tasks so small that hundreds fit on a machine.

Change: when a machine gets a start of the gang, its other places for the gang count from then on.

Measured: memory/gang-with-many-tasks-on-a-machine (300 tasks on two machines) fails on the sources before and passes.

--- a/src/scheduler/gang.c
+++ b/src/scheduler/gang.c
@@ -223,6 +223,17 @@
     advance_gang(scheduler, g_ptr_array_index(jobs, i));
 }
 
+/* Counts the reservations of the job's other places on the machine from now on. The machine gets a
+ * few starts in an answer, and asks for the next ones with its next heartbeats. */
+static void
+renew_reservations(MmScheduler *scheduler, const MmMachine *machine, MmJob *job) {
+  for (guint i = 0; i < machine->placed_tasks->len; i++) {
+    const MmPlacedTask *placed = g_ptr_array_index(machine->placed_tasks, i);
+    if (placed->job == job && placed->task->state == MM_TASK_PLACE_RESERVED)
+      mm_job_edit_task(job, placed->number)->state_since = mm_node_now(scheduler->node);
+  }
+}
+
 gboolean
 mm_scheduler_approve_reserved_start(MmScheduler *scheduler, const MmStartRequest *request,
                                     MmApproval *approval) {
@@ -243,6 +254,7 @@
     mm_scheduler_place_task(scheduler, placed->job, placed->number, request->machine,
                             MM_TASK_START_SENT, task->attempt);
     task->start_heartbeat_id = request->heartbeat_id;
+    renew_reservations(scheduler, request->machine, placed->job);
     *approval = (MmApproval){ .job = placed->job->spec.id,
                               .number = placed->number,
                               .attempt = task->attempt,
--- a/tests/test-memory.c
+++ b/tests/test-memory.c
@@ -235,6 +235,25 @@
   world_free(world);
 }
 
+/* A machine gets a few starts in an answer. The places of a gang with many tasks on a machine
+ * expired before it had asked for all of them, and the gang was released and reserved again without
+ * end. */
+static void
+test_gang_with_many_tasks_on_a_machine(void) {
+  World *world = world_new(10);
+  WorldJob *gang;
+
+  world->capacity = 0;
+  world_add_machines(world, 2, "small", 2);
+  world_start(world);
+  world_run(world, 3);
+  gang = submit_tiny(world, WIRE_KIND_GANG, "normal", 300, FALSE, 5);
+  world_run(world, 100);
+  g_assert_cmpint(gang->user_view, ==, USER_SEES_DONE);
+  world_assert_invariants(world);
+  world_free(world);
+}
+
 /* Memory that is so small that unfinished jobs reach their share of it within a test. */
 #define SMALL_MEMORY_MB 1.0
 #define MANY_JOBS 250
@@ -394,6 +413,8 @@
                   test_array_completes_between_failovers);
   g_test_add_func("/memory/tiny-tasks-fit-into-reports", test_tiny_tasks_fit_into_reports);
   g_test_add_func("/memory/gangs-of-tiny-tasks", test_gangs_of_tiny_tasks);
+  g_test_add_func("/memory/gang-with-many-tasks-on-a-machine",
+                  test_gang_with_many_tasks_on_a_machine);
   g_test_add_func("/memory/jobs-without-room-are-retried", test_jobs_without_room_are_retried);
   g_test_add_func("/memory/estimate-covers-the-heap", test_estimate_covers_the_heap);
   return g_test_run();
