Bound the request bodies, images and job classes that a node holds

Cause: three more things grew with what users send or name, without a bound: the bodies of requests that are being received (64 KiB on each connection: 75 MB with 1,200 sockets where a node may have 72 MB), the images that a machine is thought to have cached (one of size 0 never makes room for another), and the classes whose run time estimates are corrected.

Change: bodies may take a sixteenth of ram_mb, beyond which a request is answered 503 with Retry-After; 128 images a machine; 1,024 classes, then the corrections begin anew.

--- a/src/machines/machine.c
+++ b/src/machines/machine.c
@@ -7,6 +7,10 @@
 /* Maximum number of commands queued for a machine; further ones are dropped. */
 #define QUEUED_COMMANDS_MAX 256
 
+/* Maximum number of images recorded for a machine. Their sizes alone would allow any number,
+ * because a user may name an image of size 0. */
+#define CACHED_IMAGES_MAX 128
+
 /* Image cache */
 
 void
@@ -26,8 +30,9 @@
   }
   g_array_append_vals(machine->cached_images, &(MmCachedImage){ *image, image_gb, now }, 1);
   total_gb += image_gb;
-  while (machine->type != NULL && total_gb > machine->type->image_cache_gb
-         && machine->cached_images->len > 1) {
+  while (machine->cached_images->len > 1
+         && (machine->cached_images->len > CACHED_IMAGES_MAX
+             || (machine->type != NULL && total_gb > machine->type->image_cache_gb))) {
     guint oldest = 0;
     for (guint i = 1; i < machine->cached_images->len; i++)
       if (mm_time_before(g_array_index(machine->cached_images, MmCachedImage, i).last_used_at,
--- a/src/scheduler/heartbeats.c
+++ b/src/scheduler/heartbeats.c
@@ -8,6 +8,9 @@
 
 /* When a task completes, the previous sums of its job class are multiplied by this factor. */
 #define ESTIMATE_ERROR_DECAY 0.98
+/* Maximum number of job classes whose sums are kept. Users name the classes. When one more comes,
+ * all sums are forgotten: they soon form again for the classes that are in use. */
+#define ESTIMATE_ERRORS_MAX 1024
 /* Pause of a task after an error. The pause is doubled with each further error, up to a maximum.
  * Errors beyond TASK_ERRORS_MAX are not counted. */
 #define TASK_ERRORS_MAX 10
@@ -35,6 +38,8 @@
   if (job->spec.run_estimate_s <= 0)
     return;
   if (estimate_error == NULL) {
+    if (g_hash_table_size(scheduler->estimate_errors) >= ESTIMATE_ERRORS_MAX)
+      g_hash_table_remove_all(scheduler->estimate_errors);
     estimate_error = g_new0(MmEstimateError, 1);
     g_hash_table_insert(scheduler->estimate_errors, g_strdup(job->spec.job_class.s),
                         estimate_error);
--- a/src/transport/http-server.c
+++ b/src/transport/http-server.c
@@ -16,10 +16,19 @@
 #define RESERVED_SOCKETS 100
 #define LISTEN_BACKLOG 256
 
+/* Memory for the bodies of requests that are being received, of all connections together: a share
+ * of the node's memory. */
+#define BODIES_MEMORY_SHARE (1.0 / 16)
+#define BYTES_PER_MB (1024.0 * 1024.0)
+/* Retry-After, in seconds, of the 503 response to a request for whose body there is no memory. */
+#define NO_MEMORY_RETRY_S 1
+
 struct MmHttpServer {
   struct MHD_Daemon *daemon;
   MmNode *node;
   GSource *source;
+  gsize bodies_bytes;     /* length of the bodies that are being received */
+  gsize bodies_max_bytes; /* a request whose body would exceed this is answered 503 */
 };
 
 typedef struct {
@@ -28,6 +37,7 @@
   struct MHD_Connection *connection;
   GByteArray *body;
   gboolean is_body_too_large;
+  gboolean is_body_discarded;    /* there was no memory for a piece of the body */
   gboolean awaits_node_response; /* the node has received the request but has not responded */
   /* mm_node_handle_request is running. A response must not resume the connection during that call,
    * because the connection has not been suspended yet. */
@@ -39,8 +49,15 @@
 } ServerExchange;
 
 static void
-exchange_free(ServerExchange *exchange) {
+free_body(ServerExchange *exchange) {
+  if (exchange->body != NULL)
+    exchange->server->bodies_bytes -= exchange->body->len;
   g_clear_pointer(&exchange->body, g_byte_array_unref);
+}
+
+static void
+exchange_free(ServerExchange *exchange) {
+  free_body(exchange);
   json_decref(exchange->response);
   g_free(exchange);
 }
@@ -85,10 +102,11 @@
 }
 
 static enum MHD_Result
-queue_error(struct MHD_Connection *connection, int status, const char *reason) {
+queue_error(struct MHD_Connection *connection, int status, const char *reason,
+            guint retry_after_s) {
   g_autoptr(json_t) body = mm_json_error(reason);
 
-  return queue_response(connection, status, body, 0);
+  return queue_response(connection, status, body, retry_after_s);
 }
 
 static ServerExchange *
@@ -103,12 +121,20 @@
 
 static void
 append_to_body(ServerExchange *exchange, const char *piece, size_t length) {
+  MmHttpServer *server = exchange->server;
+
+  if (exchange->is_body_too_large || exchange->is_body_discarded)
+    return;
   if (exchange->body == NULL)
     exchange->body = g_byte_array_new();
-  if (exchange->body->len + length > BODY_MAX_BYTES)
-    exchange->is_body_too_large = TRUE;
-  else
-    g_byte_array_append(exchange->body, (const guint8 *)piece, (guint)length);
+  exchange->is_body_too_large = exchange->body->len + length > BODY_MAX_BYTES;
+  exchange->is_body_discarded = server->bodies_bytes + length > server->bodies_max_bytes;
+  if (exchange->is_body_too_large || exchange->is_body_discarded) {
+    free_body(exchange);
+    return;
+  }
+  g_byte_array_append(exchange->body, (const guint8 *)piece, (guint)length);
+  server->bodies_bytes += length;
 }
 
 /* Passes the request to the node. The node calls respond() during this call or later. */
@@ -119,7 +145,7 @@
   if (exchange->body != NULL)
     body = json_loadb((const char *)exchange->body->data, exchange->body->len, JSON_DECODE_ANY,
                       NULL);
-  g_clear_pointer(&exchange->body, g_byte_array_unref);
+  free_body(exchange);
   exchange->awaits_node_response = TRUE;
   exchange->is_in_handler = TRUE;
   mm_node_handle_request(exchange->server->node, method, path, body, &exchange->base);
@@ -145,7 +171,9 @@
     return MHD_YES;
   }
   if (exchange->is_body_too_large)
-    return queue_error(connection, 413, "the body is over 64 KiB");
+    return queue_error(connection, 413, "the body is over 64 KiB", 0);
+  if (exchange->is_body_discarded)
+    return queue_error(connection, 503, "too many requests in progress", NO_MEMORY_RETRY_S);
   if (exchange->status == 0)
     dispatch_to_node(exchange, method, path);
   if (exchange->status == 0) {
@@ -222,6 +250,8 @@
   struct sockaddr_in socket_address;
 
   server->node = node;
+  server->bodies_max_bytes
+      = (gsize)(node->settings->memory_mb * BYTES_PER_MB * BODIES_MEMORY_SHARE);
   if (address == NULL || g_socket_address_get_family(address) != G_SOCKET_FAMILY_IPV4
       || !g_socket_address_to_native(address, &socket_address, sizeof socket_address, error)) {
     g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT, "%s is not an address", listen);
--- a/tests/test-memory.c
+++ b/tests/test-memory.c
@@ -14,6 +14,9 @@
 #define KB 1024
 /* The most tasks that a machine may have. */
 #define TASKS_PER_MACHINE_MAX 256
+/* The most images that are recorded for a machine, and job classes on a node. */
+#define CACHED_IMAGES_MAX 128
+#define JOB_CLASSES_MAX 1024
 /* What a node may hold for each task that is on a machine and for each unfinished job. */
 #define TASK_BYTES_MAX KB
 #define JOB_BYTES_MAX (4 * KB)
@@ -254,6 +257,59 @@
   world_free(world);
 }
 
+/* The cache of a machine holds any number of images of size 0. */
+static void
+test_images_without_size_are_bounded(void) {
+  World *world = memory_world(11);
+  const MmMachineTable *table = world->nodes[0].node->machine_table;
+  MmMachine *machine = g_ptr_array_index(table->sorted_machines, 0);
+
+  for (guint i = 0; i < 10 * CACHED_IMAGES_MAX; i++) {
+    g_autofree char *text = g_strdup_printf("image-%u", i);
+    MmName image = mm_name(text);
+    mm_machine_record_image(machine, (MmTime){ world->now_us + i }, &image, 0);
+    g_assert_true(mm_machine_has_cached_image(machine, &image));
+  }
+  g_assert_cmpuint(machine->cached_images->len, <=, CACHED_IMAGES_MAX);
+  world_free(world);
+}
+
+static guint
+most_job_classes_on_a_node(const World *world) {
+  guint most = 0;
+
+  for (guint i = 0; i < WORLD_NODES; i++)
+    most = MAX(most, g_hash_table_size(world->nodes[i].node->scheduler->estimate_errors));
+  return most;
+}
+
+/* The estimates of run times are corrected by class, and users name the classes. */
+static void
+test_job_classes_are_bounded(void) {
+  World *world = memory_world(12);
+  guint most = 0;
+
+  for (guint i = 0; i < JOB_CLASSES_MAX + 100; i++) {
+    g_autofree char *job_class = g_strdup_printf("class-%u", i);
+    world_submit(world,
+                 json_pack("{s:s, s:s, s:i, s:f}", WIRE_CLASS, job_class, WIRE_TEAM, "team-0",
+                           WIRE_TASKS, 1, WIRE_ESTIMATE, 1.0),
+                 1.5);
+    world_run(world, 0.1);
+    most = MAX(most, most_job_classes_on_a_node(world));
+  }
+  for (guint second = 0; second < 300; second++) {
+    world_run(world, 1);
+    most = MAX(most, most_job_classes_on_a_node(world));
+  }
+  world_assert_all_jobs_finished(world);
+  g_test_message("at most %u classes on a node", most);
+  g_assert_cmpuint(most, >, JOB_CLASSES_MAX - 100);
+  g_assert_cmpuint(most, <=, JOB_CLASSES_MAX);
+  world_assert_invariants(world);
+  world_free(world);
+}
+
 /* Memory that is so small that unfinished jobs reach their share of it within a test. */
 #define SMALL_MEMORY_MB 1.0
 #define MANY_JOBS 250
@@ -415,6 +471,8 @@
   g_test_add_func("/memory/gangs-of-tiny-tasks", test_gangs_of_tiny_tasks);
   g_test_add_func("/memory/gang-with-many-tasks-on-a-machine",
                   test_gang_with_many_tasks_on_a_machine);
+  g_test_add_func("/memory/images-without-size-are-bounded", test_images_without_size_are_bounded);
+  g_test_add_func("/memory/job-classes-are-bounded", test_job_classes_are_bounded);
   g_test_add_func("/memory/jobs-without-room-are-retried", test_jobs_without_room_are_retried);
   g_test_add_func("/memory/estimate-covers-the-heap", test_estimate_covers_the_heap);
   return g_test_run();
