Load the replica anew where a watch would return too many missed changes

Cause: the response to a watch holds every change since the revision asked for, up to 10,000, each as large as users make their records. A node that the state service had refused for minutes would get them all at once, and with large records end for memory on its return.

Change: after a failed watch, where the replica has not been current for 10 s, the store's revision is read first. If more has changed than fits into an eighth of ram_mb at the greatest length of a value, the keys are read page by page, as where the history has gone (410). The simulated world counts the changes in a response.

Measured: memory/missed-changes-are-read-in-pages fails without the check (180 changes in one response, 32 allowed) and passes.

--- a/src/kv/replica.c
+++ b/src/kv/replica.c
@@ -12,8 +12,16 @@
 /* The fraction of the key-value store's request rate that one node may use for watches. */
 #define WATCH_RATE_SHARE 0.1
 
+/* A watch that succeeded less than this long ago is resumed without asking how much has changed. */
+#define GAP_CHECK_AFTER_MS 10000
+/* The share of the node's memory that the missed changes may take, each as large as a value may be.
+ * The response to a watch contains all of them at once, while a load reads page after page. */
+#define MISSED_CHANGES_SHARE (1.0 / 8)
+#define BYTES_PER_MB (1024.0 * 1024.0)
+
 static void start_load(gpointer data);
 static void start_watch(gpointer data);
+static void resume_watch(gpointer data);
 
 typedef struct {
   MmReplicaChanged changed;
@@ -340,7 +348,7 @@
     return;
   }
   if (status != 200 || mm_json_get(body, WIRE_REVISION) == NULL) {
-    mm_platform_call_after(replica->platform, RETRY_AFTER_MS, start_watch, replica);
+    mm_platform_call_after(replica->platform, RETRY_AFTER_MS, resume_watch, replica);
     return;
   }
   apply_events(replica, events);
@@ -365,6 +373,45 @@
                      request);
 }
 
+static guint64
+max_missed_changes(const MmReplica *replica) {
+  double bytes = replica->settings->memory_mb * BYTES_PER_MB * MISSED_CHANGES_SHARE;
+
+  return (guint64)(bytes / replica->settings->kv_max_value_bytes);
+}
+
+static void
+on_gap_read(gpointer data, int status, json_t *body) {
+  MmReplica *replica = data;
+  guint64 revision = mm_json_count(body, WIRE_REVISION, 0);
+
+  if (status != 404 || revision == 0) {
+    mm_platform_call_after(replica->platform, RETRY_AFTER_MS, resume_watch, replica);
+    return;
+  }
+  if (revision <= replica->revision + max_missed_changes(replica)) {
+    start_watch(replica);
+    return;
+  }
+  mm_info("replica reloading: too many changes missed revision=%" G_GUINT64_FORMAT
+          " store_revision=%" G_GUINT64_FORMAT,
+          replica->revision, revision);
+  start_load(replica);
+}
+
+/* Starts a watch after a failed one. If the replica has not been current for some time, first reads
+ * the store's revision, and loads the replica anew if too much has changed. */
+static void
+resume_watch(gpointer data) {
+  MmReplica *replica = data;
+  MmTime now = mm_platform_now(replica->platform);
+
+  if (mm_time_ms_since(now, replica->current_as_of) < GAP_CHECK_AFTER_MS)
+    start_watch(replica);
+  else
+    mm_kv_client_get(replica->kv, MM_KEY_NEVER_WRITTEN, "", on_gap_read, replica);
+}
+
 void
 mm_replica_start(MmReplica *replica) {
   start_load(replica);
--- a/tests/test-memory.c
+++ b/tests/test-memory.c
@@ -3,6 +3,7 @@
 #include "base/wire.h"
 #include "dependencies/dependency-graph.h"
 #include "heap-bytes.h"
+#include "kv/replica.h"
 #include "job-api/job-capacity.h"
 #include "node/memory-usage.h"
 #include "scheduler/scheduler.h"
@@ -17,6 +18,10 @@
 /* The most images that are recorded for a machine, and job classes on a node. */
 #define CACHED_IMAGES_MAX 128
 #define JOB_CLASSES_MAX 1024
+/* Memory that is so small that the shares of it are reached within a test. */
+#define SMALL_MEMORY_MB 1.0
+/* An eighth of it, at the 4 KiB of a value. */
+#define MISSED_CHANGES_MAX 32
 /* What a node may hold for each task that is on a machine and for each unfinished job. */
 #define TASK_BYTES_MAX KB
 #define JOB_BYTES_MAX (4 * KB)
@@ -310,8 +315,33 @@
   world_free(world);
 }
 
-/* Memory that is so small that unfinished jobs reach their share of it within a test. */
-#define SMALL_MEMORY_MB 1.0
+/* A node that the store had refused got all changes that it had missed in one response, however
+ * many, as large as users make their records. It reads the keys page by page instead. */
+static void
+test_missed_changes_are_read_in_pages(void) {
+  World *world = world_new(13);
+
+  world->capacity = 0;
+  world->memory_mb = SMALL_MEMORY_MB;
+  world_add_machines(world, 6, "small", 3);
+  world_start(world);
+  world_run(world, 5);
+  world->nodes[1].kv_refuses_until_us = world->now_us + 90 * (gint64)G_USEC_PER_SEC;
+  for (guint i = 0; i < 60; i++) {
+    world_submit(world, json_pack("{s:i}", WIRE_TASKS, 2), 1);
+    world_run(world, 1.5);
+  }
+  world_run(world, 40);
+  g_test_message("at most %u changes in a response", world->most_changes_at_once);
+  g_assert_cmpuint(world->most_changes_at_once, <=, MISSED_CHANGES_MAX);
+  g_assert_true(world->nodes[1].node->replica->is_loaded);
+  g_assert_cmpuint(world->nodes[1].node->replica->revision, ==, world->revision);
+  world_run(world, 60);
+  world_assert_all_jobs_finished(world);
+  world_assert_invariants(world);
+  world_free(world);
+}
+
 #define MANY_JOBS 250
 
 static guint
@@ -473,6 +503,8 @@
                   test_gang_with_many_tasks_on_a_machine);
   g_test_add_func("/memory/images-without-size-are-bounded", test_images_without_size_are_bounded);
   g_test_add_func("/memory/job-classes-are-bounded", test_job_classes_are_bounded);
+  g_test_add_func("/memory/missed-changes-are-read-in-pages",
+                  test_missed_changes_are_read_in_pages);
   g_test_add_func("/memory/jobs-without-room-are-retried", test_jobs_without_room_are_retried);
   g_test_add_func("/memory/estimate-covers-the-heap", test_estimate_covers_the_heap);
   return g_test_run();
--- a/tests/world/kv-watches.c
+++ b/tests/world/kv-watches.c
@@ -5,6 +5,9 @@
 
 #include "base/wire.h"
 
+/* How long after the end of a watch its node waits for the response. A later one reaches nobody. */
+#define WATCH_CLIENT_TIMEOUT_US (2 * (gint64)G_USEC_PER_SEC)
+
 /* A pending watch, which waits for changes of keys that begin with `prefix`. */
 typedef struct {
   guint node; /* index of the node that opened the watch */
@@ -94,6 +97,9 @@
     response
         = json_pack("{s:I, s:o}", WIRE_REVISION, (json_int_t)world->revision, WIRE_EVENTS, events);
     watch->is_answered = TRUE;
+    if (world->now_us < watch->expires_at_us + WATCH_CLIENT_TIMEOUT_US)
+      world->most_changes_at_once
+          = MAX(world->most_changes_at_once, (guint)json_array_size(events));
     watch->callback(watch->data, 200, response);
   }
   for (guint i = world->watches->len; i > 0; i--)
--- a/tests/world/types.h
+++ b/tests/world/types.h
@@ -209,7 +209,8 @@
   guint64 format;        /* active format as stored; 0: the format key is missing or malformed */
   gint64 format_set_at_us;
   guint64 n_writes;
-  guint64 n_conflicts; /* transactions whose conditions failed */
+  guint64 n_conflicts;        /* transactions whose conditions failed */
+  guint most_changes_at_once; /* in a response to a watch that a node still waited for */
 
   /* Limits of the key-value store. Unless `has_unannounced_limits` is set, a transaction that
    * exceeds a limit fails an assertion, because the nodes know the limits. */
