One function for shares of a node's memory and one for multiples of resources

Five modules worked out shares of ram_mb each by itself, and three places added up a job's resources field by field; one of these left out memory, so that a shard's sum was wrong until the next recount.

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -111,6 +111,12 @@
          && need.slots <= have.slots + MM_RESOURCES_SLACK;
 }
 
+/* Returns `n` times the resources. */
+static inline MmResources
+mm_resources_times(MmResources a, guint n) {
+  return (MmResources){ n * a.cores, n * a.accelerators, n * a.memory_gb, n * a.slots };
+}
+
 /* Returns the element-wise minimum. */
 static inline MmResources
 mm_resources_min(MmResources a, MmResources b) {
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -275,6 +275,13 @@
   return root != NULL ? mm_settings_from_json(path, root, error) : NULL;
 }
 
+#define BYTES_PER_MB (1024.0 * 1024.0)
+
+gsize
+mm_settings_memory_bytes(const MmSettings *settings, double share) {
+  return (gsize)(settings->memory_mb * BYTES_PER_MB * share);
+}
+
 gboolean
 mm_settings_has_node(const MmSettings *settings, const char *label) {
   if (strcmp(settings->label.s, label) == 0)
--- a/src/job-api/job-capacity.c
+++ b/src/job-api/job-capacity.c
@@ -2,7 +2,6 @@
 
 #include "dependencies/dependency-graph.h"
 
-#define BYTES_PER_MB (1024.0 * 1024.0)
 /* Shares of the node's memory. */
 #define UNFINISHED_JOBS_SHARE 0.25
 #define SUBMISSIONS_SHARE (1.0 / 32)
@@ -21,7 +20,7 @@
 
 gsize
 mm_job_capacity_max_bytes(const MmSettings *settings) {
-  return (gsize)(settings->memory_mb * BYTES_PER_MB * UNFINISHED_JOBS_SHARE);
+  return mm_settings_memory_bytes(settings, UNFINISHED_JOBS_SHARE);
 }
 
 gboolean
@@ -42,9 +41,9 @@
 
 gboolean
 mm_job_capacity_try_add_submission(MmJobApi *job_api, gsize bytes) {
-  double max_bytes = job_api->node->settings->memory_mb * BYTES_PER_MB * SUBMISSIONS_SHARE;
+  gsize max_bytes = mm_settings_memory_bytes(job_api->node->settings, SUBMISSIONS_SHARE);
 
-  if ((double)(job_api->submissions_bytes + bytes) > max_bytes)
+  if (job_api->submissions_bytes + bytes > max_bytes)
     return FALSE;
   job_api->submissions_bytes += bytes;
   return TRUE;
--- a/src/kv/replica.c
+++ b/src/kv/replica.c
@@ -17,7 +17,6 @@
 /* The share of the node's memory that the missed changes may take, each as large as a value may be.
  * The response to a watch contains all of them at once, while a load reads page after page. */
 #define MISSED_CHANGES_SHARE (1.0 / 8)
-#define BYTES_PER_MB (1024.0 * 1024.0)
 
 static void start_load(gpointer data);
 static void start_watch(gpointer data);
@@ -375,9 +374,8 @@
 
 static guint64
 max_missed_changes(const MmReplica *replica) {
-  double bytes = replica->settings->memory_mb * BYTES_PER_MB * MISSED_CHANGES_SHARE;
-
-  return (guint64)(bytes / replica->settings->kv_max_value_bytes);
+  return mm_settings_memory_bytes(replica->settings, MISSED_CHANGES_SHARE)
+         / replica->settings->kv_max_value_bytes;
 }
 
 static void
--- a/src/machines/task-slots.c
+++ b/src/machines/task-slots.c
@@ -1,6 +1,5 @@
 #include "machines/task-slots.h"
 
-#define BYTES_PER_MB (1024.0 * 1024.0)
 /* Share of a node's memory for the tasks on all machines. */
 #define TASKS_MEMORY_SHARE 0.25
 /* Memory of a task on a machine, at the leader of its shard: its entry in the task table, in the
@@ -15,7 +14,7 @@
 
 guint
 mm_task_slots_per_machine(const MmMachineTable *machine_table) {
-  double task_bytes = machine_table->node->settings->memory_mb * BYTES_PER_MB * TASKS_MEMORY_SHARE;
+  gsize task_bytes = mm_settings_memory_bytes(machine_table->node->settings, TASKS_MEMORY_SHARE);
   guint n_machines = MAX(machine_table->sorted_machines->len, 1);
 
   return (guint)CLAMP(task_bytes / TASK_BYTES / n_machines, SLOTS_MIN, MM_TASK_SLOTS_MAX);
--- a/src/node/memory-usage.c
+++ b/src/node/memory-usage.c
@@ -40,13 +40,14 @@
   gsize owned_bytes
       = usage->jobs_bytes + usage->tasks_bytes + usage->graph_bytes + usage->machines_bytes;
 
-  mm_info("node memory limit_kb=%.0f heap_kb=%" G_GSIZE_FORMAT " jobs=%u jobs_kb=%" G_GSIZE_FORMAT
-          " tasks=%" G_GUINT64_FORMAT " tasks_kb=%" G_GSIZE_FORMAT " graph_kb=%" G_GSIZE_FORMAT
+  mm_info("node memory limit_kb=%" G_GSIZE_FORMAT " heap_kb=%" G_GSIZE_FORMAT
+          " jobs=%u jobs_kb=%" G_GSIZE_FORMAT " tasks=%" G_GUINT64_FORMAT
+          " tasks_kb=%" G_GSIZE_FORMAT " graph_kb=%" G_GSIZE_FORMAT
           " machines=%u machines_kb=%" G_GSIZE_FORMAT " other_kb=%" G_GSSIZE_FORMAT,
-          node->settings->memory_mb * BYTES_PER_KB, usage->heap_bytes / BYTES_PER_KB, usage->n_jobs,
-          usage->jobs_bytes / BYTES_PER_KB, usage->n_tasks, usage->tasks_bytes / BYTES_PER_KB,
-          usage->graph_bytes / BYTES_PER_KB, usage->n_machines,
-          usage->machines_bytes / BYTES_PER_KB,
+          mm_settings_memory_bytes(node->settings, 1) / BYTES_PER_KB,
+          usage->heap_bytes / BYTES_PER_KB, usage->n_jobs, usage->jobs_bytes / BYTES_PER_KB,
+          usage->n_tasks, usage->tasks_bytes / BYTES_PER_KB, usage->graph_bytes / BYTES_PER_KB,
+          usage->n_machines, usage->machines_bytes / BYTES_PER_KB,
           ((gssize)usage->heap_bytes - (gssize)owned_bytes) / BYTES_PER_KB);
 }
 
--- a/src/scheduler/led-shards.c
+++ b/src/scheduler/led-shards.c
@@ -32,10 +32,9 @@
 
   if (shard != NULL && shard->limit_reserved_for == job)
     shard->limit_reserved_for = NULL;
-  if (shard != NULL && job->n_maybe_on_machines > 0) {
-    shard->used.cores -= job->n_maybe_on_machines * job->spec.task_resources.cores;
-    shard->used.accelerators -= job->n_maybe_on_machines * job->spec.task_resources.accelerators;
-  }
+  if (shard != NULL)
+    shard->used = mm_resources_sub(
+        shard->used, mm_resources_times(job->spec.task_resources, job->n_maybe_on_machines));
   for (guint i = 0; job->tasks != NULL && i < job->tasks->entries->len; i++) {
     const MmTask *task = mm_task_table_at(job->tasks, i);
     mm_scheduler_remove_from_machine(task->machine, job, task->number);
--- a/src/scheduler/quota.c
+++ b/src/scheduler/quota.c
@@ -49,9 +49,9 @@
     if (job->team_index < 0 || job->is_cancelled || !mm_job_dependencies_are_done(job))
       continue;
     team = &g_array_index(teams, MmTeamSettings, job->team_index);
-    team_sums[job->team_index].cores += job->spec.n_tasks * job->spec.task_resources.cores;
-    team_sums[job->team_index].accelerators
-        += job->spec.n_tasks * job->spec.task_resources.accelerators;
+    team_sums[job->team_index]
+        = mm_resources_add(team_sums[job->team_index],
+                           mm_resources_times(job->spec.task_resources, job->spec.n_tasks));
     job->is_within_quota = fits_quota(&team->quota, &team_sums[job->team_index], &job->spec);
     job->has_quota_precedence = job->is_within_quota && quota_gives_precedence;
   }
@@ -155,8 +155,7 @@
           && mm_scheduler_compare_urgency(&job, &shard->limit_reserved_for) >= 0))
     return;
   shard->limit_reserved_for = job;
-  shard->reserved_of_limit = (MmResources){ n_tasks * job->spec.task_resources.cores,
-                                            n_tasks * job->spec.task_resources.accelerators, 0 };
+  shard->reserved_of_limit = mm_resources_times(job->spec.task_resources, n_tasks);
 }
 
 /* Recomputes the sums that task-state.c maintains. These sums accumulate rounding errors, because
@@ -180,10 +179,7 @@
     if (shard == NULL)
       continue;
     reserve_part_of_limit(scheduler, shard, job);
-    if (job->n_maybe_on_machines == 0)
-      continue;
-    shard->used.cores += job->n_maybe_on_machines * job->spec.task_resources.cores;
-    shard->used.accelerators += job->n_maybe_on_machines * job->spec.task_resources.accelerators;
-    shard->used.memory_gb += job->n_maybe_on_machines * job->spec.task_resources.memory_gb;
+    shard->used = mm_resources_add(
+        shard->used, mm_resources_times(job->spec.task_resources, job->n_maybe_on_machines));
   }
 }
--- a/src/transport/http-server.c
+++ b/src/transport/http-server.c
@@ -19,7 +19,6 @@
 /* Memory for the bodies of requests that are being received, of all connections together: a share
  * of the node's memory. */
 #define BODIES_MEMORY_SHARE (1.0 / 16)
-#define BYTES_PER_MB (1024.0 * 1024.0)
 /* Retry-After, in seconds, of the 503 response to a request for whose body there is no memory. */
 #define NO_MEMORY_RETRY_S 1
 
@@ -250,8 +249,7 @@
   struct sockaddr_in socket_address;
 
   server->node = node;
-  server->bodies_max_bytes
-      = (gsize)(node->settings->memory_mb * BYTES_PER_MB * BODIES_MEMORY_SHARE);
+  server->bodies_max_bytes = mm_settings_memory_bytes(node->settings, BODIES_MEMORY_SHARE);
   if (address == NULL || g_socket_address_get_family(address) != G_SOCKET_FAMILY_IPV4
       || !g_socket_address_to_native(address, &socket_address, sizeof socket_address, error)) {
     g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT, "%s is not an address", listen);
--- a/src/transport/peer-socket.c
+++ b/src/transport/peer-socket.c
@@ -18,7 +18,7 @@
  * The limit depends on the node's memory because the initial state, which is sent on each new link,
  * grows with the number of machines. */
 #define QUEUE_LIMIT_MIN_BYTES (2 * 1024 * 1024)
-#define QUEUE_LIMIT_BYTES_PER_MB (1024 * 1024 / 16.0)
+#define QUEUE_LIMIT_SHARE (1.0 / 16)
 #define READ_BYTES (32 * 1024)
 #define RECONNECT_DELAY_MS 250
 #define CONNECT_TIMEOUT_S 2
@@ -196,8 +196,8 @@
 
   if (outbound->connection == NULL)
     return;
-  if (offset + length
-      > MAX(QUEUE_LIMIT_MIN_BYTES, sockets->settings->memory_mb * QUEUE_LIMIT_BYTES_PER_MB)) {
+  if (offset + length > MAX(QUEUE_LIMIT_MIN_BYTES,
+                            mm_settings_memory_bytes(sockets->settings, QUEUE_LIMIT_SHARE))) {
     mm_info("peer link closed, send queue is full peer=%u", peer);
     close_outbound(outbound);
     return;
