--- a/tests/test-memory.c
+++ b/tests/test-memory.c
@@ -16,6 +16,11 @@
 /* How many pending tasks are remembered at most in a small fleet. */
 #define REMEMBERED_TASKS_MAX 1024
 
+/* Random days: their length and number, the latter also with `-m slow`. */
+#define DAY_S 90
+#define DAYS 3
+#define SLOW_DAYS 100
+
 World *
 memory_world(guint32 seed) {
   World *world = world_new(seed);
@@ -250,6 +255,52 @@
   world_free(world);
 }
 
+/* Submits a job with many more tasks than the machines run. */
+static void
+submit_large_random(World *world) {
+  static const char *const kinds[] = { WIRE_KIND_ARRAY, WIRE_KIND_ARRAY, WIRE_KIND_GANG };
+  g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
+  gboolean is_tiny = g_rand_int_range(world->rand, 0, 3) == 0;
+  const char *kind = is_tiny ? kinds[g_rand_int_range(world->rand, 0, 3)] : WIRE_KIND_ARRAY;
+
+  world_submit(world,
+               json_pack("{s:s, s:s, s:i, s:f, s:f}", WIRE_TEAM, team, WIRE_KIND, kind, WIRE_TASKS,
+                         g_rand_int_range(world->rand, 1000, LARGEST_ARRAY + 1), WIRE_CORES,
+                         is_tiny ? 0.0 : 1.0, WIRE_MEMORY, is_tiny ? 0.0 : 1.0),
+               world_uniform(world, 0.5, 20));
+}
+
+/* Plays a random day with faults, whose users submit jobs of up to the largest allowed size. After
+ * each second, the nodes' memory must follow what runs. */
+static void
+play_day_with_large_jobs(guint32 seed) {
+  World *world = world_new(seed);
+
+  world->max_request_delay_s = seed % 3 == 0 ? 1.0 : 0;
+  world->duplicate_rate = 0.02;
+  world->late_write_rate = seed % 4 == 0 ? 0.1 : 0;
+  world_add_nine_machines(world);
+  world_start(world);
+  world_run(world, 3);
+  for (guint second = 0; second < DAY_S; second++) {
+    world_add_random_activity(world, second);
+    if (second % 10 == 0)
+      submit_large_random(world);
+    world_run(world, 1);
+    assert_task_memory_follows_what_runs(world);
+    world_assert_invariants(world);
+  }
+  world_free(world);
+}
+
+static void
+test_random_days_with_large_jobs(void) {
+  guint n_days = g_test_slow() ? SLOW_DAYS : DAYS;
+
+  for (guint32 seed = 1; seed <= n_days; seed++)
+    play_day_with_large_jobs(seed);
+}
+
 int
 main(int argc, char **argv) {
   world_test_init(&argc, &argv);
@@ -267,5 +318,6 @@
                   test_missed_changes_are_read_in_pages);
   g_test_add_func("/memory/jobs-without-room-are-retried", test_jobs_without_room_are_retried);
   g_test_add_func("/memory/estimate-covers-the-heap", test_estimate_covers_the_heap);
+  g_test_add_func("/memory/random-days-with-large-jobs", test_random_days_with_large_jobs);
   return g_test_run();
 }
