Drop a job's record while a request waits for other nodes

A cancellation, or a question about a job with dependencies, kept a copy of the job's record, as large as a value may be, while it waited for other nodes. It is not used again.

--- a/src/job-api/job-cancellation.c
+++ b/src/job-api/job-cancellation.c
@@ -68,6 +68,8 @@
     respond_cancelled(request);
     return;
   }
+  /* A record may be as large as a value. It is not needed while the request waits. */
+  g_clear_pointer(&request->record, json_decref);
   request->deadline = mm_time_add_ms(now, CANCEL_ACK_TIMEOUT_MS);
   request->cancel_broadcast_at = now;
   g_queue_push_tail(request->node->job_api->awaiting_cancel_acks, request);
--- a/src/job-api/job-status.c
+++ b/src/job-api/job-status.c
@@ -103,6 +103,7 @@
 wait_for_dependencies(MmUserRequest *request) {
   MmJobApi *job_api = request->node->job_api;
 
+  g_clear_pointer(&request->record, json_decref);
   if (request->deadline.us == 0)
     request->deadline = mm_time_add_ms(mm_node_now(request->node), DEPENDENCIES_TIMEOUT_MS);
   g_queue_push_tail(job_api->awaiting_dependencies, request);
