Count tasks whose results are not stored yet against a machine's task slots

Cause: an ended task stays in its machine's report until its result is stored. While the store is out, tasks that need next to nothing piled up there, up to the length of a report, some 650 a machine, and each node keeps 88 bytes of each: 26 MB with 460 machines, beside the quarter of the memory that the slots account for.

Measured: memory/results-that-are-not-stored-take-slots (new). The sizes are sums of struct sizes, not measured.

--- a/tests/loopback/processes.c
+++ b/tests/loopback/processes.c
@@ -101,8 +101,9 @@
                          "gang_peer_s = 4.0\ncancel_s = %.1f\n"
                          "[settings.state]\nrps = 400.0\nwrite_rps = 60.0\nvalue_kb = 4.0\n"
                          "txn_ops = 12\n[settings.cloud]\nrps = 6.0\nlist_lag_s = 2.0\n"
-                         "[settings.resources]\ncpu = 1.0\nram_mb = 512.0\nmax_sockets = 1000\n",
-                         world->heartbeat_interval_s, world->worker_lease_s, world->cancel_s);
+                         "[settings.resources]\ncpu = 1.0\nram_mb = %.1f\nmax_sockets = 1000\n",
+                         world->heartbeat_interval_s, world->worker_lease_s, world->cancel_s,
+                         world->memory_mb);
   return g_string_free(text, FALSE);
 }
 
--- a/tests/loopback/run.c
+++ b/tests/loopback/run.c
@@ -13,6 +13,7 @@
 
 #define EXIT_USAGE 2
 #define MACHINES 40
+#define MEMORY_MB 512
 #define GROUPS 64
 #define OPERATORS_XML                                                                              \
   "<martenmount><groups>64</groups><group-hold-s>1</group-hold-s>"                                 \
@@ -339,6 +340,7 @@
 
   run.world->group_count = GROUPS;
   run.world->team_cores = 60;
+  run.world->memory_mb = MEMORY_MB;
   run.world->observe_task = record_task_event;
   run.world->observer_data = &run;
   run.stand_ins
--- a/tests/test-memory-bounds.c
+++ b/tests/test-memory-bounds.c
@@ -7,6 +7,7 @@
 #include "heap-bytes.h"
 #include "job-api/job-capacity.h"
 #include "kv/replica.h"
+#include "machines/task-slots.h"
 #include "scheduler/scheduler.h"
 
 /* The most images that are recorded for a machine, and job classes on a node. */
@@ -14,8 +15,39 @@
 #define JOB_CLASSES_MAX 1024
 /* Memory that is so small that the shares of it are reached within a test. */
 #define SMALL_MEMORY_MB 1.0
+/* Task slots of a machine with that memory, and listed tasks for each. */
+#define SMALL_MEMORY_SLOTS 64
+#define LISTED_TASKS_PER_SLOT 4
 /* An eighth of it, at the 4 KiB of a value. */
 #define MISSED_CHANGES_MAX 32
+/* While results can't be stored, their tasks stay in the machine's report, and every node keeps the
+ * report. A machine with many of them gets no more tasks. */
+void
+test_results_that_are_not_stored_take_slots(void) {
+  World *world = world_new(14);
+  const MmMachineTable *table;
+  MmMachine *machine;
+  MmReportedTask ended
+      = { .job = mm_name("run-000001"), .state = MM_REPORTED_ENDED, .cause = MM_CAUSE_DONE };
+
+  world->capacity = 0;
+  world->memory_mb = SMALL_MEMORY_MB;
+  world_add_machines(world, 6, "small", 3);
+  world_start(world);
+  world_run(world, 3);
+  table = world->nodes[0].node->machine_table;
+  machine = g_ptr_array_index(table->sorted_machines, 0);
+  g_assert_cmpuint(mm_task_slots_per_machine(table), ==, SMALL_MEMORY_SLOTS);
+  g_assert_cmpuint(mm_task_slots_free(table, machine), ==, SMALL_MEMORY_SLOTS);
+  for (guint i = 0; i < LISTED_TASKS_PER_SLOT * SMALL_MEMORY_SLOTS; i++) {
+    g_assert_cmpuint(mm_task_slots_free(table, machine), >, 0);
+    ended.number = i;
+    g_array_append_val(machine->reported_tasks, ended);
+  }
+  g_assert_cmpuint(mm_task_slots_free(table, machine), ==, 0);
+  world_free(world);
+}
+
 /* The cache of a machine holds any number of images of size 0. */
 void
 test_images_without_size_are_bounded(void) {
--- a/tests/test-memory.c
+++ b/tests/test-memory.c
@@ -352,6 +352,8 @@
   g_test_add_func("/memory/gangs-of-tiny-tasks", test_gangs_of_tiny_tasks);
   g_test_add_func("/memory/gang-with-many-tasks-on-a-machine",
                   test_gang_with_many_tasks_on_a_machine);
+  g_test_add_func("/memory/results-that-are-not-stored-take-slots",
+                  test_results_that_are_not_stored_take_slots);
   g_test_add_func("/memory/images-without-size-are-bounded", test_images_without_size_are_bounded);
   g_test_add_func("/memory/job-classes-are-bounded", test_job_classes_are_bounded);
   g_test_add_func("/memory/missed-changes-are-read-in-pages",
--- a/tests/test-memory.h
+++ b/tests/test-memory.h
@@ -11,6 +11,7 @@
 
 /* Tests in test-memory-bounds.c. */
 
+void test_results_that_are_not_stored_take_slots(void);
 void test_images_without_size_are_bounded(void);
 void test_job_classes_are_bounded(void);
 void test_missed_changes_are_read_in_pages(void);
