Log the memory when the heap has changed by a 16th of the limit

A quarter of what was logged last is little in a small heap: answers and messages moved it from 0.8 to 1.4 MB and back, and a node with 14 jobs logged a line each 2 s.

--- a/src/node/memory-usage.c
+++ b/src/node/memory-usage.c
@@ -8,8 +8,9 @@
 
 #define MEASURE_INTERVAL_MS 2000
 #define LOG_INTERVAL_MS 60000
-/* The line is logged before its time if the heap has changed by this share since the last line. */
-#define LOG_HEAP_CHANGE_SHARE 0.25
+/* The line is logged before its time if the heap has changed by this share of the node's memory
+ * since the last line. */
+#define LOG_HEAP_CHANGE_SHARE (1.0 / 16)
 #define BYTES_PER_KB 1024
 
 MmMemoryUsage
@@ -64,7 +65,7 @@
   node->memory_measured_at = now;
   usage = mm_memory_usage_measure(node);
   change_bytes = MAX(usage.heap_bytes, logged_bytes) - MIN(usage.heap_bytes, logged_bytes);
-  if ((double)change_bytes < (double)logged_bytes * LOG_HEAP_CHANGE_SHARE
+  if (change_bytes < mm_settings_memory_bytes(node->settings, LOG_HEAP_CHANGE_SHARE)
       && mm_time_ms_since(now, node->memory_logged_at) < LOG_INTERVAL_MS)
     return;
   node->memory_logged_at = now;
