--- a/tests/test-job-spec.c
+++ b/tests/test-job-spec.c
@@ -109,6 +109,23 @@
   }
 }
 
+/* Guards against the refusal of a sound job for a number above 2^63 - 1 in a field that is unknown.
+ */
+static void
+test_large_integer_in_unknown_field_is_taken(void) {
+  static const char unknown_field[] = "{\"x_labels\":{\"größe\":\"日本語 ✓\","
+                                      "\"n\":18446744073709551615,\"m\":-7,\"f\":1.25,"
+                                      "\"none\":null,\"l\":[[],{},true],\"deep\":[[[[[]]]]]},";
+  g_autofree char *text = g_strconcat(unknown_field, complete_spec + 1, NULL);
+  g_autoptr(json_t) body = json_loadb(text, strlen(text), JSON_DECODE_ANY, NULL);
+  const char *reason = NULL;
+  MmJobSpec spec;
+
+  g_assert_true(mm_job_spec_parse(&spec, body, &reason));
+  g_assert_cmpuint(spec.n_tasks, ==, 16);
+  mm_job_spec_clear(&spec);
+}
+
 static void
 test_heartbeat_message_is_parsed(void) {
   g_autoptr(json_t) body = json_loads(
@@ -141,6 +158,8 @@
   g_test_add_func("/job-spec/complete-spec-is-parsed", test_complete_spec_is_parsed);
   g_test_add_func("/job-spec/malformed-fields-are-refused", test_malformed_fields_are_refused);
   g_test_add_func("/job-spec/non-objects-are-refused", test_non_objects_are_refused);
+  g_test_add_func("/job-spec/large-integer-in-unknown-field-is-taken",
+                  test_large_integer_in_unknown_field_is_taken);
   g_test_add_func("/heartbeat/message-is-parsed", test_heartbeat_message_is_parsed);
   return g_test_run();
 }
