--- a/src/autoscaler/autoscaler.c
+++ b/src/autoscaler/autoscaler.c
@@ -86,7 +86,7 @@
 }
 
 static void
-on_machine_list(gpointer data, int status, json_t *body) {
+on_machine_list(gpointer data, int status, MmJson *body) {
   MmAutoscaler *autoscaler = data;
   double list_delay_s = MAX(autoscaler->node->settings->cloud_list_delay_s, 1);
   g_auto(MmMachineListPage) page = { 0 };
--- a/src/autoscaler/cloud-codec.c
+++ b/src/autoscaler/cloud-codec.c
@@ -1,7 +1,5 @@
 #include "autoscaler/cloud-codec.h"
 
-#include <stdlib.h>
-
 #include "base/wire.h"
 #include "machines/task-slots.h"
 
@@ -14,7 +12,7 @@
 /* List of machines. */
 
 static gboolean
-parse_machine(MmListedMachine *machine, const json_t *json) {
+parse_machine(MmListedMachine *machine, const MmJson *json) {
   const char *id = mm_json_string(json, WIRE_JOB_ID);
   const char *state = mm_json_string(json, WIRE_STATE);
 
@@ -33,16 +31,16 @@
 }
 
 gboolean
-mm_machine_list_page_parse(MmMachineListPage *page, const json_t *body) {
-  const json_t *items = mm_json_get(body, WIRE_MACHINES);
+mm_machine_list_page_parse(MmMachineListPage *page, const MmJson *body) {
+  const MmJson *items = mm_json_get(body, WIRE_MACHINES);
   const char *last_id = NULL;
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  if (!json_is_array(items))
+  if (!mm_json_is_array(items))
     return FALSE;
   page->machines = g_array_new(FALSE, FALSE, sizeof(MmListedMachine));
-  json_array_foreach(items, i, item) {
+  MM_JSON_ARRAY_FOREACH (items, i, item) {
     MmListedMachine machine;
     if (parse_machine(&machine, item))
       g_array_append_val(page->machines, machine);
@@ -75,11 +73,11 @@
 }
 
 MmInstanceType *
-mm_instance_type_parse(const json_t *json) {
+mm_instance_type_parse(const MmJson *json) {
   const char *name = mm_json_string(json, WIRE_TYPE_NAME);
   MmInstanceType *type;
   size_t i;
-  json_t *zone;
+  MmJson *zone;
 
   if (name == NULL || name[0] == '\0')
     return NULL;
@@ -95,61 +93,57 @@
   type->spot_price = mm_json_number(json, WIRE_SPOT_PRICE, type->on_demand_price);
   type->boot_s = mm_json_number(json, WIRE_BOOT, DEFAULT_BOOT_S);
   type->zones = g_array_new(FALSE, TRUE, sizeof(MmName));
-  json_array_foreach(mm_json_get(json, WIRE_ZONES), i, zone) {
-    MmName zone_name = mm_name(json_string_value(zone));
+  MM_JSON_ARRAY_FOREACH (mm_json_get(json, WIRE_ZONES), i, zone) {
+    MmName zone_name = mm_name(mm_json_string_value(zone));
     g_array_append_val(type->zones, zone_name);
   }
   return type;
 }
 
-const json_t *
-mm_instance_type_list_of(const json_t *body) {
-  const json_t *list = mm_json_get(body, WIRE_TYPES);
+const MmJson *
+mm_instance_type_list_of(const MmJson *body) {
+  const MmJson *list = mm_json_get(body, WIRE_TYPES);
 
-  return json_is_array(list) ? list : NULL;
+  return mm_json_is_array(list) ? list : NULL;
 }
 
 char *
-mm_instance_type_list_to_text_without_prices(const json_t *list) {
-  g_autoptr(json_t) copy = json_deep_copy(list);
+mm_instance_type_list_to_text_without_prices(const MmJson *list) {
+  g_autoptr(MmJson) copy = mm_json_copy(list);
   size_t i;
-  json_t *item;
-  char *text, *copied_text;
+  MmJson *item;
 
-  json_array_foreach(copy, i, item) {
-    json_object_del(item, WIRE_PRICE);
-    json_object_del(item, WIRE_SPOT_PRICE);
+  MM_JSON_ARRAY_FOREACH (copy, i, item) {
+    mm_json_object_remove(item, WIRE_PRICE);
+    mm_json_object_remove(item, WIRE_SPOT_PRICE);
   }
-  text = json_dumps(copy, JSON_COMPACT | JSON_SORT_KEYS);
-  copied_text = g_strdup(text);
-  free(text);
-  return copied_text;
+  return mm_json_to_sorted_text(copy);
 }
 
-json_t *
-mm_instance_type_record_to_json(const json_t *list) {
-  return json_pack("{s:O}", WIRE_TYPES, list);
+MmJson *
+mm_instance_type_record_to_json(const MmJson *list) {
+  return mm_json_pack("{s:O}", WIRE_TYPES, list);
 }
 
 /* Launch and release requests. */
 
-json_t *
+MmJson *
 mm_launch_request_to_json(const char *request_id, const MmName *type, const MmName *zone,
                           gboolean is_spot, guint n_machines) {
-  return json_pack("{s:s, s:s, s:s, s:b, s:I}", WIRE_REQUEST, request_id, WIRE_TYPE, type->s,
-                   WIRE_ZONE, zone->s, WIRE_SPOT, is_spot, WIRE_COUNT, (json_int_t)n_machines);
+  return mm_json_pack("{s:s, s:s, s:s, s:b, s:I}", WIRE_REQUEST, request_id, WIRE_TYPE, type->s,
+                      WIRE_ZONE, zone->s, WIRE_SPOT, is_spot, WIRE_COUNT, (guint64)n_machines);
 }
 
 guint
-mm_launch_response_count(const json_t *body) {
-  return (guint)json_array_size(mm_json_get(body, WIRE_MACHINES));
+mm_launch_response_count(const MmJson *body) {
+  return (guint)mm_json_array_size(mm_json_get(body, WIRE_MACHINES));
 }
 
-json_t *
+MmJson *
 mm_release_request_to_json(const GPtrArray *machine_ids) {
-  json_t *list = json_array();
+  MmJson *list = mm_json_new_array();
 
   for (guint i = 0; i < machine_ids->len; i++)
-    json_array_append_new(list, json_string(g_ptr_array_index(machine_ids, i)));
-  return json_pack("{s:o}", WIRE_MACHINES, list);
+    mm_json_array_append(list, mm_json_new_string(g_ptr_array_index(machine_ids, i)));
+  return mm_json_pack("{s:o}", WIRE_MACHINES, list);
 }
--- a/src/autoscaler/cloud-codec.h
+++ b/src/autoscaler/cloud-codec.h
@@ -25,7 +25,7 @@
 
 /* Parses a page. Omits machines whose id is missing, empty or longer than MM_NAME_MAX. Returns
  * FALSE when the body holds no array of machines; the page then needs no clearing. */
-gboolean mm_machine_list_page_parse(MmMachineListPage *page, const json_t *body);
+gboolean mm_machine_list_page_parse(MmMachineListPage *page, const MmJson *body);
 /* Frees the contents of the page, not the page itself. */
 void mm_machine_list_page_clear(MmMachineListPage *page);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(MmMachineListPage, mm_machine_list_page_clear)
@@ -50,21 +50,21 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(MmInstanceType, mm_instance_type_free)
 /* Returns a newly allocated type, or NULL if the JSON contains no name. Fields that the JSON lacks
  * get default values. */
-MmInstanceType *mm_instance_type_parse(const json_t *json);
+MmInstanceType *mm_instance_type_parse(const MmJson *json);
 /* Returns the list of types in `body`, which is the cloud's response or the stored record. The list
  * is borrowed from `body`. Returns NULL when `body` holds no list. */
-const json_t *mm_instance_type_list_of(const json_t *body);
+const MmJson *mm_instance_type_list_of(const MmJson *body);
 /* Returns the list as newly allocated JSON text. The text omits the prices, because these may
  * differ from one response of the cloud to the next. */
-char *mm_instance_type_list_to_text_without_prices(const json_t *list);
+char *mm_instance_type_list_to_text_without_prices(const MmJson *list);
 /* Returns the newly allocated record that stores the list in the key-value store. */
-json_t *mm_instance_type_record_to_json(const json_t *list);
+MmJson *mm_instance_type_record_to_json(const MmJson *list);
 
 /* Returns the body, newly allocated, of a request to launch machines. `request_id` makes the
  * request idempotent: the cloud executes it only once. */
-json_t *mm_launch_request_to_json(const char *request_id, const MmName *type, const MmName *zone,
+MmJson *mm_launch_request_to_json(const char *request_id, const MmName *type, const MmName *zone,
                                   gboolean is_spot, guint n_machines);
 /* Returns how many machines were launched according to the cloud's response. */
-guint mm_launch_response_count(const json_t *body);
+guint mm_launch_response_count(const MmJson *body);
 /* Returns the body, newly allocated, of a request to release the machines with these ids. */
-json_t *mm_release_request_to_json(const GPtrArray *machine_ids);
+MmJson *mm_release_request_to_json(const GPtrArray *machine_ids);
--- a/src/autoscaler/instance-types.c
+++ b/src/autoscaler/instance-types.c
@@ -80,11 +80,11 @@
 }
 
 static void
-load_types(MmInstanceTypes *instance_types, const json_t *list) {
+load_types(MmInstanceTypes *instance_types, const MmJson *list) {
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(list, i, item) {
+  MM_JSON_ARRAY_FOREACH (list, i, item) {
     MmInstanceType *type = mm_instance_type_parse(item);
     if (type != NULL)
       add_or_update(instance_types, type);
@@ -92,9 +92,9 @@
 }
 
 void
-mm_instance_types_load_stored(MmInstanceTypes *instance_types, const json_t *json,
+mm_instance_types_load_stored(MmInstanceTypes *instance_types, const MmJson *json,
                               MmKeyVersion version) {
-  const json_t *list = mm_instance_type_list_of(json);
+  const MmJson *list = mm_instance_type_list_of(json);
 
   if (list == NULL)
     return;
@@ -111,7 +111,7 @@
  * Skips the write while this node may not answer workers, when the record would exceed the maximum
  * size of a value, or when the write budget is used up. */
 static void
-write_types_record(MmInstanceTypes *instance_types, const json_t *list) {
+write_types_record(MmInstanceTypes *instance_types, const MmJson *list) {
   MmNode *node = instance_types->node;
   g_autofree char *text = mm_instance_type_list_to_text_without_prices(list);
   MmTransaction transaction;
@@ -132,9 +132,9 @@
 }
 
 static void
-on_machine_types(gpointer data, int status, json_t *body) {
+on_machine_types(gpointer data, int status, MmJson *body) {
   MmInstanceTypes *instance_types = data;
-  const json_t *list = mm_instance_type_list_of(body);
+  const MmJson *list = mm_instance_type_list_of(body);
   MmTime now = mm_node_now(instance_types->node);
 
   instance_types->fetch_in_flight = FALSE;
--- a/src/autoscaler/instance-types.h
+++ b/src/autoscaler/instance-types.h
@@ -32,7 +32,7 @@
 void mm_instance_types_tick(MmInstanceTypes *instance_types);
 /* Records the content and the version of the stored record. If no types are known yet, the types of
  * the record are used until the cloud returns newer ones. */
-void mm_instance_types_load_stored(MmInstanceTypes *instance_types, const json_t *json,
+void mm_instance_types_load_stored(MmInstanceTypes *instance_types, const MmJson *json,
                                    MmKeyVersion version);
 /* Returns whether any type is known yet. */
 gboolean mm_instance_types_are_known(const MmInstanceTypes *instance_types);
--- a/src/autoscaler/scale-in.c
+++ b/src/autoscaler/scale-in.c
@@ -81,7 +81,7 @@
 }
 
 static void
-on_release_response(gpointer data, int status, json_t *body) {
+on_release_response(gpointer data, int status, MmJson *body) {
   g_autoptr(ReleaseRequest) request = data;
   MmAutoscaler *autoscaler = request->autoscaler;
 
@@ -246,7 +246,7 @@
 mm_autoscaler_scale_in(MmAutoscaler *autoscaler) {
   const MmPlatform *platform = &autoscaler->node->platform;
   g_autoptr(ReleaseRequest) request = NULL;
-  g_autoptr(json_t) body = NULL;
+  g_autoptr(MmJson) body = NULL;
 
   if (autoscaler->release_in_flight
       || mm_time_before(mm_node_now(autoscaler->node), autoscaler->next_release_at))
--- a/src/autoscaler/scale-out.c
+++ b/src/autoscaler/scale-out.c
@@ -43,7 +43,7 @@
 }
 
 static void
-on_launch_response(gpointer data, int status, json_t *body) {
+on_launch_response(gpointer data, int status, MmJson *body) {
   g_autoptr(LaunchRequest) request = data;
   MmAutoscaler *autoscaler = request->autoscaler;
   MmCapacityPool *pool = mm_autoscaler_find_or_add_pool(autoscaler, &request->type, &request->zone,
@@ -74,7 +74,7 @@
   g_autofree char *request_id
       = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, node->settings->label.s,
                         node->node_lease->lease_id, ++autoscaler->n_launch_requests);
-  g_autoptr(json_t) body = mm_launch_request_to_json(request_id, type, zone, is_spot, n_machines);
+  g_autoptr(MmJson) body = mm_launch_request_to_json(request_id, type, zone, is_spot, n_machines);
   LaunchRequest *request = g_new(LaunchRequest, 1);
 
   *request = (LaunchRequest){ autoscaler, *type, *zone, is_spot, n_machines };
--- a/src/autoscaler/silence.c
+++ b/src/autoscaler/silence.c
@@ -28,7 +28,7 @@
 #define TERMINATED_SILENCE_MS 1500
 
 static void
-on_probe_response(gpointer data, int status, json_t *body) {
+on_probe_response(gpointer data, int status, MmJson *body) {
   MmAutoscaler *autoscaler = data;
   MmMachineTable *machine_table = autoscaler->node->machine_table;
   const char *id = mm_json_string(body, WIRE_MACHINE);
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -21,7 +21,7 @@
 }
 
 static const char *
-read_text(Validation *validation, const json_t *object, const char *prefix, const char *key) {
+read_text(Validation *validation, const MmJson *object, const char *prefix, const char *key) {
   const char *value = mm_json_string(object, key);
   g_autofree char *field = g_strconcat(prefix, key, NULL);
 
@@ -35,7 +35,7 @@
 }
 
 static char *
-read_address(Validation *validation, const json_t *object, const char *prefix, const char *key) {
+read_address(Validation *validation, const MmJson *object, const char *prefix, const char *key) {
   const char *value = read_text(validation, object, prefix, key);
   const char *colon = strrchr(value, ':');
   char *end = NULL;
@@ -51,15 +51,15 @@
 }
 
 static double
-read_number(Validation *validation, const json_t *object, const char *prefix, const char *key,
+read_number(Validation *validation, const MmJson *object, const char *prefix, const char *key,
             double min, double max) {
-  const json_t *value = mm_json_get(object, key);
+  const MmJson *value = mm_json_get(object, key);
   g_autofree char *field = g_strconcat(prefix, key, NULL);
-  double parsed = json_number_value(value);
+  double parsed = mm_json_number_value(value);
 
   if (value == NULL)
     record_error(validation, field, "is missing");
-  else if (!json_is_number(value) || !isfinite(parsed))
+  else if (!mm_json_is_number(value) || !isfinite(parsed))
     record_error(validation, field, "must be a number");
   else if (parsed < min || parsed > max) {
     g_autofree char *problem = g_strdup_printf("must be between %g and %g", min, max);
@@ -68,26 +68,26 @@
   return parsed;
 }
 
-static const json_t *
-read_table(Validation *validation, const json_t *object, const char *key, const char *field) {
-  const json_t *value = mm_json_get(object, key);
+static const MmJson *
+read_table(Validation *validation, const MmJson *object, const char *key, const char *field) {
+  const MmJson *value = mm_json_get(object, key);
 
-  if (!json_is_object(value))
+  if (!mm_json_is_object(value))
     record_error(validation, field, value == NULL ? "is missing" : "must be a table");
   return value;
 }
 
 static void
-read_peers(Validation *validation, MmSettings *settings, const json_t *root) {
-  const json_t *list = mm_json_get(root, "others");
+read_peers(Validation *validation, MmSettings *settings, const MmJson *root) {
+  const MmJson *list = mm_json_get(root, "others");
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  if (list != NULL && !json_is_array(list))
+  if (list != NULL && !mm_json_is_array(list))
     record_error(validation, "others", "must be a list of tables");
-  if (json_array_size(list) > MM_PEERS_MAX)
+  if (mm_json_array_size(list) > MM_PEERS_MAX)
     record_error(validation, "others", "must not have more than 31 entries");
-  json_array_foreach(list, i, item) {
+  MM_JSON_ARRAY_FOREACH (list, i, item) {
     MmPeerSettings peer = { .label = mm_name(read_text(validation, item, "others.", "label")),
                             .zone = mm_name(mm_json_string(item, "zone")),
                             .endpoint = read_address(validation, item, "others.", "endpoint") };
@@ -98,14 +98,14 @@
 }
 
 static void
-read_teams(Validation *validation, MmSettings *settings, const json_t *settings_table) {
-  const json_t *list = mm_json_get(settings_table, "teams");
+read_teams(Validation *validation, MmSettings *settings, const MmJson *settings_table) {
+  const MmJson *list = mm_json_get(settings_table, "teams");
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  if (!json_is_array(list) || json_array_size(list) == 0)
+  if (!mm_json_is_array(list) || mm_json_array_size(list) == 0)
     record_error(validation, "settings.teams", "must be a list of at least one table");
-  json_array_foreach(list, i, item) {
+  MM_JSON_ARRAY_FOREACH (list, i, item) {
     MmTeamSettings team = {
       .name = mm_name(read_text(validation, item, "settings.teams.", "name")),
       .quota = { read_number(validation, item, "settings.teams.", "cpus", 0, 1e9),
@@ -124,12 +124,12 @@
 }
 
 static void
-read_objectives(MmSettings *settings, const json_t *settings_table) {
-  const json_t *list = mm_json_get(settings_table, "objectives");
+read_objectives(MmSettings *settings, const MmJson *settings_table) {
+  const MmJson *list = mm_json_get(settings_table, "objectives");
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(list, i, item) {
+  MM_JSON_ARRAY_FOREACH (list, i, item) {
     const char *kind = mm_json_string(item, "kind");
     MmObjective objective = { .kind = MM_OBJECTIVE_OTHER,
                               .job_class = mm_name(mm_json_string(item, "class")),
@@ -153,8 +153,8 @@
 }
 
 static void
-read_workers(Validation *validation, MmSettings *settings, const json_t *settings_table) {
-  const json_t *section = read_table(validation, settings_table, "workers", "settings.workers");
+read_workers(Validation *validation, MmSettings *settings, const MmJson *settings_table) {
+  const MmJson *section = read_table(validation, settings_table, "workers", "settings.workers");
 
   settings->heartbeat_interval_s
       = read_number(validation, section, "settings.workers.", "report_s", 0.05, 3600);
@@ -172,9 +172,9 @@
  * smaller of the current and the future limit. The smaller limit applies from start-up, because the
  * future limit takes effect without notice. */
 static double
-read_kv_limit(Validation *validation, const json_t *section, const char *key, double min,
+read_kv_limit(Validation *validation, const MmJson *section, const char *key, double min,
               double max) {
-  const json_t *announced = mm_json_get(section, "next");
+  const MmJson *announced = mm_json_get(section, "next");
   double limit = read_number(validation, section, "settings.state.", key, min, max);
 
   if (mm_json_get(announced, key) == NULL)
@@ -183,8 +183,8 @@
 }
 
 static void
-read_kv_store(Validation *validation, MmSettings *settings, const json_t *settings_table) {
-  const json_t *section = read_table(validation, settings_table, "state", "settings.state");
+read_kv_store(Validation *validation, MmSettings *settings, const MmJson *settings_table) {
+  const MmJson *section = read_table(validation, settings_table, "state", "settings.state");
 
   if (mm_json_get(section, "next") != NULL)
     read_table(validation, section, "next", "settings.state.next");
@@ -196,8 +196,8 @@
 }
 
 static void
-read_cloud(Validation *validation, MmSettings *settings, const json_t *settings_table) {
-  const json_t *section = read_table(validation, settings_table, "cloud", "settings.cloud");
+read_cloud(Validation *validation, MmSettings *settings, const MmJson *settings_table) {
+  const MmJson *section = read_table(validation, settings_table, "cloud", "settings.cloud");
 
   settings->cloud_requests_per_s
       = read_number(validation, section, "settings.cloud.", "rps", 0.01, 1e9);
@@ -206,8 +206,8 @@
 }
 
 static void
-read_resources(Validation *validation, MmSettings *settings, const json_t *settings_table) {
-  const json_t *section = mm_json_get(settings_table, "resources");
+read_resources(Validation *validation, MmSettings *settings, const MmJson *settings_table) {
+  const MmJson *section = mm_json_get(settings_table, "resources");
 
   settings->cpu_share = mm_json_number(section, "cpu", 1);
   settings->memory_mb = mm_json_number(section, "ram_mb", 512);
@@ -232,8 +232,8 @@
 }
 
 static void
-read_node(Validation *validation, MmSettings *settings, const json_t *root) {
-  const json_t *external_table;
+read_node(Validation *validation, MmSettings *settings, const MmJson *root) {
+  const MmJson *external_table;
 
   settings->label = mm_name(read_text(validation, root, "", "label"));
   settings->zone = mm_name(read_text(validation, root, "", "zone"));
@@ -246,10 +246,10 @@
 }
 
 MmSettings *
-mm_settings_from_json(const char *path, const json_t *root, GError **error) {
+mm_settings_from_json(const char *path, const MmJson *root, GError **error) {
   Validation validation = { .path = path };
   g_autoptr(MmSettings) settings = settings_new();
-  const json_t *settings_table;
+  const MmJson *settings_table;
 
   read_node(&validation, settings, root);
   settings_table = read_table(&validation, root, "settings", "settings");
@@ -270,7 +270,7 @@
 
 MmSettings *
 mm_settings_read(const char *path, GError **error) {
-  g_autoptr(json_t) root = mm_toml_read(path, error);
+  g_autoptr(MmJson) root = mm_toml_read(path, error);
 
   return root != NULL ? mm_settings_from_json(path, root, error) : NULL;
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -2,7 +2,7 @@
  * the settings are constant afterwards. */
 #pragma once
 
-#include <jansson.h>
+#include "base/json.h"
 
 #include "base/types.h"
 
@@ -69,7 +69,7 @@
 MmSettings *mm_settings_read(const char *path, GError **error);
 /* Like mm_settings_read, but takes the contents of the file from `root`. `path` is only used in
  * error messages. */
-MmSettings *mm_settings_from_json(const char *path, const json_t *root, GError **error);
+MmSettings *mm_settings_from_json(const char *path, const MmJson *root, GError **error);
 /* Returns a share, from 0 to 1, of the node's memory in bytes. */
 gsize mm_settings_memory_bytes(const MmSettings *settings, double share);
 /* Returns whether this node or one of its peers has the label. */
--- a/src/config/toml.cc
+++ b/src/config/toml.cc
@@ -10,34 +10,34 @@
 #include <fstream>
 #include <sstream>
 
-static json_t *
+static MmJson *
 to_json(const toml::node &node) {
   if (auto table = node.as_table()) {
-    json_t *object = json_object();
+    MmJson *object = mm_json_new_object();
     for (auto &&[key, value] : *table)
-      json_object_set_new(object, std::string(key.str()).c_str(), to_json(value));
+      mm_json_object_set(object, std::string(key.str()).c_str(), to_json(value));
     return object;
   }
   if (auto array = node.as_array()) {
-    json_t *list = json_array();
+    MmJson *list = mm_json_new_array();
     for (auto &&value : *array)
-      json_array_append_new(list, to_json(value));
+      mm_json_array_append(list, to_json(value));
     return list;
   }
   if (auto text = node.as_string())
-    return json_string(text->get().c_str());
+    return mm_json_new_string(text->get().c_str());
   if (auto number = node.as_integer())
-    return json_integer(number->get());
+    return mm_json_new_count(number->get());
   if (auto number = node.as_floating_point()) {
-    json_t *real = json_real(number->get());
-    return real != nullptr ? real : json_null(); // JSON cannot represent infinity or NaN
+    MmJson *real = mm_json_new_real(number->get());
+    return real != nullptr ? real : mm_json_new_null(); // JSON cannot represent infinity or NaN
   }
   if (auto flag = node.as_boolean())
-    return json_boolean(flag->get());
-  return json_null();
+    return mm_json_new_boolean(flag->get());
+  return mm_json_new_null();
 }
 
-json_t *
+MmJson *
 mm_toml_read(const char *path, GError **error) {
   std::ifstream file(path);
   if (!file) {
--- a/src/config/toml.h
+++ b/src/config/toml.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <glib.h>
-#include <jansson.h>
+#include "base/json.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -11,7 +11,7 @@
 
 /* Returns the contents of the file as a new JSON object, or NULL with an error in the
  * MM_CONFIG_ERROR domain. Dates and times become null. */
-json_t *mm_toml_read(const char *path, GError **error);
+MmJson *mm_toml_read(const char *path, GError **error);
 
 #ifdef __cplusplus
 }
--- a/src/dependencies/dependencies.c
+++ b/src/dependencies/dependencies.c
@@ -133,7 +133,7 @@
 } TerminalLookup;
 
 static void
-on_terminal_record_read(gpointer data, int status, json_t *body) {
+on_terminal_record_read(gpointer data, int status, MmJson *body) {
   TerminalLookup *lookup = data;
   MmDependencies *dependencies = lookup->dependencies;
   MmNode *node = dependencies->node;
--- a/src/heartbeat-server/heartbeat-response.c
+++ b/src/heartbeat-server/heartbeat-response.c
@@ -15,7 +15,7 @@
 } TerminalConfirmation;
 
 static void
-terminal_state_received(gpointer data, int status, json_t *body) {
+terminal_state_received(gpointer data, int status, MmJson *body) {
   g_autofree TerminalConfirmation *confirmation = data;
 
   if (status == 200)
--- a/src/heartbeat-server/heartbeat-server.c
+++ b/src/heartbeat-server/heartbeat-server.c
@@ -72,7 +72,7 @@
   if (peer != MM_PEER_NONE)
     mm_http_exchange_respond(
         exchange, 421,
-        json_pack("{s:s}", WIRE_REDIRECT_TO, server->node->peer_links->peers[peer].label.s), 0);
+        mm_json_pack("{s:s}", WIRE_REDIRECT_TO, server->node->peer_links->peers[peer].label.s), 0);
   else
     mm_http_exchange_respond(exchange, 503, mm_json_error("not entitled to answer"), 0);
 }
@@ -266,7 +266,7 @@
 }
 
 void
-mm_heartbeat_server_receive(MmHeartbeatServer *server, const json_t *body,
+mm_heartbeat_server_receive(MmHeartbeatServer *server, const MmJson *body,
                             MmHttpExchange *exchange) {
   const char *reason = NULL;
   g_auto(MmHeartbeat) heartbeat = { 0 };
--- a/src/heartbeat-server/heartbeat-server.h
+++ b/src/heartbeat-server/heartbeat-server.h
@@ -38,7 +38,7 @@
 void mm_heartbeat_server_tick(MmHeartbeatServer *server);
 /* Handles a received heartbeat. `body` is borrowed. The exchange is answered exactly once, during
  * the call or later. */
-void mm_heartbeat_server_receive(MmHeartbeatServer *server, const json_t *body,
+void mm_heartbeat_server_receive(MmHeartbeatServer *server, const MmJson *body,
                                  MmHttpExchange *exchange);
 /* Processes the deferred heartbeats again. Called after the replica has changed. */
 void mm_heartbeat_server_replica_changed(MmHeartbeatServer *server);
--- a/src/heartbeat/heartbeat.c
+++ b/src/heartbeat/heartbeat.c
@@ -36,7 +36,7 @@
 }
 
 static gboolean
-parse_task(MmReportedTask *task, const json_t *json) {
+parse_task(MmReportedTask *task, const MmJson *json) {
   const char *task_path = mm_json_string(json, WIRE_TASK);
   const char *slash = task_path != NULL ? strrchr(task_path, '/') : NULL;
   char *number_end;
@@ -55,18 +55,19 @@
 }
 
 gboolean
-mm_heartbeat_parse(MmHeartbeat *heartbeat, const json_t *body, const char **reason) {
-  const json_t *tasks = mm_json_get(body, WIRE_TASKS);
+mm_heartbeat_parse(MmHeartbeat *heartbeat, const MmJson *body, const char **reason) {
+  const MmJson *tasks = mm_json_get(body, WIRE_TASKS);
   const char *addr = mm_json_string(body, WIRE_ADDRESS);
   size_t i;
-  json_t *item;
+  MmJson *item;
 
   memset(heartbeat, 0, sizeof *heartbeat);
   heartbeat->tasks = g_array_new(FALSE, TRUE, sizeof(MmReportedTask));
-  if (!json_is_object(body) || mm_json_string(body, WIRE_MACHINE) == NULL
-      || !json_is_integer(mm_json_get(body, WIRE_INCARNATION))
-      || !json_is_integer(mm_json_get(body, WIRE_SEQUENCE))
-      || (tasks != NULL && (!json_is_array(tasks) || json_array_size(tasks) > REPORTED_TASKS_MAX))
+  if (!mm_json_is_object(body) || mm_json_string(body, WIRE_MACHINE) == NULL
+      || !mm_json_is_count(mm_json_get(body, WIRE_INCARNATION))
+      || !mm_json_is_count(mm_json_get(body, WIRE_SEQUENCE))
+      || (tasks != NULL
+          && (!mm_json_is_array(tasks) || mm_json_array_size(tasks) > REPORTED_TASKS_MAX))
       || strlen(mm_json_string(body, WIRE_MACHINE)) > MM_NAME_MAX) {
     *reason = "not a worker's report";
     return FALSE;
@@ -82,7 +83,7 @@
   heartbeat->fencing_token.v = mm_json_count(body, WIRE_FENCING_TOKEN, 0);
   heartbeat->has_termination_notice = mm_json_get(body, WIRE_TERMINATION_NOTICE) != NULL;
   heartbeat->termination_notice_s = mm_json_number(body, WIRE_TERMINATION_NOTICE, 0);
-  json_array_foreach(tasks, i, item) {
+  MM_JSON_ARRAY_FOREACH (tasks, i, item) {
     MmReportedTask task;
     if (!parse_task(&task, item)) {
       *reason = "a task in the report is not readable";
@@ -98,23 +99,23 @@
   g_clear_pointer(&heartbeat->tasks, g_array_unref);
 }
 
-json_t *
+MmJson *
 mm_command_to_json(const MmCommand *command) {
   static const char *const ops[] = { WIRE_START, WIRE_STOP, WIRE_FORGET };
   g_autofree char *task_path = g_strdup_printf("%s/%u", command->job.s, command->number);
-  json_t *json = json_pack("{s:s, s:s, s:I}", WIRE_COMMAND_KIND, ops[command->op], WIRE_TASK,
-                           task_path, WIRE_ATTEMPT, (json_int_t)command->attempt.v);
+  MmJson *json = mm_json_pack("{s:s, s:s, s:I}", WIRE_COMMAND_KIND, ops[command->op], WIRE_TASK,
+                              task_path, WIRE_ATTEMPT, (guint64)command->attempt.v);
 
   if (command->op == MM_OP_STOP)
-    json_object_set_new(json, WIRE_GRACE, json_real(command->grace_s));
+    mm_json_object_set(json, WIRE_GRACE, mm_json_new_real(command->grace_s));
   return json;
 }
 
-json_t *
+MmJson *
 mm_heartbeat_response_to_json(MmTerm term, const GArray *commands) {
-  json_t *list = json_array();
+  MmJson *list = mm_json_new_array();
 
   for (guint i = 0; i < commands->len; i++)
-    json_array_append_new(list, mm_command_to_json(&g_array_index(commands, MmCommand, i)));
-  return json_pack("{s:I, s:o}", WIRE_FENCING_TOKEN, (json_int_t)term.v, WIRE_COMMANDS, list);
+    mm_json_array_append(list, mm_command_to_json(&g_array_index(commands, MmCommand, i)));
+  return mm_json_pack("{s:I, s:o}", WIRE_FENCING_TOKEN, (guint64)term.v, WIRE_COMMANDS, list);
 }
--- a/src/heartbeat/heartbeat.h
+++ b/src/heartbeat/heartbeat.h
@@ -68,12 +68,12 @@
 /* Parses a heartbeat from the body of a request. `body` is borrowed. If the body is not a valid
  * heartbeat, returns FALSE and sets `reason` to a static string. The caller must clear the
  * heartbeat whether or not parsing succeeded. */
-gboolean mm_heartbeat_parse(MmHeartbeat *heartbeat, const json_t *body, const char **reason);
+gboolean mm_heartbeat_parse(MmHeartbeat *heartbeat, const MmJson *body, const char **reason);
 /* Frees the heartbeat's tasks. The MmHeartbeat itself stays owned by the caller. */
 void mm_heartbeat_clear(MmHeartbeat *heartbeat);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(MmHeartbeat, mm_heartbeat_clear)
 /* Returns the command as JSON, as a new reference. */
-json_t *mm_command_to_json(const MmCommand *command);
+MmJson *mm_command_to_json(const MmCommand *command);
 /* Returns the body of a heartbeat response as a new reference. The body contains the term as the
  * fencing token, and the commands (elements: MmCommand) in the given order. */
-json_t *mm_heartbeat_response_to_json(MmTerm term, const GArray *commands);
+MmJson *mm_heartbeat_response_to_json(MmTerm term, const GArray *commands);
--- a/src/job-api/job-api.h
+++ b/src/job-api/job-api.h
@@ -30,7 +30,7 @@
  * submitted before, the response is the status of the job. Responds 400 if the body is malformed,
  * 422 if the job could never run or a dependency is invalid, and 503 if the client is to retry
  * later. */
-void mm_job_api_submit(MmNode *node, const json_t *json, MmHttpExchange *exchange);
+void mm_job_api_submit(MmNode *node, const MmJson *json, MmHttpExchange *exchange);
 /* Responds with the status of a job; 404 if there is no such job, 503 if its status cannot be
  * determined in time. */
 void mm_job_api_status(MmNode *node, const char *job_id, MmHttpExchange *exchange);
--- a/src/job-api/job-cancellation.c
+++ b/src/job-api/job-cancellation.c
@@ -69,7 +69,7 @@
     return;
   }
   /* A record may be as large as a value. It is not needed while the request waits. */
-  g_clear_pointer(&request->record, json_decref);
+  g_clear_pointer(&request->record, mm_json_unref);
   request->deadline = mm_time_add_ms(now, CANCEL_ACK_TIMEOUT_MS);
   request->cancel_broadcast_at = now;
   g_queue_push_tail(request->node->job_api->awaiting_cancel_acks, request);
@@ -125,7 +125,7 @@
 }
 
 static void
-on_cancel_written(gpointer data, int status, json_t *body) {
+on_cancel_written(gpointer data, int status, MmJson *body) {
   MmUserRequest *request = data;
   guint64 revision;
 
@@ -158,11 +158,10 @@
   mm_job_record_set_cancelled(request->record);
   /* The record may exceed the maximum size of a value if the maximum was larger when the record was
    * written. The completed tasks of a cancelled job are not needed, so they can be dropped. */
-  if (json_dumpb(request->record, NULL, 0, JSON_COMPACT)
-      > mm_kv_client_max_value_bytes(request->node->kv))
+  if (mm_json_text_length(request->record) > mm_kv_client_max_value_bytes(request->node->kv))
     mm_job_record_clear_completed(request->record);
   mm_transaction_require_version(&transaction, MM_KEY_JOB, request->job_id.s, version);
-  mm_transaction_put(&transaction, MM_KEY_JOB, request->job_id.s, json_incref(request->record), 0);
+  mm_transaction_put(&transaction, MM_KEY_JOB, request->job_id.s, mm_json_ref(request->record), 0);
   mm_kv_client_commit(request->node->kv, &transaction, on_cancel_written, request);
 }
 
--- a/src/job-api/job-status.c
+++ b/src/job-api/job-status.c
@@ -10,10 +10,10 @@
 /* Maximum time that a status request waits until the states of the job's dependencies are known. */
 #define DEPENDENCIES_TIMEOUT_MS 1200
 
-json_t *
+MmJson *
 mm_job_state_to_json(const char *job_id, const char *state, guint n_completed, guint n_running) {
-  return json_pack("{s:s, s:s, s:I, s:I}", WIRE_JOB_ID, job_id, WIRE_STATE, state, WIRE_DONE,
-                   (json_int_t)n_completed, WIRE_RUNNING, (json_int_t)n_running);
+  return mm_json_pack("{s:s, s:s, s:I, s:I}", WIRE_JOB_ID, job_id, WIRE_STATE, state, WIRE_DONE,
+                      (guint64)n_completed, WIRE_RUNNING, (guint64)n_running);
 }
 
 /* Responds with the status of a job that has not ended. The task counts are informational only:
@@ -39,10 +39,10 @@
 }
 
 static void
-on_terminal_record_read(gpointer data, int status, json_t *body) {
+on_terminal_record_read(gpointer data, int status, MmJson *body) {
   MmUserRequest *request = data;
   MmJobTable *job_table = request->node->job_table;
-  json_t *terminal_response = NULL;
+  MmJson *terminal_response = NULL;
 
   if (status == 404) {
     mm_user_request_respond(request, 404, mm_json_error("no such job"), 0);
@@ -59,7 +59,7 @@
 }
 
 static void
-on_job_record_read(gpointer data, int status, json_t *body) {
+on_job_record_read(gpointer data, int status, MmJson *body) {
   MmUserRequest *request = data;
 
   if (status == 404) {
@@ -69,12 +69,12 @@
                      on_terminal_record_read, request);
     return;
   }
-  if (status != 200 || !json_is_object(mm_json_get(body, WIRE_VALUE))) {
+  if (status != 200 || !mm_json_is_object(mm_json_get(body, WIRE_VALUE))) {
     mm_user_request_respond_unavailable(request);
     return;
   }
-  json_decref(request->record);
-  request->record = json_deep_copy(mm_json_get(body, WIRE_VALUE));
+  mm_json_unref(request->record);
+  request->record = mm_json_copy(mm_json_get(body, WIRE_VALUE));
   if (request->is_cancellation && !mm_job_record_is_cancelled(request->record))
     mm_job_cancellation_write(request, (MmKeyVersion){ mm_json_count(body, WIRE_VERSION, 0) });
   else if (!mm_job_record_is_cancelled(request->record)
@@ -88,7 +88,7 @@
 
 void
 mm_job_status_read_record(MmUserRequest *request) {
-  json_t *terminal_response
+  MmJson *terminal_response
       = mm_job_table_terminal_response(request->node->job_table, request->job_id.s);
 
   if (terminal_response != NULL)
@@ -103,7 +103,7 @@
 wait_for_dependencies(MmUserRequest *request) {
   MmJobApi *job_api = request->node->job_api;
 
-  g_clear_pointer(&request->record, json_decref);
+  g_clear_pointer(&request->record, mm_json_unref);
   if (request->deadline.us == 0)
     request->deadline = mm_time_add_ms(mm_node_now(request->node), DEPENDENCIES_TIMEOUT_MS);
   g_queue_push_tail(job_api->awaiting_dependencies, request);
@@ -116,7 +116,7 @@
 on_replica_current(gpointer data, gboolean is_current) {
   MmUserRequest *request = data;
   const MmJob *job = mm_job_table_find(request->node->job_table, request->job_id.s);
-  json_t *terminal_response
+  MmJson *terminal_response
       = mm_job_table_terminal_response(request->node->job_table, request->job_id.s);
 
   if (terminal_response != NULL)
@@ -170,7 +170,7 @@
 
 void
 mm_job_api_status(MmNode *node, const char *job_id, MmHttpExchange *exchange) {
-  json_t *terminal_response = mm_job_table_terminal_response(node->job_table, job_id);
+  MmJson *terminal_response = mm_job_table_terminal_response(node->job_table, job_id);
 
   if (terminal_response != NULL)
     mm_http_exchange_respond(exchange, 200, terminal_response, 0);
--- a/src/job-api/job-status.h
+++ b/src/job-api/job-status.h
@@ -10,7 +10,7 @@
 
 /* Returns the body of a status response as a new reference. `state` is WIRE_PENDING, WIRE_RUNNING
  * or WIRE_CANCELLED. */
-json_t *mm_job_state_to_json(const char *job_id, const char *state, guint n_completed,
+MmJson *mm_job_state_to_json(const char *job_id, const char *state, guint n_completed,
                              guint n_running);
 /* Reads the job record from the key-value store, then responds with the status of the job or, for a
  * cancellation, writes the cancellation. */
--- a/src/job-api/submission.c
+++ b/src/job-api/submission.c
@@ -52,7 +52,7 @@
 }
 
 static void
-on_job_record_written(gpointer data, int status, json_t *body) {
+on_job_record_written(gpointer data, int status, MmJson *body) {
   MmUserRequest *request = data;
 
   if (status == 200) {
@@ -60,8 +60,8 @@
             request->spec.job_class.s, request->spec.team.s, request->spec.n_tasks);
     mm_user_request_respond(
         request, 201,
-        json_pack("{s:s, s:s}", WIRE_JOB_ID, request->job_id.s, WIRE_STATE,
-                  has_cancelled_dependency(request) ? WIRE_CANCELLED : WIRE_PENDING),
+        mm_json_pack("{s:s, s:s}", WIRE_JOB_ID, request->job_id.s, WIRE_STATE,
+                     has_cancelled_dependency(request) ? WIRE_CANCELLED : WIRE_PENDING),
         0);
   } else if (status == 409) {
     mm_job_status_read_record(request); /* the job exists: respond with its status */
@@ -75,13 +75,13 @@
 static void
 write_job_record(MmUserRequest *request) {
   MmNode *node = request->node;
-  json_t *record = mm_job_record_to_json(&request->spec, mm_node_wall_ms(node), FALSE, NULL);
+  MmJson *record = mm_job_record_to_json(&request->spec, mm_node_wall_ms(node), FALSE, NULL);
   guint value_max_bytes = node->settings->kv_max_value_bytes;
   guint reserved_bytes = MIN(RECORD_RESERVE_BYTES, value_max_bytes / RECORD_RESERVE_DIVISOR);
   MmTransaction transaction;
 
-  if (json_dumpb(record, NULL, 0, JSON_COMPACT) + reserved_bytes > value_max_bytes) {
-    json_decref(record);
+  if (mm_json_text_length(record) + reserved_bytes > value_max_bytes) {
+    mm_json_unref(record);
     mm_user_request_respond(request, 400, mm_json_error("the job's description is too long"), 0);
     return;
   }
@@ -124,7 +124,7 @@
 }
 
 static void
-on_dependency_read(gpointer data, int status, json_t *body) {
+on_dependency_read(gpointer data, int status, MmJson *body) {
   MmUserRequest *request = data;
 
   if (status == 404) {
@@ -220,7 +220,7 @@
 }
 
 static void
-on_known_terminal_record_read(gpointer data, int status, json_t *body) {
+on_known_terminal_record_read(gpointer data, int status, MmJson *body) {
   MmUserRequest *request = data;
   MmJobTable *job_table = request->node->job_table;
 
@@ -268,7 +268,7 @@
 }
 
 void
-mm_job_api_submit(MmNode *node, const json_t *json, MmHttpExchange *exchange) {
+mm_job_api_submit(MmNode *node, const MmJson *json, MmHttpExchange *exchange) {
   MmUserRequest *request = mm_user_request_new(node, exchange, "");
   const char *reason = NULL;
   gboolean is_known;
--- a/src/job-api/user-request.c
+++ b/src/job-api/user-request.c
@@ -26,11 +26,11 @@
 }
 
 void
-mm_user_request_respond(MmUserRequest *request, int status, json_t *body, guint retry_after_s) {
+mm_user_request_respond(MmUserRequest *request, int status, MmJson *body, guint retry_after_s) {
   mm_http_exchange_respond(request->exchange, status, body, retry_after_s);
   mm_job_capacity_remove_submission(request->node->job_api, request->submission_bytes);
   mm_job_spec_clear(&request->spec);
-  json_decref(request->record);
+  mm_json_unref(request->record);
   g_free(request);
 }
 
--- a/src/job-api/user-request.h
+++ b/src/job-api/user-request.h
@@ -16,7 +16,7 @@
   guint n_retries;
   MmJobSpec spec;         /* submissions only */
   gsize submission_bytes; /* submissions only: counted in MmJobApi.submissions_bytes */
-  json_t *record;         /* the job record as last read, owned; NULL: not read yet */
+  MmJson *record;         /* the job record as last read, owned; NULL: not read yet */
   MmTime deadline; /* until when the request may wait for other nodes or the key-value store */
   MmTime cancel_broadcast_at; /* when the cancellation was last broadcast to the other nodes */
   guint next_dependency;      /* submissions: index of the first dependency not looked up yet */
@@ -27,7 +27,7 @@
 MmUserRequest *mm_user_request_new(MmNode *node, MmHttpExchange *exchange, const char *job_id);
 /* Sends the response and frees the request. Takes ownership of `body`. If `retry_after_s` is 0, the
  * response has no Retry-After header. */
-void mm_user_request_respond(MmUserRequest *request, int status, json_t *body, guint retry_after_s);
+void mm_user_request_respond(MmUserRequest *request, int status, MmJson *body, guint retry_after_s);
 /* Responds 503 with a Retry-After header, because the key-value store is unavailable, and frees the
  * request. */
 void mm_user_request_respond_unavailable(MmUserRequest *request);
--- a/src/jobs/job-record.c
+++ b/src/jobs/job-record.c
@@ -14,24 +14,24 @@
 #define KEY_N_COMPLETED "n"
 #define KEY_COMPLETED_AT_MS "t"
 
-json_t *
+MmJson *
 mm_job_record_to_json(const MmJobSpec *spec, gint64 submitted_at_ms, gboolean is_cancelled,
                       const char *completed_text) {
   g_autofree char *dependencies = mm_job_spec_dependencies_to_text(spec);
-  json_t *record = json_pack("{s:o, s:I}", KEY_SPEC, mm_job_spec_to_json(spec), KEY_SUBMITTED_AT_MS,
-                             (json_int_t)submitted_at_ms);
+  MmJson *record = mm_json_pack("{s:o, s:I}", KEY_SPEC, mm_job_spec_to_json(spec),
+                                KEY_SUBMITTED_AT_MS, (guint64)submitted_at_ms);
 
   if (dependencies != NULL)
-    json_object_set_new(record, KEY_DEPENDENCIES, json_string(dependencies));
+    mm_json_object_set(record, KEY_DEPENDENCIES, mm_json_new_string(dependencies));
   if (completed_text != NULL && completed_text[0] != '\0')
-    json_object_set_new(record, KEY_COMPLETED, json_string(completed_text));
+    mm_json_object_set(record, KEY_COMPLETED, mm_json_new_string(completed_text));
   if (is_cancelled)
     mm_job_record_set_cancelled(record);
   return record;
 }
 
 gboolean
-mm_job_record_parse_spec(const json_t *record, MmJobSpec *spec, const char **reason) {
+mm_job_record_parse_spec(const MmJson *record, MmJobSpec *spec, const char **reason) {
   if (!mm_job_spec_parse(spec, mm_json_get(record, KEY_SPEC), reason))
     return FALSE;
   if (mm_job_spec_parse_dependencies(spec, mm_json_string(record, KEY_DEPENDENCIES)))
@@ -42,45 +42,45 @@
 }
 
 gint64
-mm_job_record_submitted_at_ms(const json_t *record) {
+mm_job_record_submitted_at_ms(const MmJson *record) {
   return (gint64)mm_json_count(record, KEY_SUBMITTED_AT_MS, 0);
 }
 
 const char *
-mm_job_record_completed_text(const json_t *record) {
+mm_job_record_completed_text(const MmJson *record) {
   return mm_json_string(record, KEY_COMPLETED);
 }
 
 gboolean
-mm_job_record_is_cancelled(const json_t *record) {
+mm_job_record_is_cancelled(const MmJson *record) {
   return mm_json_count(record, KEY_CANCELLED, 0) != 0;
 }
 
 gboolean
-mm_job_record_has_dependencies(const json_t *record) {
+mm_job_record_has_dependencies(const MmJson *record) {
   return mm_json_get(record, KEY_DEPENDENCIES) != NULL;
 }
 
 void
-mm_job_record_set_cancelled(json_t *record) {
-  json_object_set_new(record, KEY_CANCELLED, json_integer(1));
+mm_job_record_set_cancelled(MmJson *record) {
+  mm_json_object_set(record, KEY_CANCELLED, mm_json_new_count(1));
 }
 
 void
-mm_job_record_clear_completed(json_t *record) {
-  json_object_del(record, KEY_COMPLETED);
+mm_job_record_clear_completed(MmJson *record) {
+  mm_json_object_remove(record, KEY_COMPLETED);
 }
 
-json_t *
+MmJson *
 mm_terminal_record_to_json(const MmTerminalState *terminal) {
-  return json_pack("{s:s, s:I, s:I}", KEY_OUTCOME,
-                   terminal->is_cancelled ? WIRE_CANCELLED : WIRE_DONE, KEY_N_COMPLETED,
-                   (json_int_t)terminal->n_completed, KEY_COMPLETED_AT_MS,
-                   (json_int_t)terminal->completed_at_ms);
+  return mm_json_pack("{s:s, s:I, s:I}", KEY_OUTCOME,
+                      terminal->is_cancelled ? WIRE_CANCELLED : WIRE_DONE, KEY_N_COMPLETED,
+                      (guint64)terminal->n_completed, KEY_COMPLETED_AT_MS,
+                      (guint64)terminal->completed_at_ms);
 }
 
 gboolean
-mm_terminal_record_parse(const json_t *record, MmTerminalState *terminal) {
+mm_terminal_record_parse(const MmJson *record, MmTerminalState *terminal) {
   const char *outcome = mm_json_string(record, KEY_OUTCOME);
 
   if (g_strcmp0(outcome, WIRE_CANCELLED) != 0 && g_strcmp0(outcome, WIRE_DONE) != 0)
--- a/src/jobs/job-record.h
+++ b/src/jobs/job-record.h
@@ -10,20 +10,20 @@
 #include "jobs/job-spec.h"
 
 /* Returns a new job record. `completed_text` (see mm_completed_tasks_to_text) may be NULL. */
-json_t *mm_job_record_to_json(const MmJobSpec *spec, gint64 submitted_at_ms, gboolean is_cancelled,
+MmJson *mm_job_record_to_json(const MmJobSpec *spec, gint64 submitted_at_ms, gboolean is_cancelled,
                               const char *completed_text);
 /* Parses the spec including its dependencies; clear it with mm_job_spec_clear. Returns FALSE if the
  * record is malformed; `*reason` is then static text, and there is nothing to clear. */
-gboolean mm_job_record_parse_spec(const json_t *record, MmJobSpec *spec, const char **reason);
+gboolean mm_job_record_parse_spec(const MmJson *record, MmJobSpec *spec, const char **reason);
 /* Returns the time of day of the submission, in milliseconds. */
-gint64 mm_job_record_submitted_at_ms(const json_t *record);
+gint64 mm_job_record_submitted_at_ms(const MmJson *record);
 /* Returns the completed tasks as text, owned by the record, or NULL if the record contains none. */
-const char *mm_job_record_completed_text(const json_t *record);
-gboolean mm_job_record_is_cancelled(const json_t *record);
-gboolean mm_job_record_has_dependencies(const json_t *record);
-void mm_job_record_set_cancelled(json_t *record);
+const char *mm_job_record_completed_text(const MmJson *record);
+gboolean mm_job_record_is_cancelled(const MmJson *record);
+gboolean mm_job_record_has_dependencies(const MmJson *record);
+void mm_job_record_set_cancelled(MmJson *record);
 /* Removes the completed tasks, which shortens the record of a cancelled job. */
-void mm_job_record_clear_completed(json_t *record);
+void mm_job_record_clear_completed(MmJson *record);
 
 /* How a job ended. */
 typedef struct {
@@ -36,6 +36,6 @@
  * did not store the time. */
 #define MM_TIME_OF_DAY_UNKNOWN 0
 
-json_t *mm_terminal_record_to_json(const MmTerminalState *terminal);
+MmJson *mm_terminal_record_to_json(const MmTerminalState *terminal);
 /* Returns FALSE and leaves `terminal` unchanged if `record` is not a terminal record. */
-gboolean mm_terminal_record_parse(const json_t *record, MmTerminalState *terminal);
+gboolean mm_terminal_record_parse(const MmJson *record, MmTerminalState *terminal);
--- a/src/jobs/job-spec.c
+++ b/src/jobs/job-spec.c
@@ -18,14 +18,18 @@
 }
 
 static gboolean
-read_name(const json_t *json, const char *key, MmName *name, gboolean required) {
-  const json_t *value = mm_json_get(json, key);
-  const char *text = json_string_value(value);
+is_name(const char *text) {
+  return text != NULL && text[0] != '\0' && strlen(text) <= MM_NAME_MAX;
+}
+
+static gboolean
+read_name(const MmJson *json, const char *key, MmName *name, gboolean required) {
+  const MmJson *value = mm_json_get(json, key);
+  const char *text = mm_json_string_value(value);
 
   if (value == NULL)
     return !required;
-  if (text == NULL || text[0] == '\0' || strlen(text) > MM_NAME_MAX
-      || strlen(text) != json_string_length(value))
+  if (!is_name(text))
     return FALSE;
   *name = mm_name(text);
   return TRUE;
@@ -37,65 +41,64 @@
 #define AMOUNT_LIMIT 1e12
 
 static gboolean
-read_amount(const json_t *json, const char *key, double *amount, double fallback) {
-  const json_t *value = mm_json_get(json, key);
+read_amount(const MmJson *json, const char *key, double *amount, double fallback) {
+  const MmJson *value = mm_json_get(json, key);
 
   *amount = fallback;
   if (value == NULL)
     return !isnan(fallback);
-  if (!json_is_number(value))
+  if (!mm_json_is_number(value))
     return FALSE;
-  *amount = json_number_value(value);
+  *amount = mm_json_number_value(value);
   return isfinite(*amount) && *amount >= 0 && *amount < AMOUNT_LIMIT;
 }
 
 static gboolean
-read_boolean(const json_t *json, const char *key, gboolean *flag) {
-  const json_t *value = mm_json_get(json, key);
+read_boolean(const MmJson *json, const char *key, gboolean *flag) {
+  const MmJson *value = mm_json_get(json, key);
 
-  *flag = json_is_true(value);
-  return json_is_boolean(value);
+  *flag = mm_json_is_true(value);
+  return mm_json_is_boolean(value);
 }
 
 static gboolean
-read_allowed_types(const json_t *json, MmJobSpec *spec) {
-  const json_t *list = mm_json_get(json, WIRE_TYPES);
+read_allowed_types(const MmJson *json, MmJobSpec *spec) {
+  const MmJson *list = mm_json_get(json, WIRE_TYPES);
   size_t i;
-  json_t *item;
+  MmJson *item;
 
   if (list == NULL)
     return TRUE;
-  if (!json_is_array(list) || json_array_size(list) == 0
-      || json_array_size(list) > MM_JOB_MAX_MACHINE_TYPES)
+  if (!mm_json_is_array(list) || mm_json_array_size(list) == 0
+      || mm_json_array_size(list) > MM_JOB_MAX_MACHINE_TYPES)
     return FALSE;
-  spec->n_allowed_types = (guint)json_array_size(list);
+  spec->n_allowed_types = (guint)mm_json_array_size(list);
   spec->allowed_types = g_new0(MmName, spec->n_allowed_types);
-  json_array_foreach(list, i, item) {
-    if (!json_is_string(item) || json_string_length(item) == 0
-        || json_string_length(item) > MM_NAME_MAX)
+  MM_JSON_ARRAY_FOREACH (list, i, item) {
+    const char *name = mm_json_string_value(item);
+    if (!is_name(name))
       return FALSE;
-    spec->allowed_types[i] = mm_name(json_string_value(item));
+    spec->allowed_types[i] = mm_name(name);
   }
   return TRUE;
 }
 
 /* Reads the ids of the dependencies; duplicates are ignored. */
 static gboolean
-read_dependencies(const json_t *json, MmJobSpec *spec) {
-  const json_t *list = mm_json_get(json, WIRE_DEPENDENCIES);
+read_dependencies(const MmJson *json, MmJobSpec *spec) {
+  const MmJson *list = mm_json_get(json, WIRE_DEPENDENCIES);
   g_autoptr(GHashTable) seen_ids = g_hash_table_new(g_str_hash, g_str_equal);
   size_t i;
-  json_t *item;
+  MmJson *item;
 
   if (list == NULL)
     return TRUE;
-  if (!json_is_array(list))
+  if (!mm_json_is_array(list))
     return FALSE;
-  spec->dependencies = g_new0(MmName, json_array_size(list));
-  json_array_foreach(list, i, item) {
-    const char *id = json_string_value(item);
-    if (id == NULL || id[0] == '\0' || json_string_length(item) > MM_NAME_MAX
-        || strlen(id) != json_string_length(item))
+  spec->dependencies = g_new0(MmName, mm_json_array_size(list));
+  MM_JSON_ARRAY_FOREACH (list, i, item) {
+    const char *id = mm_json_string_value(item);
+    if (!is_name(id))
       return FALSE;
     if (g_hash_table_add(seen_ids, (gpointer)id))
       spec->dependencies[spec->n_dependencies++] = mm_name(id);
@@ -105,7 +108,7 @@
 }
 
 static gboolean
-read_keyword(const json_t *json, const char *key, const char *const *words, guint n_words,
+read_keyword(const MmJson *json, const char *key, const char *const *words, guint n_words,
              guint *found_index) {
   const char *text = mm_json_string(json, key);
 
@@ -126,8 +129,8 @@
  * reason why a field is malformed, as static text, or NULL if all its fields are valid. */
 
 static const char *
-read_identity(const json_t *json, MmJobSpec *spec) {
-  const json_t *n_tasks = mm_json_get(json, WIRE_TASKS);
+read_identity(const MmJson *json, MmJobSpec *spec) {
+  const MmJson *n_tasks = mm_json_get(json, WIRE_TASKS);
   guint kind, priority;
 
   if (!mm_job_id_is_valid(mm_json_string(json, WIRE_JOB_ID)))
@@ -140,18 +143,18 @@
     return WIRE_KIND " must be array, group or service";
   if (!read_keyword(json, WIRE_PRIORITY, priority_names, G_N_ELEMENTS(priority_names), &priority))
     return WIRE_PRIORITY " must be critical, urgent, normal or low";
-  if (!json_is_integer(n_tasks) || json_integer_value(n_tasks) < 1
-      || json_integer_value(n_tasks) > MM_JOB_MAX_TASKS)
+  if (!mm_json_is_count(n_tasks) || mm_json_count_value(n_tasks) < 1
+      || mm_json_count_value(n_tasks) > MM_JOB_MAX_TASKS)
     return WIRE_TASKS " must be a whole number from 1 to " G_STRINGIFY(MM_JOB_MAX_TASKS);
   spec->id = mm_name(mm_json_string(json, WIRE_JOB_ID));
   spec->kind = (MmJobKind)kind;
   spec->priority = (MmPriority)priority;
-  spec->n_tasks = (guint)json_integer_value(n_tasks);
+  spec->n_tasks = (guint)mm_json_count_value(n_tasks);
   return NULL;
 }
 
 static const char *
-read_task_resources(const json_t *json, MmJobSpec *spec) {
+read_task_resources(const MmJson *json, MmJobSpec *spec) {
   if (!read_amount(json, WIRE_CORES, &spec->task_resources.cores, REQUIRED))
     return WIRE_CORES " must be a number, 0 or more";
   if (!read_amount(json, WIRE_ACCELERATORS, &spec->task_resources.accelerators, REQUIRED))
@@ -167,7 +170,7 @@
 }
 
 static const char *
-read_placement_rules(const json_t *json, MmJobSpec *spec) {
+read_placement_rules(const MmJson *json, MmJobSpec *spec) {
   if (!read_allowed_types(json, spec))
     return WIRE_TYPES " must be null or a list of names";
   if (!read_name(json, WIRE_ZONE, &spec->zone, FALSE))
@@ -182,7 +185,7 @@
 }
 
 static const char *
-read_times_and_dependencies(const json_t *json, MmJobSpec *spec) {
+read_times_and_dependencies(const MmJson *json, MmJobSpec *spec) {
   if (!read_amount(json, WIRE_ESTIMATE, &spec->run_estimate_s, REQUIRED))
     return WIRE_ESTIMATE " must be a number, 0 or more";
   if (!read_amount(json, WIRE_CHECKPOINT_INTERVAL, &spec->checkpoint_interval_s, REQUIRED))
@@ -197,11 +200,11 @@
 }
 
 gboolean
-mm_job_spec_parse(MmJobSpec *spec, const json_t *json, const char **reason) {
+mm_job_spec_parse(MmJobSpec *spec, const MmJson *json, const char **reason) {
   const char *error = NULL;
 
   memset(spec, 0, sizeof *spec);
-  if (!json_is_object(json))
+  if (!mm_json_is_object(json))
     error = "the body must be a JSON object";
   if (error == NULL)
     error = read_identity(json, spec);
@@ -218,30 +221,30 @@
   return FALSE;
 }
 
-json_t *
+MmJson *
 mm_job_spec_to_json(const MmJobSpec *spec) {
-  json_t *allowed_types = spec->n_allowed_types > 0 ? json_array() : json_null();
-  json_t *json;
+  MmJson *allowed_types = spec->n_allowed_types > 0 ? mm_json_new_array() : mm_json_new_null();
+  MmJson *json;
 
   for (guint i = 0; i < spec->n_allowed_types; i++)
-    json_array_append_new(allowed_types, json_string(spec->allowed_types[i].s));
-  json = json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:f, s:f, s:f, s:s, s:f, s:o}", WIRE_JOB_ID,
-                   spec->id.s, WIRE_CLASS, spec->job_class.s, WIRE_TEAM, spec->team.s, WIRE_KIND,
-                   kind_names[spec->kind], WIRE_PRIORITY, priority_names[spec->priority],
-                   WIRE_TASKS, (json_int_t)spec->n_tasks, WIRE_CORES, spec->task_resources.cores,
-                   WIRE_ACCELERATORS, spec->task_resources.accelerators, WIRE_MEMORY,
-                   spec->task_resources.memory_gb, WIRE_IMAGE, spec->image.s, WIRE_IMAGE_GB,
-                   spec->image_gb, WIRE_TYPES, allowed_types);
+    mm_json_array_append(allowed_types, mm_json_new_string(spec->allowed_types[i].s));
+  json = mm_json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:f, s:f, s:f, s:s, s:f, s:o}", WIRE_JOB_ID,
+                      spec->id.s, WIRE_CLASS, spec->job_class.s, WIRE_TEAM, spec->team.s, WIRE_KIND,
+                      kind_names[spec->kind], WIRE_PRIORITY, priority_names[spec->priority],
+                      WIRE_TASKS, (guint64)spec->n_tasks, WIRE_CORES, spec->task_resources.cores,
+                      WIRE_ACCELERATORS, spec->task_resources.accelerators, WIRE_MEMORY,
+                      spec->task_resources.memory_gb, WIRE_IMAGE, spec->image.s, WIRE_IMAGE_GB,
+                      spec->image_gb, WIRE_TYPES, allowed_types);
   if (!mm_name_is_empty(&spec->zone))
-    json_object_set_new(json, WIRE_ZONE, json_string(spec->zone.s));
-  json_object_set_new(json, WIRE_ONE_ZONE, json_boolean(spec->requires_one_zone));
-  json_object_set_new(json, WIRE_SPREAD, json_boolean(spec->spreads_over_zones));
-  json_object_set_new(json, WIRE_SPOT, json_boolean(spec->allows_spot));
-  json_object_set_new(json, WIRE_ESTIMATE, json_real(spec->run_estimate_s));
-  json_object_set_new(json, WIRE_CHECKPOINT_INTERVAL, json_real(spec->checkpoint_interval_s));
-  json_object_set_new(json, WIRE_CHECKPOINT_DURATION, json_real(spec->checkpoint_save_s));
+    mm_json_object_set(json, WIRE_ZONE, mm_json_new_string(spec->zone.s));
+  mm_json_object_set(json, WIRE_ONE_ZONE, mm_json_new_boolean(spec->requires_one_zone));
+  mm_json_object_set(json, WIRE_SPREAD, mm_json_new_boolean(spec->spreads_over_zones));
+  mm_json_object_set(json, WIRE_SPOT, mm_json_new_boolean(spec->allows_spot));
+  mm_json_object_set(json, WIRE_ESTIMATE, mm_json_new_real(spec->run_estimate_s));
+  mm_json_object_set(json, WIRE_CHECKPOINT_INTERVAL, mm_json_new_real(spec->checkpoint_interval_s));
+  mm_json_object_set(json, WIRE_CHECKPOINT_DURATION, mm_json_new_real(spec->checkpoint_save_s));
   if (mm_job_spec_has_deadline(spec))
-    json_object_set_new(json, WIRE_DEADLINE, json_real(spec->deadline_s));
+    mm_json_object_set(json, WIRE_DEADLINE, mm_json_new_real(spec->deadline_s));
   return json;
 }
 
--- a/src/jobs/job-spec.h
+++ b/src/jobs/job-spec.h
@@ -53,12 +53,12 @@
 /* Parses and validates a spec. Does not check whether the dependencies exist. Unknown fields are
  * ignored. Returns FALSE if the body is malformed; `*reason` is then static text for the user, and
  * there is nothing to clear. */
-gboolean mm_job_spec_parse(MmJobSpec *spec, const json_t *json, const char **reason);
+gboolean mm_job_spec_parse(MmJobSpec *spec, const MmJson *json, const char **reason);
 void mm_job_spec_clear(MmJobSpec *spec);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(MmJobSpec, mm_job_spec_clear)
 
 /* Returns the spec without its dependencies, in the stored form that mm_job_spec_parse reads. */
-json_t *mm_job_spec_to_json(const MmJobSpec *spec);
+MmJson *mm_job_spec_to_json(const MmJobSpec *spec);
 /* Returns the dependencies in their stored form, such as "000398,000405", or NULL if there are
  * none; free with g_free. */
 char *mm_job_spec_dependencies_to_text(const MmJobSpec *spec);
--- a/src/jobs/job-table.c
+++ b/src/jobs/job-table.c
@@ -86,7 +86,7 @@
 /* Adds a job that is not in the table yet. Returns the job, owned by the table, or NULL if the
  * record is malformed. */
 static MmJob *
-add_job(MmJobTable *job_table, const char *id, const json_t *record) {
+add_job(MmJobTable *job_table, const char *id, const MmJson *record) {
   MmJob *job = g_new0(MmJob, 1);
   const char *reason = NULL;
 
@@ -109,7 +109,7 @@
 }
 
 void
-mm_job_table_put(MmJobTable *job_table, const char *id, const json_t *record,
+mm_job_table_put(MmJobTable *job_table, const char *id, const MmJson *record,
                  MmKeyVersion version) {
   MmJob *job = mm_job_table_find(job_table, id);
 
@@ -183,7 +183,7 @@
 }
 
 void
-mm_job_table_add_terminal_record(MmJobTable *job_table, const char *id, const json_t *record) {
+mm_job_table_add_terminal_record(MmJobTable *job_table, const char *id, const MmJson *record) {
   MmTerminalState terminal;
 
   if (!mm_terminal_record_parse(record, &terminal))
@@ -203,13 +203,13 @@
   return known != NULL;
 }
 
-json_t *
+MmJson *
 mm_job_table_terminal_response(const MmJobTable *job_table, const char *id) {
   MmTerminalState terminal;
 
   if (!mm_job_table_get_terminal_state(job_table, id, &terminal))
     return NULL;
-  return json_pack("{s:s, s:s, s:I, s:i}", WIRE_JOB_ID, id, WIRE_STATE,
-                   terminal.is_cancelled ? WIRE_CANCELLED : WIRE_DONE, WIRE_DONE,
-                   (json_int_t)terminal.n_completed, WIRE_RUNNING, 0);
+  return mm_json_pack("{s:s, s:s, s:I, s:i}", WIRE_JOB_ID, id, WIRE_STATE,
+                      terminal.is_cancelled ? WIRE_CANCELLED : WIRE_DONE, WIRE_DONE,
+                      (guint64)terminal.n_completed, WIRE_RUNNING, 0);
 }
--- a/src/jobs/job-table.h
+++ b/src/jobs/job-table.h
@@ -55,7 +55,7 @@
 /* Applies a version of a job record; adds the job if it is not in the table. Ignores a version that
  * is older than the version applied last. Logs and ignores a malformed record of a job that is not
  * in the table. */
-void mm_job_table_put(MmJobTable *job_table, const char *id, const json_t *record,
+void mm_job_table_put(MmJobTable *job_table, const char *id, const MmJson *record,
                       MmKeyVersion version);
 /* Records that the job record was deleted. Removes and frees the job if it is in the table. */
 void mm_job_table_remove(MmJobTable *job_table, const char *id);
@@ -70,11 +70,11 @@
 gboolean mm_job_table_has_ended(const MmJobTable *job_table, const char *id);
 /* Adds a terminal record that was read from or written to the key-value store. Ignores a value that
  * is not a terminal record. */
-void mm_job_table_add_terminal_record(MmJobTable *job_table, const char *id, const json_t *record);
+void mm_job_table_add_terminal_record(MmJobTable *job_table, const char *id, const MmJson *record);
 /* Copies the terminal state of the job to `terminal`. Returns FALSE and leaves `terminal` unchanged
  * if no terminal record of the job was added, or if its terminal state has been evicted since. */
 gboolean mm_job_table_get_terminal_state(const MmJobTable *job_table, const char *id,
                                          MmTerminalState *terminal);
 /* Returns the body of the status response for an ended job as a new reference, or NULL if its
  * terminal state is not known. */
-json_t *mm_job_table_terminal_response(const MmJobTable *job_table, const char *id);
+MmJson *mm_job_table_terminal_response(const MmJobTable *job_table, const char *id);
--- a/src/kv/kv-client.c
+++ b/src/kv/kv-client.c
@@ -81,7 +81,7 @@
 typedef struct {
   MmKvClient *kv;
   MmTime sent_at;
-  json_t *transaction; /* owned; NULL if the request is not a transaction */
+  MmJson *transaction; /* owned; NULL if the request is not a transaction */
   MmResponseCallback on_response;
   gpointer data;
 } Request;
@@ -97,13 +97,13 @@
 #define LEASE_EXPIRED_ERROR "no such lease"
 
 static guint
-largest_value_bytes(const json_t *operations) {
+largest_value_bytes(const MmJson *operations) {
   gsize largest = 0;
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(operations, i, item) largest
-      = MAX(largest, json_dumpb(mm_json_get(item, WIRE_VALUE), NULL, 0, JSON_COMPACT));
+  MM_JSON_ARRAY_FOREACH (operations, i, item)
+    largest = MAX(largest, mm_json_text_length(mm_json_get(item, WIRE_VALUE)));
   return (guint)largest;
 }
 
@@ -113,9 +113,9 @@
  * transaction's number of operations. If the transaction had no more than MIN_LEARNED_OPERATIONS,
  * the limit on the size of values becomes half of the transaction's largest value instead. */
 static void
-learn_transaction_limits(MmKvClient *kv, const json_t *transaction, const json_t *response) {
-  const json_t *operations = json_object_get(transaction, WIRE_OPERATIONS);
-  guint n_operations = (guint)json_array_size(operations);
+learn_transaction_limits(MmKvClient *kv, const MmJson *transaction, const MmJson *response) {
+  const MmJson *operations = mm_json_get(transaction, WIRE_OPERATIONS);
+  guint n_operations = (guint)mm_json_array_size(operations);
 
   if (g_strcmp0(mm_json_string(response, "error"), LEASE_EXPIRED_ERROR) == 0)
     return;
@@ -156,7 +156,7 @@
 }
 
 static void
-on_request_done(gpointer data, int status, json_t *body) {
+on_request_done(gpointer data, int status, MmJson *body) {
   Request *request = data;
 
   /* A refusal counts from the time at which its request was sent. If this process was paused, the
@@ -177,23 +177,23 @@
     learn_transaction_limits(request->kv, request->transaction, body);
   if (request->on_response != NULL)
     request->on_response(request->data, status, body);
-  json_decref(request->transaction);
+  mm_json_unref(request->transaction);
   g_free(request);
 }
 
 static void
-send_request(MmKvClient *kv, const char *method, const char *path, const json_t *body,
-             guint timeout_ms, json_t *transaction, MmResponseCallback on_response, gpointer data) {
+send_request(MmKvClient *kv, const char *method, const char *path, const MmJson *body,
+             guint timeout_ms, MmJson *transaction, MmResponseCallback on_response, gpointer data) {
   Request *request = g_new(Request, 1);
 
   *request
-      = (Request){ kv, mm_platform_now(kv->platform), json_incref(transaction), on_response, data };
+      = (Request){ kv, mm_platform_now(kv->platform), mm_json_ref(transaction), on_response, data };
   kv->platform->request(kv->platform->context, MM_TARGET_KV_STORE, NULL, method, path, body,
                         timeout_ms, on_request_done, request);
 }
 
 void
-mm_kv_client_request(MmKvClient *kv, const char *method, const char *path, const json_t *body,
+mm_kv_client_request(MmKvClient *kv, const char *method, const char *path, const MmJson *body,
                      guint timeout_ms, MmResponseCallback on_response, gpointer data) {
   send_request(kv, method, path, body, timeout_ms, NULL, on_response, data);
 }
@@ -229,8 +229,8 @@
 void
 mm_kv_client_commit(MmKvClient *kv, MmTransaction *transaction, MmResponseCallback on_response,
                     gpointer data) {
-  g_autoptr(json_t) body = json_pack("{s:o, s:o}", WIRE_CONDITIONS, transaction->conditions,
-                                     WIRE_OPERATIONS, transaction->operations);
+  g_autoptr(MmJson) body = mm_json_pack("{s:o, s:o}", WIRE_CONDITIONS, transaction->conditions,
+                                        WIRE_OPERATIONS, transaction->operations);
 
   /* The guard is checked in this function because all transactions are sent here. No module can
    * bypass the check. */
--- a/src/kv/kv-client.h
+++ b/src/kv/kv-client.h
@@ -79,7 +79,7 @@
 void mm_kv_client_commit_unless_empty(MmKvClient *kv, MmTransaction *transaction,
                                       MmResponseCallback on_response, gpointer data);
 /* Sends a request of any other kind. `body` is borrowed and may be NULL. */
-void mm_kv_client_request(MmKvClient *kv, const char *method, const char *path, const json_t *body,
+void mm_kv_client_request(MmKvClient *kv, const char *method, const char *path, const MmJson *body,
                           guint timeout_ms, MmResponseCallback on_response, gpointer data);
 
 /* Returns the maximum size of a value: the limit in the settings or, if lower, the limit learned
--- a/src/kv/read-barrier.c
+++ b/src/kv/read-barrier.c
@@ -79,7 +79,7 @@
 }
 
 static void
-on_revision_read(gpointer data, int status, json_t *body) {
+on_revision_read(gpointer data, int status, MmJson *body) {
   MmReadBarrier *barrier = data;
   guint64 revision = mm_json_count(body, WIRE_REVISION, 0);
   GList *next;
--- a/src/kv/records.c
+++ b/src/kv/records.c
@@ -12,14 +12,14 @@
 /* Field of the format record. */
 #define FIELD_FORMAT "f"
 
-json_t *
+MmJson *
 mm_record_encode_shard(const MmShard *shard) {
-  return json_pack("{s:s, s:I, s:I}", FIELD_LEADER, shard->leader.s, FIELD_LEASE,
-                   (json_int_t)shard->lease_id, FIELD_TERM, (json_int_t)shard->term.v);
+  return mm_json_pack("{s:s, s:I, s:I}", FIELD_LEADER, shard->leader.s, FIELD_LEASE,
+                      (guint64)shard->lease_id, FIELD_TERM, (guint64)shard->term.v);
 }
 
 MmShard
-mm_record_decode_shard(const json_t *value) {
+mm_record_decode_shard(const MmJson *value) {
   return (MmShard){
     .leader = mm_name(mm_json_string(value, FIELD_LEADER)),
     .lease_id = mm_json_count(value, FIELD_LEASE, 0),
@@ -27,37 +27,37 @@
   };
 }
 
-json_t *
+MmJson *
 mm_record_encode_term(MmTerm term) {
-  return json_pack("{s:I}", FIELD_TERM, (json_int_t)term.v);
+  return mm_json_pack("{s:I}", FIELD_TERM, (guint64)term.v);
 }
 
 MmTerm
-mm_record_decode_term(const json_t *value) {
+mm_record_decode_term(const MmJson *value) {
   return (MmTerm){ mm_json_count(value, FIELD_TERM, 0) };
 }
 
-json_t *
+MmJson *
 mm_record_encode_live_node(guint64 lease_id) {
-  return json_pack("{s:I}", FIELD_LEASE, (json_int_t)lease_id);
+  return mm_json_pack("{s:I}", FIELD_LEASE, (guint64)lease_id);
 }
 
 guint64
-mm_record_decode_live_node(const json_t *value) {
+mm_record_decode_live_node(const MmJson *value) {
   return mm_json_count(value, FIELD_LEASE, 0);
 }
 
-json_t *
+MmJson *
 mm_record_encode_node_version(const MmNodeVersionRecord *record) {
-  json_t *value = json_pack("{s:i}", FIELD_VERSION, (int)record->version);
+  MmJson *value = mm_json_pack("{s:i}", FIELD_VERSION, (int)record->version);
 
   if (record->group_count > 0)
-    json_object_set_new(value, FIELD_GROUPS, json_integer(record->group_count));
+    mm_json_object_set(value, FIELD_GROUPS, mm_json_new_count(record->group_count));
   return value;
 }
 
 MmNodeVersionRecord
-mm_record_decode_node_version(const json_t *value) {
+mm_record_decode_node_version(const MmJson *value) {
   return (MmNodeVersionRecord){
     .version = (guint)MIN(mm_json_count(value, FIELD_VERSION, 0), G_MAXUINT),
     .group_count = (guint)MIN(mm_json_count(value, FIELD_GROUPS, 0), G_MAXUINT),
@@ -65,10 +65,10 @@
 }
 
 guint64
-mm_record_decode_format(const json_t *value) {
-  const json_t *format = mm_json_get(value, FIELD_FORMAT);
+mm_record_decode_format(const MmJson *value) {
+  const MmJson *format = mm_json_get(value, FIELD_FORMAT);
 
-  return json_is_integer(format) && json_integer_value(format) > 0
-             ? (guint64)json_integer_value(format)
+  return mm_json_is_count(format) && mm_json_count_value(format) > 0
+             ? (guint64)mm_json_count_value(format)
              : 0;
 }
--- a/src/kv/records.h
+++ b/src/kv/records.h
@@ -6,7 +6,7 @@
  * 0. Encoders return a new reference. */
 #pragma once
 
-#include <jansson.h>
+#include "base/json.h"
 
 #include "base/types.h"
 
@@ -39,18 +39,18 @@
   MmKeyVersion version; /* version of the shard's key; not part of the encoded value */
 } MmShard;
 
-json_t *mm_record_encode_shard(const MmShard *shard);
+MmJson *mm_record_encode_shard(const MmShard *shard);
 /* Decodes all fields except `version`, which is set to 0. */
-MmShard mm_record_decode_shard(const json_t *value);
+MmShard mm_record_decode_shard(const MmJson *value);
 
 /* Codec of the global term, the value of MM_KEY_TERM. */
-json_t *mm_record_encode_term(MmTerm term);
-MmTerm mm_record_decode_term(const json_t *value);
+MmJson *mm_record_encode_term(MmTerm term);
+MmTerm mm_record_decode_term(const MmJson *value);
 
 /* Codec of a live node's record, which contains the id of the node's lease. The record's key is
  * bound to that lease. */
-json_t *mm_record_encode_live_node(guint64 lease_id);
-guint64 mm_record_decode_live_node(const json_t *value);
+MmJson *mm_record_encode_live_node(guint64 lease_id);
+guint64 mm_record_decode_live_node(const MmJson *value);
 
 /* What a node announces about itself, see upgrade/versions.h. */
 typedef struct {
@@ -60,9 +60,9 @@
 
 /* Encodes the record. A group count of 0 is left out. The value is then identical, byte for byte,
  * to the value that older nodes write. */
-json_t *mm_record_encode_node_version(const MmNodeVersionRecord *record);
-MmNodeVersionRecord mm_record_decode_node_version(const json_t *value);
+MmJson *mm_record_encode_node_version(const MmNodeVersionRecord *record);
+MmNodeVersionRecord mm_record_decode_node_version(const MmJson *value);
 
 /* Returns the active format (see upgrade/format.h), or 0 (MM_FORMAT_UNREADABLE) if the value is not
  * readable. */
-guint64 mm_record_decode_format(const json_t *value);
+guint64 mm_record_decode_format(const MmJson *value);
--- a/src/kv/replica.c
+++ b/src/kv/replica.c
@@ -74,7 +74,7 @@
 }
 
 static void
-put_shard(MmReplica *replica, const char *name, const json_t *value, MmKeyVersion version) {
+put_shard(MmReplica *replica, const char *name, const MmJson *value, MmKeyVersion version) {
   MmShard *shard = g_new(MmShard, 1);
 
   *shard = mm_record_decode_shard(value);
@@ -88,7 +88,7 @@
 }
 
 static void
-put_live_node(MmReplica *replica, const char *label, const json_t *value) {
+put_live_node(MmReplica *replica, const char *label, const MmJson *value) {
   MmLiveNode *known = g_hash_table_lookup(replica->live_nodes, label);
   guint64 lease_id = mm_record_decode_live_node(value);
   MmLiveNode *added;
@@ -105,7 +105,7 @@
 }
 
 static void
-put_term(MmReplica *replica, const json_t *value, MmKeyVersion version) {
+put_term(MmReplica *replica, const MmJson *value, MmKeyVersion version) {
   replica->term.v = MAX(replica->term.v, mm_record_decode_term(value).v);
   replica->term_version = version;
 }
@@ -130,7 +130,7 @@
 }
 
 static void
-apply_put(MmReplica *replica, const char *key, const json_t *value, MmKeyVersion version) {
+apply_put(MmReplica *replica, const char *key, const MmJson *value, MmKeyVersion version) {
   const MmReplicaObserver *observer = observer_of_key(replica, key);
 
   if (strcmp(key, MM_KEY_TERM) == 0)
@@ -239,11 +239,11 @@
 }
 
 static void
-apply_page(MmReplica *replica, const json_t *items) {
+apply_page(MmReplica *replica, const MmJson *items) {
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(items, i, item) {
+  MM_JSON_ARRAY_FOREACH (items, i, item) {
     const char *key = mm_json_string(item, WIRE_KEY);
     if (key == NULL)
       continue;
@@ -258,11 +258,11 @@
 }
 
 static void
-on_page_loaded(gpointer data, int status, json_t *body) {
+on_page_loaded(gpointer data, int status, MmJson *body) {
   MmReplica *replica = data;
-  const json_t *items = mm_json_get(body, WIRE_ITEMS);
+  const MmJson *items = mm_json_get(body, WIRE_ITEMS);
 
-  if (status != 200 || !json_is_array(items)) {
+  if (status != 200 || !mm_json_is_array(items)) {
     schedule_load(replica);
     return;
   }
@@ -303,11 +303,11 @@
 } WatchRequest;
 
 static void
-apply_events(MmReplica *replica, const json_t *events) {
+apply_events(MmReplica *replica, const MmJson *events) {
   size_t i;
-  json_t *event;
+  MmJson *event;
 
-  json_array_foreach(events, i, event) {
+  MM_JSON_ARRAY_FOREACH (events, i, event) {
     const char *put_key = mm_json_string(event, WIRE_PUT);
     const char *deleted_key = mm_json_string(event, WIRE_DELETE);
     if (put_key != NULL)
@@ -333,11 +333,11 @@
 }
 
 static void
-on_watch_response(gpointer data, int status, json_t *body) {
+on_watch_response(gpointer data, int status, MmJson *body) {
   WatchRequest *request = data;
   MmReplica *replica = request->replica;
   MmTime sent_at = request->sent_at;
-  json_t *events = mm_json_get(body, WIRE_EVENTS);
+  MmJson *events = mm_json_get(body, WIRE_EVENTS);
 
   g_free(request);
   if (status == 410) {
@@ -356,10 +356,10 @@
   replica->staleness_at = mm_platform_now(replica->platform);
   replica->staleness_us = replica->staleness_at.us - sent_at.us;
   finish_load_if_caught_up(replica);
-  if (json_array_size(events) > 0 && replica->is_loaded)
+  if (mm_json_array_size(events) > 0 && replica->is_loaded)
     notify_replica_changed(replica);
   mm_read_barrier_replica_advanced(replica->read_barrier);
-  start_next_watch(replica, sent_at, json_array_size(events) > 0);
+  start_next_watch(replica, sent_at, mm_json_array_size(events) > 0);
 }
 
 static void
@@ -379,7 +379,7 @@
 }
 
 static void
-on_gap_read(gpointer data, int status, json_t *body) {
+on_gap_read(gpointer data, int status, MmJson *body) {
   MmReplica *replica = data;
   guint64 revision = mm_json_count(body, WIRE_REVISION, 0);
 
--- a/src/kv/replica.h
+++ b/src/kv/replica.h
@@ -18,7 +18,7 @@
  * Each function pointer may be NULL. */
 typedef struct {
   const char *prefix; /* a prefix that ends in '/', or one whole key; must outlive the replica */
-  void (*put)(gpointer context, const char *suffix, const json_t *value, MmKeyVersion version);
+  void (*put)(gpointer context, const char *suffix, const MmJson *value, MmKeyVersion version);
   void (*removed)(gpointer context, const char *suffix);
   /* Adds all keys that the observer holds to `keys`, as newly allocated strings. After a reload,
    * `removed` is called for each of these keys that no longer exists in the store. If `list_keys`
--- a/src/kv/transaction.h
+++ b/src/kv/transaction.h
@@ -5,13 +5,13 @@
  * transaction that is not committed must be cleared with mm_transaction_clear. */
 #pragma once
 
-#include <jansson.h>
+#include "base/json.h"
 
 #include "base/types.h"
 
 typedef struct {
-  json_t *conditions;
-  json_t *operations;
+  MmJson *conditions;
+  MmJson *operations;
   guint n_operations;
 } MmTransaction;
 
@@ -26,6 +26,6 @@
 /* Adds an operation that writes the key, and takes ownership of the value. The store deletes the
  * key when the lease `lease_id` expires. If `lease_id` is MM_NO_LEASE, the key does not expire. */
 void mm_transaction_put(MmTransaction *transaction, const char *prefix, const char *key,
-                        json_t *value, guint64 lease_id);
+                        MmJson *value, guint64 lease_id);
 /* Adds an operation that deletes the key. */
 void mm_transaction_delete(MmTransaction *transaction, const char *prefix, const char *key);
--- a/src/leases/node-lease.c
+++ b/src/leases/node-lease.c
@@ -105,7 +105,7 @@
 }
 
 static void
-on_lease_announced(gpointer data, int status, json_t *body) {
+on_lease_announced(gpointer data, int status, MmJson *body) {
   LeaseRequest *request = data;
   MmNodeLease *lease = request->lease;
 
@@ -123,7 +123,7 @@
 }
 
 static void
-on_lease_granted(gpointer data, int status, json_t *body) {
+on_lease_granted(gpointer data, int status, MmJson *body) {
   LeaseRequest *request = data;
   MmNodeLease *lease = request->lease;
   guint64 lease_id = mm_json_count(body, WIRE_LEASE, MM_NO_LEASE);
@@ -149,22 +149,22 @@
 }
 
 static void
-on_node_key_read(gpointer data, int status, json_t *body) {
+on_node_key_read(gpointer data, int status, MmJson *body) {
   MmNodeLease *lease = data;
-  g_autoptr(json_t) grant_request = NULL;
+  g_autoptr(MmJson) grant_request = NULL;
 
   if (status != 200 && status != 404) {
     retry_acquisition(lease);
     return;
   }
   lease->node_key_version.v = status == 200 ? mm_json_count(body, WIRE_VERSION, 0) : 0;
-  grant_request = json_pack("{s:I}", WIRE_TTL, (json_int_t)lease_ttl_ms(lease));
+  grant_request = mm_json_pack("{s:I}", WIRE_TTL, (guint64)lease_ttl_ms(lease));
   mm_kv_client_request(lease->kv, "POST", WIRE_LEASES_PATH, grant_request, REQUEST_TIMEOUT_MS,
                        on_lease_granted, lease_request_new(lease, MM_NO_LEASE));
 }
 
 static void
-on_lease_renewed(gpointer data, int status, json_t *body) {
+on_lease_renewed(gpointer data, int status, MmJson *body) {
   LeaseRequest *request = data;
   MmNodeLease *lease = request->lease;
   MmTime now = mm_platform_now(lease->platform);
--- a/src/leases/shard-ownership.c
+++ b/src/leases/shard-ownership.c
@@ -103,7 +103,7 @@
 }
 
 static void
-on_shards_committed(gpointer data, int status, json_t *body) {
+on_shards_committed(gpointer data, int status, MmJson *body) {
   MmShardOwnership *ownership = data;
 
   ownership->is_commit_pending = FALSE;
--- a/src/machines/registry-entering.c
+++ b/src/machines/registry-entering.c
@@ -10,7 +10,7 @@
 #define WRITE_INTERVAL_MS 250
 
 static void
-registrations_written(gpointer data, int status, json_t *body) {
+registrations_written(gpointer data, int status, MmJson *body) {
   MmRegistry *registry = data;
 
   /* The status is not checked, because the replica shows which machines were registered. The
--- a/src/machines/registry-pack.c
+++ b/src/machines/registry-pack.c
@@ -28,33 +28,34 @@
   g_free(pack);
 }
 
-json_t *
+MmJson *
 mm_registry_entries_to_json(const GArray *entries) {
-  json_t *list = json_array();
+  MmJson *list = mm_json_new_array();
 
   for (guint i = 0; i < entries->len; i++) {
     const MmRegistryEntry *entry = &g_array_index(entries, MmRegistryEntry, i);
-    json_array_append_new(list, json_pack("[s, s, s, s, i, I]", entry->machine_id.s, entry->addr,
-                                          entry->type.s, entry->zone.s, entry->is_spot ? 1 : 0,
-                                          (json_int_t)entry->incarnation));
+    mm_json_array_append(list, mm_json_pack("[s, s, s, s, i, I]", entry->machine_id.s, entry->addr,
+                                            entry->type.s, entry->zone.s, entry->is_spot ? 1 : 0,
+                                            (guint64)entry->incarnation));
   }
-  return json_pack("{s:o}", RECORD_ENTRIES, list);
+  return mm_json_pack("{s:o}", RECORD_ENTRIES, list);
 }
 
 GArray *
-mm_registry_entries_from_json(const json_t *value) {
+mm_registry_entries_from_json(const MmJson *value) {
   GArray *entries = g_array_new(FALSE, TRUE, sizeof(MmRegistryEntry));
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(mm_json_get(value, RECORD_ENTRIES), i, item) {
+  MM_JSON_ARRAY_FOREACH (mm_json_get(value, RECORD_ENTRIES), i, item) {
     MmRegistryEntry entry
-        = { .machine_id = mm_name(json_string_value(json_array_get(item, ENTRY_MACHINE_ID))),
-            .type = mm_name(json_string_value(json_array_get(item, ENTRY_TYPE))),
-            .zone = mm_name(json_string_value(json_array_get(item, ENTRY_ZONE))),
-            .is_spot = json_integer_value(json_array_get(item, ENTRY_IS_SPOT)) != 0,
-            .incarnation = (guint64)json_integer_value(json_array_get(item, ENTRY_INCARNATION)) };
-    const char *addr = json_string_value(json_array_get(item, ENTRY_ADDR));
+        = { .machine_id = mm_name(mm_json_string_value(mm_json_array_get(item, ENTRY_MACHINE_ID))),
+            .type = mm_name(mm_json_string_value(mm_json_array_get(item, ENTRY_TYPE))),
+            .zone = mm_name(mm_json_string_value(mm_json_array_get(item, ENTRY_ZONE))),
+            .is_spot = mm_json_count_value(mm_json_array_get(item, ENTRY_IS_SPOT)) != 0,
+            .incarnation
+            = (guint64)mm_json_count_value(mm_json_array_get(item, ENTRY_INCARNATION)) };
+    const char *addr = mm_json_string_value(mm_json_array_get(item, ENTRY_ADDR));
     if (mm_name_is_empty(&entry.machine_id))
       continue;
     g_strlcpy(entry.addr, addr != NULL ? addr : "", sizeof entry.addr);
--- a/src/machines/registry-pack.h
+++ b/src/machines/registry-pack.h
@@ -24,10 +24,10 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(MmRegistryPack, mm_registry_pack_free)
 
 /* Returns the entries (elements: MmRegistryEntry) as JSON, as a new reference. */
-json_t *mm_registry_entries_to_json(const GArray *entries);
+MmJson *mm_registry_entries_to_json(const GArray *entries);
 /* Returns the decoded entries (elements: MmRegistryEntry), owned by the caller. Skips entries
  * without a machine id. `value` is borrowed. */
-GArray *mm_registry_entries_from_json(const json_t *value);
+GArray *mm_registry_entries_from_json(const MmJson *value);
 /* Returns the entry of the machine, borrowed, or NULL. */
 const MmRegistryEntry *mm_registry_entries_find(const GArray *entries, const char *machine_id);
 /* Returns an upper bound on the encoded size in bytes. */
--- a/src/machines/registry-removal.c
+++ b/src/machines/registry-removal.c
@@ -10,7 +10,7 @@
 #define CONDITIONS_PER_OPERATION 4
 
 static void
-removals_written(gpointer data, int status, json_t *body) {
+removals_written(gpointer data, int status, MmJson *body) {
   ((MmRegistry *)data)->is_removing = FALSE;
 }
 
@@ -52,9 +52,9 @@
 has_version_condition(const MmTransaction *transaction, const char *pack_name) {
   g_autofree char *key = g_strconcat(MM_KEY_REGISTRY_PACK, pack_name, NULL);
   size_t i;
-  json_t *condition;
+  MmJson *condition;
 
-  json_array_foreach(transaction->conditions, i, condition) {
+  MM_JSON_ARRAY_FOREACH (transaction->conditions, i, condition) {
     if (g_strcmp0(mm_json_string(condition, WIRE_KEY), key) == 0)
       return TRUE;
   }
@@ -150,20 +150,20 @@
       = CONDITIONS_PER_OPERATION * mm_kv_client_max_operations(registry->node->kv);
   gboolean too_large
       = mm_registry_entries_bytes(remaining) > mm_registry_pack_limit_bytes(registry->node->kv);
-  gboolean needs_own_transaction = too_large || json_array_size(copy_conditions.conditions) > 0;
+  gboolean needs_own_transaction = too_large || mm_json_array_size(copy_conditions.conditions) > 0;
 
   if (remaining->len < pack->entries->len
       && !(needs_own_transaction && transaction->n_operations > 0)
-      && json_array_size(copy_conditions.conditions) < conditions_limit
+      && mm_json_array_size(copy_conditions.conditions) < conditions_limit
       && mm_kv_client_try_spend_writes(registry->node->kv, 1)) {
-    json_array_extend(transaction->conditions, copy_conditions.conditions);
+    mm_json_array_extend(transaction->conditions, copy_conditions.conditions);
     if (too_large)
       copy_overflow(registry, pack_name, pack, remaining, transaction);
     else
       write_remaining(pack_name, pack, remaining, transaction);
   }
-  json_decref(copy_conditions.conditions);
-  json_decref(copy_conditions.operations);
+  mm_json_unref(copy_conditions.conditions);
+  mm_json_unref(copy_conditions.operations);
 }
 
 void
@@ -178,7 +178,7 @@
   transaction = mm_transaction_begin();
   g_hash_table_iter_init(&iter, registry->packs);
   while (transaction.n_operations < mm_kv_client_max_operations(node->kv)
-         && json_array_size(transaction.conditions) <= mm_kv_client_max_operations(node->kv)
+         && mm_json_array_size(transaction.conditions) <= mm_kv_client_max_operations(node->kv)
          && g_hash_table_iter_next(&iter, &pack_name, &value))
     remove_ended_entries(registry, pack_name, value, &transaction);
   registry->is_removing = transaction.n_operations > 0;
--- a/src/machines/registry.c
+++ b/src/machines/registry.c
@@ -51,7 +51,7 @@
 }
 
 void
-mm_registry_apply_pack(MmRegistry *registry, const char *pack_name, const json_t *value,
+mm_registry_apply_pack(MmRegistry *registry, const char *pack_name, const MmJson *value,
                        MmKeyVersion version) {
   MmRegistryPack *pack = g_hash_table_lookup(registry->packs, pack_name);
   g_autoptr(GArray) previous_entries = NULL;
--- a/src/machines/registry.h
+++ b/src/machines/registry.h
@@ -30,7 +30,7 @@
 
 /* Applies a pack from the replica. If `version` is older than the recorded version of the pack, the
  * call has no effect. `value` is borrowed. */
-void mm_registry_apply_pack(MmRegistry *registry, const char *pack_name, const json_t *value,
+void mm_registry_apply_pack(MmRegistry *registry, const char *pack_name, const MmJson *value,
                             MmKeyVersion version);
 /* Handles the deletion of a pack in the replica. */
 void mm_registry_remove_pack(MmRegistry *registry, const char *pack_name);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -203,7 +203,7 @@
 }
 
 void
-mm_node_handle_request(MmNode *node, const char *method, const char *path, json_t *body,
+mm_node_handle_request(MmNode *node, const char *method, const char *path, MmJson *body,
                        MmHttpExchange *exchange) {
   if (is_fenced(node) && strcmp(path, "/healthz") != 0) {
     mm_http_exchange_respond(
@@ -227,7 +227,7 @@
     if (strcmp(method, "GET") != 0)
       respond_wrong_method(exchange);
     else if (is_healthy(node))
-      mm_http_exchange_respond(exchange, 200, json_pack("{s:s}", "status", "ok"), 0);
+      mm_http_exchange_respond(exchange, 200, mm_json_pack("{s:s}", "status", "ok"), 0);
     else
       mm_http_exchange_respond(exchange, 503, mm_json_error("not ready"), 1);
   } else {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -77,7 +77,7 @@
 /* Handles a request from a user, an operator or a worker. `path` has no query part. `body` is
  * borrowed for the call and is NULL if the request has no body or the body is not JSON. The
  * response is sent through `exchange`, during the call or later. */
-void mm_node_handle_request(MmNode *node, const char *method, const char *path, json_t *body,
+void mm_node_handle_request(MmNode *node, const char *method, const char *path, MmJson *body,
                             MmHttpExchange *exchange);
 
 static inline MmTime
--- a/src/node/wiring.c
+++ b/src/node/wiring.c
@@ -25,7 +25,7 @@
 /* Observers of keys in the replica. */
 
 static void
-put_job(gpointer context, const char *job_id, const json_t *value, MmKeyVersion version) {
+put_job(gpointer context, const char *job_id, const MmJson *value, MmKeyVersion version) {
   mm_job_table_put(context, job_id, value, version);
 }
 
@@ -40,7 +40,7 @@
 }
 
 static void
-put_registry_pack(gpointer context, const char *pack_name, const json_t *value,
+put_registry_pack(gpointer context, const char *pack_name, const MmJson *value,
                   MmKeyVersion version) {
   mm_registry_apply_pack(context, pack_name, value, version);
 }
@@ -56,7 +56,7 @@
 }
 
 static void
-put_format(gpointer context, const char *name, const json_t *value, MmKeyVersion version) {
+put_format(gpointer context, const char *name, const MmJson *value, MmKeyVersion version) {
   mm_format_key_changed(context, value);
 }
 
@@ -79,7 +79,7 @@
 }
 
 static void
-put_machine_groups(gpointer context, const char *label, const json_t *value, MmKeyVersion version) {
+put_machine_groups(gpointer context, const char *label, const MmJson *value, MmKeyVersion version) {
   mm_sharing_key_changed(context, label, value, version);
 }
 
@@ -97,12 +97,12 @@
 }
 
 static void
-put_instance_types(gpointer context, const char *name, const json_t *value, MmKeyVersion version) {
+put_instance_types(gpointer context, const char *name, const MmJson *value, MmKeyVersion version) {
   mm_instance_types_load_stored(context, value, version);
 }
 
 static void
-put_node_version(gpointer context, const char *label, const json_t *value, MmKeyVersion version) {
+put_node_version(gpointer context, const char *label, const MmJson *value, MmKeyVersion version) {
   mm_versions_key_changed(context, label, value, version);
 }
 
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -6,7 +6,7 @@
  * `request` or `call_after` to which they were passed. */
 #pragma once
 
-#include <jansson.h>
+#include "base/json.h"
 
 #include "base/types.h"
 
@@ -17,7 +17,7 @@
 /* Receives a response. `status` is the HTTP status, or 0 if there was no valid response before the
  * time-out. `body` is borrowed for the call. It is NULL if the response has no body or the body is
  * not JSON. */
-typedef void (*MmResponseCallback)(gpointer data, int status, json_t *body);
+typedef void (*MmResponseCallback)(gpointer data, int status, MmJson *body);
 
 typedef struct {
   gpointer context;                    /* passed to each function as its first argument */
@@ -26,7 +26,7 @@
   /* Sends a request. `address` is used for MM_TARGET_WORKER only. `body` is borrowed for the call
    * and may be NULL. `on_response` is called exactly once, after this function has returned. */
   void (*request)(gpointer context, MmTarget target, const char *address, const char *method,
-                  const char *path, const json_t *body, guint timeout_ms,
+                  const char *path, const MmJson *body, guint timeout_ms,
                   MmResponseCallback on_response, gpointer data);
   /* Sends a frame to the peer, or drops the frame if there is no connection to the peer. `frame` is
    * borrowed for the call. */
@@ -64,10 +64,10 @@
 struct MmHttpExchange {
   /* Sends the response and takes ownership of `body`. If `retry_after_s` is 0, no Retry-After
    * header is sent. */
-  void (*respond)(MmHttpExchange *exchange, int status, json_t *body, guint retry_after_s);
+  void (*respond)(MmHttpExchange *exchange, int status, MmJson *body, guint retry_after_s);
 };
 
 static inline void
-mm_http_exchange_respond(MmHttpExchange *exchange, int status, json_t *body, guint retry_after_s) {
+mm_http_exchange_respond(MmHttpExchange *exchange, int status, MmJson *body, guint retry_after_s) {
   exchange->respond(exchange, status, body, retry_after_s);
 }
--- a/src/scheduler/direct-commands.c
+++ b/src/scheduler/direct-commands.c
@@ -16,7 +16,7 @@
 /* Records the reply to a direct command. The reply has the form of a heartbeat and shows the
  * machine's term. Replies of any other form are ignored. */
 static void
-direct_command_answered(gpointer data, int status, json_t *body) {
+direct_command_answered(gpointer data, int status, MmJson *body) {
   MmScheduler *scheduler = data;
   MmHeartbeat heartbeat;
   const char *reason = NULL;
@@ -44,15 +44,15 @@
 mm_scheduler_send_commands(MmScheduler *scheduler, MmMachine *machine, const MmCommand *commands,
                            guint n_commands) {
   MmNode *node = scheduler->node;
-  json_t *command_list = json_array();
-  g_autoptr(json_t) body = json_pack(
-      "{s:I, s:I, s:o}", WIRE_FENCING_TOKEN, (json_int_t)node->replica->term.v, WIRE_INCARNATION,
-      (json_int_t)MAX(machine->latest_message_id.incarnation, 1), WIRE_COMMANDS, command_list);
+  MmJson *command_list = mm_json_new_array();
+  g_autoptr(MmJson) body = mm_json_pack(
+      "{s:I, s:I, s:o}", WIRE_FENCING_TOKEN, (guint64)node->replica->term.v, WIRE_INCARNATION,
+      (guint64)MAX(machine->latest_message_id.incarnation, 1), WIRE_COMMANDS, command_list);
 
   if (machine->addr[0] == '\0' || !mm_node_lease_may_answer_workers(node->node_lease))
     return;
   for (guint i = 0; i < n_commands; i++)
-    json_array_append_new(command_list, mm_command_to_json(&commands[i]));
+    mm_json_array_append(command_list, mm_command_to_json(&commands[i]));
   node->platform.request(node->platform.context, MM_TARGET_WORKER, machine->addr, "POST",
                          WIRE_DIRECT_PATH, body, DIRECT_COMMAND_TIMEOUT_MS, direct_command_answered,
                          scheduler);
--- a/src/scheduler/job-writer.c
+++ b/src/scheduler/job-writer.c
@@ -25,7 +25,7 @@
 typedef struct {
   MmName id;
   char *completed_text;    /* completed tasks as written; NULL: the job gets a terminal record */
-  json_t *terminal_record; /* NULL: the job has not ended */
+  MmJson *terminal_record; /* NULL: the job has not ended */
 } WrittenJob;
 
 /* A transaction that is being built or is in flight. */
@@ -37,7 +37,7 @@
 static void
 written_job_clear(gpointer data) {
   g_free(((WrittenJob *)data)->completed_text);
-  json_decref(((WrittenJob *)data)->terminal_record);
+  mm_json_unref(((WrittenJob *)data)->terminal_record);
 }
 
 static JobWrite *
@@ -82,7 +82,7 @@
  * is written in a transaction of its own. Otherwise, a job that was changed elsewhere would prevent
  * the other jobs from being written. */
 static void
-jobs_written(gpointer data, int status, json_t *body) {
+jobs_written(gpointer data, int status, MmJson *body) {
   g_autoptr(JobWrite) write = data;
   MmScheduler *scheduler = write->scheduler;
   guint64 revision = mm_json_count(body, WIRE_REVISION, 0);
@@ -107,9 +107,9 @@
  * together with the other fields. Free with g_free. */
 static char *
 completed_tasks_text(const MmScheduler *scheduler, const MmJob *job) {
-  g_autoptr(json_t) bare_record
+  g_autoptr(MmJson) bare_record
       = mm_job_record_to_json(&job->spec, job->submitted_at_ms, FALSE, NULL);
-  gsize record_bytes = json_dumpb(bare_record, NULL, 0, JSON_COMPACT) + RECORD_MARGIN_BYTES;
+  gsize record_bytes = mm_json_text_length(bare_record) + RECORD_MARGIN_BYTES;
   gsize max_bytes = mm_kv_client_max_value_bytes(scheduler->node->kv);
 
   return mm_completed_tasks_to_text(&job->completed,
@@ -133,7 +133,7 @@
     written_job.terminal_record = mm_terminal_record_to_json(&(MmTerminalState){
         job->is_cancelled, job->completed.n_completed, mm_node_wall_ms(scheduler->node) });
     mm_transaction_put(transaction, MM_KEY_TERMINAL_RECORD, job->spec.id.s,
-                       json_incref(written_job.terminal_record), 0);
+                       mm_json_ref(written_job.terminal_record), 0);
     mm_transaction_delete(transaction, MM_KEY_JOB, job->spec.id.s);
   } else {
     written_job.completed_text = completed_tasks_text(scheduler, job);
@@ -176,7 +176,7 @@
   guint max_conditions = CONDITIONS_PER_OPERATION * max_operations;
 
   return transaction->n_operations + OPERATIONS_PER_JOB > max_operations
-         || json_array_size(transaction->conditions) + CONDITIONS_PER_JOB > max_conditions
+         || mm_json_array_size(transaction->conditions) + CONDITIONS_PER_JOB > max_conditions
          || (scheduler->single_job_writes > 0 && transaction->n_operations > 0);
 }
 
@@ -224,6 +224,6 @@
     mm_kv_client_commit(kv, &transaction, jobs_written, g_steal_pointer(&write));
     return;
   }
-  json_decref(transaction.conditions);
-  json_decref(transaction.operations);
+  mm_json_unref(transaction.conditions);
+  mm_json_unref(transaction.operations);
 }
--- a/src/sharing/admin.c
+++ b/src/sharing/admin.c
@@ -10,34 +10,34 @@
 
 /* List of groups. */
 
-static json_t *
+static MmJson *
 describe_node(const MmSharing *sharing, const char *label) {
   const MmOwnershipRecord *record = mm_group_map_ownership_record(sharing->map, label);
-  json_t *owned = json_array();
+  MmJson *owned = mm_json_new_array();
   guint64 count = 0;
 
   for (guint i = 0; record != NULL && i < record->acquisitions->len; i++) {
     const MmGroupAcquisition *acquisition = g_ptr_array_index(record->acquisitions, i);
     g_autofree char *ranges = mm_group_set_to_text(acquisition->groups);
     count += roaring_bitmap_get_cardinality(acquisition->groups);
-    json_array_append_new(owned,
-                          json_pack("{s:I, s:s}", MM_ADMIN_TERM, (json_int_t)acquisition->term.v,
-                                    MM_ADMIN_GROUPS, ranges));
+    mm_json_array_append(owned,
+                         mm_json_pack("{s:I, s:s}", MM_ADMIN_TERM, (guint64)acquisition->term.v,
+                                      MM_ADMIN_GROUPS, ranges));
   }
-  return json_pack("{s:s, s:f, s:I, s:o}", MM_ADMIN_NODE, label, MM_ADMIN_WEIGHT,
-                   mm_operators_group_weight(sharing->node->operators, label), MM_ADMIN_COUNT,
-                   (json_int_t)count, MM_ADMIN_OWNED, owned);
+  return mm_json_pack("{s:s, s:f, s:I, s:o}", MM_ADMIN_NODE, label, MM_ADMIN_WEIGHT,
+                      mm_operators_group_weight(sharing->node->operators, label), MM_ADMIN_COUNT,
+                      (guint64)count, MM_ADMIN_OWNED, owned);
 }
 
 static void
-append_move(json_t *moves, guint group, const char *from, const char *to) {
-  json_array_append_new(moves, json_pack("{s:i, s:s, s:s}", MM_ADMIN_GROUP, (int)group,
-                                         MM_ADMIN_FROM, from, MM_ADMIN_TO, to));
+append_move(MmJson *moves, guint group, const char *from, const char *to) {
+  mm_json_array_append(moves, mm_json_pack("{s:i, s:s, s:s}", MM_ADMIN_GROUP, (int)group,
+                                           MM_ADMIN_FROM, from, MM_ADMIN_TO, to));
 }
 
-static json_t *
+static MmJson *
 describe_moves(const MmSharing *sharing) {
-  json_t *moves = json_array();
+  MmJson *moves = mm_json_new_array();
 
   for (guint group = 0; group < sharing->n_groups; group++) {
     const MmOwnedGroup *owned = sharing->owned[group];
@@ -65,25 +65,25 @@
 static void
 respond_list(const MmSharing *sharing, MmHttpExchange *exchange) {
   const MmSettings *settings = sharing->node->settings;
-  json_t *nodes = json_array();
+  MmJson *nodes = mm_json_new_array();
   g_autofree char *unowned = NULL;
 
   if (sharing->n_groups == 0) {
-    json_decref(nodes);
+    mm_json_unref(nodes);
     mm_http_exchange_respond(
-        exchange, 200, json_pack("{s:b, s:i}", MM_ADMIN_ACTIVE, FALSE, MM_ADMIN_GROUPS, 0), 0);
+        exchange, 200, mm_json_pack("{s:b, s:i}", MM_ADMIN_ACTIVE, FALSE, MM_ADMIN_GROUPS, 0), 0);
     return;
   }
   unowned = describe_unowned(sharing);
-  json_array_append_new(nodes, describe_node(sharing, settings->label.s));
+  mm_json_array_append(nodes, describe_node(sharing, settings->label.s));
   for (guint i = 0; i < settings->peers->len; i++)
-    json_array_append_new(
+    mm_json_array_append(
         nodes, describe_node(sharing, g_array_index(settings->peers, MmPeerSettings, i).label.s));
   mm_http_exchange_respond(exchange, 200,
-                           json_pack("{s:b, s:i, s:o, s:o, s:s}", MM_ADMIN_ACTIVE,
-                                     sharing->is_active, MM_ADMIN_GROUPS, (int)sharing->n_groups,
-                                     MM_ADMIN_NODES, nodes, MM_ADMIN_MOVES, describe_moves(sharing),
-                                     MM_ADMIN_UNOWNED, unowned),
+                           mm_json_pack("{s:b, s:i, s:o, s:o, s:s}", MM_ADMIN_ACTIVE,
+                                        sharing->is_active, MM_ADMIN_GROUPS, (int)sharing->n_groups,
+                                        MM_ADMIN_NODES, nodes, MM_ADMIN_MOVES,
+                                        describe_moves(sharing), MM_ADMIN_UNOWNED, unowned),
                            0);
 }
 
@@ -175,7 +175,7 @@
 
 void
 mm_sharing_handle_admin_request(MmSharing *sharing, const char *method, const char *subpath,
-                                const json_t *body, MmHttpExchange *exchange) {
+                                const MmJson *body, MmHttpExchange *exchange) {
   gboolean is_list = subpath[0] == '\0';
   const char *target = mm_json_string(body, MM_ADMIN_TO);
   guint group;
--- a/src/sharing/admin.h
+++ b/src/sharing/admin.h
@@ -24,4 +24,4 @@
 /* Handles a request and responds through `exchange`. `subpath`: the rest of the path after
  * MM_ADMIN_GROUPS_PATH. `body`: NULL if the request has none. */
 void mm_sharing_handle_admin_request(MmSharing *sharing, const char *method, const char *subpath,
-                                     const json_t *body, MmHttpExchange *exchange);
+                                     const MmJson *body, MmHttpExchange *exchange);
--- a/src/sharing/group-map.c
+++ b/src/sharing/group-map.c
@@ -29,28 +29,28 @@
 
 /* Parses one acquisition, [term, "ranges"]. Returns NULL if the entry is malformed. */
 static MmGroupAcquisition *
-acquisition_from_json(const json_t *entry, guint n_groups) {
-  const json_t *term = json_array_get(entry, 0), *ranges = json_array_get(entry, 1);
+acquisition_from_json(const MmJson *entry, guint n_groups) {
+  const MmJson *term = mm_json_array_get(entry, 0), *ranges = mm_json_array_get(entry, 1);
   MmGroupSet *set;
   MmGroupAcquisition *acquisition;
 
-  if (!json_is_integer(term) || json_integer_value(term) <= 0 || !json_is_string(ranges))
+  if (!mm_json_is_count(term) || mm_json_count_value(term) <= 0 || !mm_json_is_string(ranges))
     return NULL;
-  set = mm_group_set_from_text(json_string_value(ranges), n_groups);
+  set = mm_group_set_from_text(mm_json_string_value(ranges), n_groups);
   if (set == NULL)
     return NULL;
   acquisition = g_new(MmGroupAcquisition, 1);
-  *acquisition = (MmGroupAcquisition){ { (guint64)json_integer_value(term) }, set };
+  *acquisition = (MmGroupAcquisition){ { (guint64)mm_json_count_value(term) }, set };
   return acquisition;
 }
 
 /* Parses the value of a node's key. Returns NULL if the value is malformed. */
 static MmOwnershipRecord *
-ownership_record_from_json(const char *label, const json_t *value, MmKeyVersion version) {
-  const json_t *acquisitions = mm_json_get(value, FIELD_ACQUISITIONS);
+ownership_record_from_json(const char *label, const MmJson *value, MmKeyVersion version) {
+  const MmJson *acquisitions = mm_json_get(value, FIELD_ACQUISITIONS);
   MmOwnershipRecord *record = g_new0(MmOwnershipRecord, 1);
   size_t i;
-  json_t *entry;
+  MmJson *entry;
 
   record->node = mm_name(label);
   record->lease_id = mm_json_count(value, FIELD_LEASE, 0);
@@ -58,11 +58,11 @@
   record->n_groups = (guint)MIN(mm_json_count(value, FIELD_GROUP_COUNT, 0), G_MAXUINT);
   record->acquisitions = g_ptr_array_new_with_free_func(group_acquisition_free);
   if (record->lease_id == 0 || record->n_groups == 0 || record->n_groups > MM_GROUPS_MAX
-      || !json_is_array(acquisitions)) {
+      || !mm_json_is_array(acquisitions)) {
     ownership_record_free(record);
     return NULL;
   }
-  json_array_foreach(acquisitions, i, entry) {
+  MM_JSON_ARRAY_FOREACH (acquisitions, i, entry) {
     MmGroupAcquisition *acquisition = acquisition_from_json(entry, record->n_groups);
     if (acquisition == NULL) {
       ownership_record_free(record);
@@ -139,7 +139,7 @@
 }
 
 gboolean
-mm_group_map_put(MmGroupMap *map, const char *label, const json_t *value, MmKeyVersion version) {
+mm_group_map_put(MmGroupMap *map, const char *label, const MmJson *value, MmKeyVersion version) {
   MmOwnershipRecord *record = ownership_record_from_json(label, value, version);
 
   remove_record(map, label);
@@ -269,7 +269,7 @@
 }
 
 static void
-append_acquisition(json_t *acquisitions, const MmOwnershipRecordBuilder *builder, MmTerm term) {
+append_acquisition(MmJson *acquisitions, const MmOwnershipRecordBuilder *builder, MmTerm term) {
   g_autoptr(MmGroupSet) set = roaring_bitmap_create();
   g_autofree char *ranges = NULL;
 
@@ -277,19 +277,19 @@
     if (builder->terms[group].v == term.v)
       roaring_bitmap_add(set, group);
   ranges = mm_group_set_to_text(set);
-  json_array_append_new(acquisitions, json_pack("[I, s]", (json_int_t)term.v, ranges));
+  mm_json_array_append(acquisitions, mm_json_pack("[I, s]", (guint64)term.v, ranges));
 }
 
-json_t *
+MmJson *
 mm_ownership_record_builder_to_json(const MmOwnershipRecordBuilder *builder) {
   g_autoptr(GHashTable) written_terms = g_hash_table_new(g_int64_hash, g_int64_equal);
-  json_t *acquisitions = json_array();
+  MmJson *acquisitions = mm_json_new_array();
 
   for (guint group = 0; group < builder->n_groups; group++) {
     if (builder->terms[group].v == 0 || !g_hash_table_add(written_terms, &builder->terms[group].v))
       continue;
     append_acquisition(acquisitions, builder, builder->terms[group]);
   }
-  return json_pack("{s:I, s:i, s:o}", FIELD_LEASE, (json_int_t)builder->lease_id, FIELD_GROUP_COUNT,
-                   (int)builder->n_groups, FIELD_ACQUISITIONS, acquisitions);
+  return mm_json_pack("{s:I, s:i, s:o}", FIELD_LEASE, (guint64)builder->lease_id, FIELD_GROUP_COUNT,
+                      (int)builder->n_groups, FIELD_ACQUISITIONS, acquisitions);
 }
--- a/src/sharing/group-map.h
+++ b/src/sharing/group-map.h
@@ -7,7 +7,7 @@
  * increments the global term and requires the term's version to be unchanged. */
 #pragma once
 
-#include <jansson.h>
+#include "base/json.h"
 
 #include "base/types.h"
 #include "sharing/group-set.h"
@@ -45,7 +45,7 @@
 void mm_group_map_free(MmGroupMap *map);
 /* Stores the new value of a node's key. Returns FALSE if the value is malformed. The groups of that
  * node are then unknown, so no other node may acquire groups that seem to have no owner. */
-gboolean mm_group_map_put(MmGroupMap *map, const char *label, const json_t *value,
+gboolean mm_group_map_put(MmGroupMap *map, const char *label, const MmJson *value,
                           MmKeyVersion version);
 /* Removes a node's key that was deleted from the key-value store. */
 void mm_group_map_remove(MmGroupMap *map, const char *label);
@@ -79,5 +79,5 @@
 /* Sets the terms of all listed groups to `term`, which makes the JSON shorter. */
 void mm_ownership_record_builder_set_all_terms(MmOwnershipRecordBuilder *builder, MmTerm term);
 /* Returns the JSON value for the node's key, with a reference that the caller owns. */
-json_t *mm_ownership_record_builder_to_json(const MmOwnershipRecordBuilder *builder);
+MmJson *mm_ownership_record_builder_to_json(const MmOwnershipRecordBuilder *builder);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(MmOwnershipRecordBuilder, mm_ownership_record_builder_free)
--- a/src/sharing/sharing.c
+++ b/src/sharing/sharing.c
@@ -179,7 +179,7 @@
 }
 
 void
-mm_sharing_key_changed(MmSharing *sharing, const char *label, const json_t *value,
+mm_sharing_key_changed(MmSharing *sharing, const char *label, const MmJson *value,
                        MmKeyVersion version) {
   if (sharing->n_groups == 0)
     return;
--- a/src/sharing/sharing.h
+++ b/src/sharing/sharing.h
@@ -98,7 +98,7 @@
 void mm_sharing_replica_changed(MmSharing *sharing);
 /* Called when the replica shows a change of the ownership record of the node `label`. `value`: NULL
  * if the record was deleted. */
-void mm_sharing_key_changed(MmSharing *sharing, const char *label, const json_t *value,
+void mm_sharing_key_changed(MmSharing *sharing, const char *label, const MmJson *value,
                             MmKeyVersion version);
 
 /* Called when the machine table has recorded a heartbeat or direct reply. Removes the grants that
--- a/src/sharing/transactions.c
+++ b/src/sharing/transactions.c
@@ -59,7 +59,7 @@
 }
 
 static void
-on_write_response(gpointer data, int status, json_t *body) {
+on_write_response(gpointer data, int status, MmJson *body) {
   MmSharing *sharing = data;
   MmGroupWrite kind = sharing->write_in_flight;
 
@@ -115,9 +115,9 @@
 
 static gboolean
 fits_value_limit(const MmSharing *sharing, const MmOwnershipRecordBuilder *builder) {
-  g_autoptr(json_t) json = mm_ownership_record_builder_to_json(builder);
+  g_autoptr(MmJson) json = mm_ownership_record_builder_to_json(builder);
 
-  return json_dumpb(json, NULL, 0, JSON_COMPACT) <= mm_kv_client_max_value_bytes(sharing->node->kv);
+  return mm_json_text_length(json) <= mm_kv_client_max_value_bytes(sharing->node->kv);
 }
 
 /* Returns the builder of a record with the groups of `record` except `without`, and with `added`
--- a/src/transport/groups-command.c
+++ b/src/transport/groups-command.c
@@ -34,9 +34,9 @@
   SoupMessage *message = soup_message_new(is_move ? "POST" : "GET", is_move ? move_url : list_url);
 
   if (message != NULL && is_move) {
-    g_autoptr(json_t) body = json_pack("{s:s}", MM_ADMIN_TO, arguments->target_node);
-    char *text = json_dumps(body, JSON_COMPACT);
-    g_autoptr(GBytes) bytes = g_bytes_new_with_free_func(text, strlen(text), free, text);
+    g_autoptr(MmJson) body = mm_json_pack("{s:s}", MM_ADMIN_TO, arguments->target_node);
+    char *text = mm_json_to_text(body);
+    g_autoptr(GBytes) bytes = g_bytes_new_take(text, strlen(text));
     soup_message_set_request_body_from_bytes(message, "application/json", bytes);
   }
   return message;
@@ -44,13 +44,13 @@
 
 /* Returns the body of the response as a new reference. If the response has no usable body, returns
  * NULL and sets `reason`, which the caller must free. */
-static json_t *
+static MmJson *
 send_request(const Arguments *arguments, guint *status, char **reason) {
   g_autoptr(SoupSession) soup_session = soup_session_new_with_options("timeout", TIMEOUT_S, NULL);
   g_autoptr(SoupMessage) message = new_message(arguments);
   g_autoptr(GError) error = NULL;
   g_autoptr(GBytes) bytes = NULL;
-  json_t *body;
+  MmJson *body;
 
   if (message == NULL) {
     *reason = g_strdup("is not an address of the form HOST:PORT");
@@ -62,37 +62,39 @@
     return NULL;
   }
   *status = soup_message_get_status(message);
-  body = json_loadb(g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes), 0, NULL);
+  body = mm_json_parse(g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes), NULL);
   if (body == NULL)
     *reason = g_strdup_printf("response with status %u has no JSON body", *status);
   return body;
 }
 
 static void
-print_node(const json_t *node) {
-  const json_t *owned = json_object_get(node, MM_ADMIN_OWNED);
+print_node(const MmJson *node) {
+  const MmJson *owned = mm_json_get(node, MM_ADMIN_OWNED);
   size_t i;
-  json_t *entry;
+  MmJson *entry;
 
   printf("%-20s weight %g, %" G_GUINT64_FORMAT " groups\n", mm_json_string(node, MM_ADMIN_NODE),
          mm_json_number(node, MM_ADMIN_WEIGHT, 1), mm_json_count(node, MM_ADMIN_COUNT, 0));
-  json_array_foreach(owned, i, entry)
-      printf("  term %-10" G_GUINT64_FORMAT " %s\n", mm_json_count(entry, MM_ADMIN_TERM, 0),
-             mm_json_string(entry, MM_ADMIN_GROUPS));
+  MM_JSON_ARRAY_FOREACH (owned, i, entry)
+    printf("  term %-10" G_GUINT64_FORMAT " %s\n", mm_json_count(entry, MM_ADMIN_TERM, 0),
+           mm_json_string(entry, MM_ADMIN_GROUPS));
 }
 
 static void
-print_list(const json_t *body) {
+print_list(const MmJson *body) {
   const char *unowned = mm_json_string(body, MM_ADMIN_UNOWNED);
   size_t i;
-  json_t *item;
+  MmJson *item;
 
   printf("%" G_GUINT64_FORMAT " groups, %s\n", mm_json_count(body, MM_ADMIN_GROUPS, 0),
          mm_json_flag(body, MM_ADMIN_ACTIVE) ? "shared out" : "not shared out");
-  json_array_foreach(json_object_get(body, MM_ADMIN_NODES), i, item) print_node(item);
-  json_array_foreach(json_object_get(body, MM_ADMIN_MOVES), i, item) printf(
-      "moving: group %" G_GUINT64_FORMAT " from %s to %s\n", mm_json_count(item, MM_ADMIN_GROUP, 0),
-      mm_json_string(item, MM_ADMIN_FROM), mm_json_string(item, MM_ADMIN_TO));
+  MM_JSON_ARRAY_FOREACH (mm_json_get(body, MM_ADMIN_NODES), i, item)
+    print_node(item);
+  MM_JSON_ARRAY_FOREACH (mm_json_get(body, MM_ADMIN_MOVES), i, item)
+    printf("moving: group %" G_GUINT64_FORMAT " from %s to %s\n",
+           mm_json_count(item, MM_ADMIN_GROUP, 0), mm_json_string(item, MM_ADMIN_FROM),
+           mm_json_string(item, MM_ADMIN_TO));
   if (unowned != NULL && unowned[0] != '\0')
     printf("without an owner: %s\n", unowned);
 }
@@ -101,7 +103,7 @@
 run_command(const Arguments *arguments) {
   g_autofree char *reason = NULL;
   guint status = 0;
-  g_autoptr(json_t) body = send_request(arguments, &status, &reason);
+  g_autoptr(MmJson) body = send_request(arguments, &status, &reason);
   const char *error_text = mm_json_string(body, "error");
 
   if (body == NULL)
--- a/src/transport/http-client.c
+++ b/src/transport/http-client.c
@@ -87,7 +87,7 @@
   ClientRequest *request = data;
   g_autoptr(GError) error = NULL;
   g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
-  g_autoptr(json_t) body = NULL;
+  g_autoptr(MmJson) body = NULL;
   int status = 0;
 
   if (request->timeout_source != 0)
@@ -97,7 +97,7 @@
     const char *text = g_bytes_get_data(bytes, &length);
     status = (int)soup_message_get_status(request->message);
     if (length > 0)
-      body = json_loadb(text, length, JSON_DECODE_ANY, NULL);
+      body = mm_json_parse(text, length, NULL);
     if (length > 0 && body == NULL && status == 200) {
       mm_info("response discarded, body is not JSON target=%d", (int)request->target);
       status = 0;
@@ -129,7 +129,7 @@
 
 void
 mm_http_client_request(MmHttpClient *client, MmTarget target, const char *address,
-                       const char *method, const char *path, const json_t *body, guint timeout_ms,
+                       const char *method, const char *path, const MmJson *body, guint timeout_ms,
                        MmResponseCallback callback, gpointer data) {
   g_autofree char *uri = target == MM_TARGET_WORKER
                              ? g_strconcat("http://", address, path, NULL)
@@ -145,7 +145,7 @@
     return;
   }
   if (body != NULL) {
-    char *text = json_dumps(body, JSON_COMPACT);
+    char *text = mm_json_to_text(body);
     g_autoptr(GBytes) bytes = g_bytes_new_take(text, strlen(text));
     soup_message_set_request_body_from_bytes(message, "application/json", bytes);
   }
--- a/src/transport/http-server.c
+++ b/src/transport/http-server.c
@@ -43,7 +43,7 @@
   gboolean is_in_handler;
   gboolean is_client_disconnected; /* the client closed the connection before the node responded */
   int status;                      /* HTTP status; 0: no response yet */
-  json_t *response;
+  MmJson *response;
   guint retry_after_s;
 } ServerExchange;
 
@@ -57,12 +57,12 @@
 static void
 exchange_free(ServerExchange *exchange) {
   free_body(exchange);
-  json_decref(exchange->response);
+  mm_json_unref(exchange->response);
   g_free(exchange);
 }
 
 static void
-respond(MmHttpExchange *base, int status, json_t *body, guint retry_after_s) {
+respond(MmHttpExchange *base, int status, MmJson *body, guint retry_after_s) {
   ServerExchange *exchange = (ServerExchange *)base;
 
   exchange->awaits_node_response = FALSE;
@@ -81,9 +81,9 @@
 }
 
 static enum MHD_Result
-queue_response(struct MHD_Connection *connection, int status, const json_t *body,
+queue_response(struct MHD_Connection *connection, int status, const MmJson *body,
                guint retry_after_s) {
-  char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
+  char *text = body != NULL ? mm_json_to_text(body) : NULL;
   struct MHD_Response *response = MHD_create_response_from_buffer(text != NULL ? strlen(text) : 0,
                                                                   text, MHD_RESPMEM_MUST_FREE);
   enum MHD_Result result;
@@ -103,7 +103,7 @@
 static enum MHD_Result
 queue_error(struct MHD_Connection *connection, int status, const char *reason,
             guint retry_after_s) {
-  g_autoptr(json_t) body = mm_json_error(reason);
+  g_autoptr(MmJson) body = mm_json_error(reason);
 
   return queue_response(connection, status, body, retry_after_s);
 }
@@ -139,11 +139,10 @@
 /* Passes the request to the node. The node calls respond() during this call or later. */
 static void
 dispatch_to_node(ServerExchange *exchange, const char *method, const char *path) {
-  g_autoptr(json_t) body = NULL;
+  g_autoptr(MmJson) body = NULL;
 
   if (exchange->body != NULL)
-    body = json_loadb((const char *)exchange->body->data, exchange->body->len, JSON_DECODE_ANY,
-                      NULL);
+    body = mm_json_parse((const char *)exchange->body->data, exchange->body->len, NULL);
   free_body(exchange);
   exchange->awaits_node_response = TRUE;
   exchange->is_in_handler = TRUE;
--- a/src/transport/main.c
+++ b/src/transport/main.c
@@ -27,7 +27,7 @@
 
 static void
 transport_request(gpointer context, MmTarget target, const char *address, const char *method,
-                  const char *path, const json_t *body, guint timeout_ms,
+                  const char *path, const MmJson *body, guint timeout_ms,
                   MmResponseCallback callback, gpointer data) {
   mm_http_client_request(((Transport *)context)->http_client, target, address, method, path, body,
                          timeout_ms, callback, data);
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -24,7 +24,7 @@
 MmHttpClient *mm_http_client_new(const MmSettings *settings);
 /* Implements MmPlatform.request. */
 void mm_http_client_request(MmHttpClient *client, MmTarget target, const char *address,
-                            const char *method, const char *path, const json_t *body,
+                            const char *method, const char *path, const MmJson *body,
                             guint timeout_ms, MmResponseCallback callback, gpointer data);
 
 /* Creates the sockets without connecting them. `settings` must outlive the sockets. */
--- a/src/upgrade/format.c
+++ b/src/upgrade/format.c
@@ -36,7 +36,7 @@
 }
 
 void
-mm_format_key_changed(MmFormat *format, const json_t *value) {
+mm_format_key_changed(MmFormat *format, const MmJson *value) {
   guint64 previous = format->active;
 
   format->active = value != NULL ? mm_record_decode_format(value) : MM_FORMAT_LOWEST;
--- a/src/upgrade/format.h
+++ b/src/upgrade/format.h
@@ -10,7 +10,7 @@
  * running. The node resumes work by itself once the key names a format that the node supports. */
 #pragma once
 
-#include <jansson.h>
+#include "base/json.h"
 
 #include "base/types.h"
 
@@ -35,7 +35,7 @@
 void mm_format_free(MmFormat *format);
 /* Sets the active format from the value of the format's key in the replica. If `value` is NULL, the
  * key is absent. */
-void mm_format_key_changed(MmFormat *format, const json_t *value);
+void mm_format_key_changed(MmFormat *format, const MmJson *value);
 /* Marks the active format as known. Must be called once the format's key and all keys before it in
  * key order have been read. */
 void mm_format_key_loaded(MmFormat *format);
--- a/src/upgrade/versions.c
+++ b/src/upgrade/versions.c
@@ -61,7 +61,7 @@
 }
 
 void
-mm_versions_key_changed(MmVersions *versions, const char *label, const json_t *value,
+mm_versions_key_changed(MmVersions *versions, const char *label, const MmJson *value,
                         MmKeyVersion key_version) {
   MmNodeVersionRecord record = mm_record_decode_node_version(value);
 
@@ -73,7 +73,7 @@
 }
 
 static void
-on_key_written(gpointer data, int status, json_t *body) {
+on_key_written(gpointer data, int status, MmJson *body) {
   MmVersions *versions = data;
 
   /* The response is not evaluated, because the replica shows whether the key was written. */
--- a/src/upgrade/versions.h
+++ b/src/upgrade/versions.h
@@ -48,7 +48,7 @@
  * node supports, or announces another number of machine groups than this node's settings. */
 void mm_versions_tick(MmVersions *versions);
 /* Records the value of a node's key as shown by the replica. */
-void mm_versions_key_changed(MmVersions *versions, const char *label, const json_t *value,
+void mm_versions_key_changed(MmVersions *versions, const char *label, const MmJson *value,
                              MmKeyVersion key_version);
 /* Returns the number of machine groups that every node in the settings has announced. Returns 0 if
  * the nodes announced no machine groups or different numbers. */
--- a/tests/golden/record.c
+++ b/tests/golden/record.c
@@ -14,7 +14,7 @@
 #define FRAME_KINDS 16
 #define FRAMES_PER_KIND 3
 
-static json_t *frames;
+static MmJson *frames;
 static guint n_recorded[FRAME_KINDS];
 
 /* The linker option --wrap=mm__frame__pack redirects all calls to recording_pack(). */
@@ -29,15 +29,15 @@
     g_autoptr(GString) text = g_string_new(NULL);
     for (size_t i = 0; i < length; i++)
       g_string_append_printf(text, "%02x", out[i]);
-    json_array_append_new(
-        frames, json_pack("{s:i, s:s}", "kind", (int)frame->body_case, "bytes", text->str));
+    mm_json_array_append(
+        frames, mm_json_pack("{s:i, s:s}", "kind", (int)frame->body_case, "bytes", text->str));
   }
   return length;
 }
 
 static gboolean
 add_key(gpointer path, gpointer value, gpointer keys) {
-  json_object_set(keys, path, ((WorldKey *)value)->value);
+  mm_json_object_set(keys, path, mm_json_ref(((WorldKey *)value)->value));
   return FALSE;
 }
 
@@ -53,42 +53,44 @@
 main(void) {
   World *world = world_new(3);
   WorldJob *cancelled;
-  json_t *keys = json_object();
-  g_autoptr(json_t) recorded = NULL;
+  g_autofree char *text = NULL;
+  MmJson *keys = mm_json_new_object();
+  g_autoptr(MmJson) recorded = NULL;
 
-  frames = json_array();
+  frames = mm_json_new_array();
   for (guint i = 0; i < 9; i++)
     world_add_machine(world, i % 4 == 3 ? "big" : "small", i % 2 == 0 ? "a" : "b", FALSE, 0.1);
   world_start(world);
   world_run(world, 4);
-  world_submit(world, json_pack("{s:i}", WIRE_TASKS, 3), 2);
-  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 5, WIRE_TEAM, "team-1"), 60);
+  world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 3), 2);
+  world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 5, WIRE_TEAM, "team-1"), 60);
   world_submit(world,
-               json_pack("{s:i, s:s, s:b, s:s}", WIRE_TASKS, 2, WIRE_KIND, WIRE_KIND_SERVICE,
-                         WIRE_SPREAD, 1, WIRE_TEAM, "team-2"),
+               mm_json_pack("{s:i, s:s, s:b, s:s}", WIRE_TASKS, 2, WIRE_KIND, WIRE_KIND_SERVICE,
+                            WIRE_SPREAD, 1, WIRE_TEAM, "team-2"),
                0);
   world_submit(world,
-               json_pack("{s:i, s:s, s:s, s:f, s:[s]}", WIRE_TASKS, 2, WIRE_KIND, WIRE_KIND_GANG,
-                         WIRE_TEAM, "team-3", WIRE_DEADLINE, 400.0, WIRE_TYPES, "small"),
+               mm_json_pack("{s:i, s:s, s:s, s:f, s:[s]}", WIRE_TASKS, 2, WIRE_KIND, WIRE_KIND_GANG,
+                            WIRE_TEAM, "team-3", WIRE_DEADLINE, 400.0, WIRE_TYPES, "small"),
                300);
   world_run(world, 8);
-  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 40, WIRE_TEAM, "team-1"), 1);
+  world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 40, WIRE_TEAM, "team-1"), 1);
   world_run(world, 6);
   world_cancel(g_ptr_array_index(world->jobs, 1));
   world_run(world, 3);
   /* Submits a job that will have only some of its tasks done, and a job that will just have been
      cancelled. */
-  world_submit(world, json_pack("{s:i}", WIRE_TASKS, 6), 2)->stagger_s = 4;
-  cancelled = world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 3, WIRE_TEAM, "team-3"), 30);
+  world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 6), 2)->stagger_s = 4;
+  cancelled
+      = world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 3, WIRE_TEAM, "team-3"), 30);
   world_run(world, 12);
   world_cancel(cancelled);
   for (guint i = 0; i < 100 && !is_cancelled(world, cancelled); i++)
     world_run(world, 0.002);
   g_tree_foreach(world->keys, add_key, keys);
-  recorded = json_pack("{s:o, s:O}", "keys", keys, "frames", frames);
-  json_dumpf(recorded, stdout, JSON_INDENT(1) | JSON_SORT_KEYS);
-  fputc('\n', stdout);
+  recorded = mm_json_pack("{s:o, s:O}", "keys", keys, "frames", frames);
+  text = mm_json_to_sorted_text(recorded);
+  puts(text);
   world_free(world);
-  json_decref(frames);
+  mm_json_unref(frames);
   return 0;
 }
--- a/tests/loopback/capacity.c
+++ b/tests/loopback/capacity.c
@@ -52,7 +52,7 @@
 }
 
 static void
-on_submitted(gpointer data, int status, json_t *body) {
+on_submitted(gpointer data, int status, MmJson *body) {
   Measurement *m = data;
 
   m->n_in_flight--;
@@ -69,7 +69,7 @@
 submit_array(Measurement *m) {
   g_autofree char *id = g_strdup_printf("run-%08u", 10000000 + m->n_submitted);
   g_autofree char *team = g_strdup_printf("team-%u", m->n_submitted % 4);
-  json_t *body = json_pack(
+  MmJson *body = mm_json_pack(
       "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:b, s:b, s:b, s:s, s:f, s:f, s:f, s:f}",
       WIRE_JOB_ID, id, WIRE_CLASS, "archive", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_ARRAY,
       WIRE_PRIORITY, "low", WIRE_TASKS, MM_JOB_MAX_TASKS, WIRE_CORES, 1.0, WIRE_ACCELERATORS, 0.0,
@@ -191,7 +191,7 @@
 }
 
 static void
-on_health(gpointer data, int status, json_t *body) {
+on_health(gpointer data, int status, MmJson *body) {
   ((Measurement *)data)->health_status = status;
 }
 
@@ -229,8 +229,8 @@
   for (guint i = 0; is_running && i < RUNNING_JOBS; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i);
     world_submit(m->world,
-                 json_pack("{s:s, s:i, s:s}", WIRE_TEAM, team, WIRE_TASKS, MM_JOB_MAX_TASKS,
-                           WIRE_PRIORITY, "urgent"),
+                 mm_json_pack("{s:s, s:i, s:s}", WIRE_TEAM, team, WIRE_TASKS, MM_JOB_MAX_TASKS,
+                              WIRE_PRIORITY, "urgent"),
                  RUNNING_TASKS_S);
   }
   run_for(is_running ? SETTLE_S : 0);
--- a/tests/loopback/checker.c
+++ b/tests/loopback/checker.c
@@ -1,6 +1,6 @@
 #include "checker.h"
 
-#include <jansson.h>
+#include "base/json.h"
 #include <string.h>
 
 #define CORES_TOLERANCE 1e-6
@@ -235,44 +235,43 @@
 
 char *
 history_event_to_line(const HistoryEvent *event) {
-  json_t *json
-      = json_pack("{s:I, s:s, s:s, s:i, s:i, s:s, s:f, s:f, s:b}", "us", (json_int_t)event->time_us,
-                  "kind", kinds[event->kind], "job", event->job, "tasks", (int)event->tasks, "task",
-                  (int)event->task, "machine", event->machine, "cores", event->cores, "capacity",
-                  event->capacity, "completed", event->completed);
-  char *text = json_dumps(json, JSON_COMPACT | JSON_PRESERVE_ORDER);
-  char *line = g_strdup(text);
-
-  free(text);
-  json_decref(json);
+  MmJson *json
+      = mm_json_pack("{s:I, s:s, s:s, s:i, s:i, s:s, s:f, s:f, s:b}", "us", (guint64)event->time_us,
+                     "kind", kinds[event->kind], "job", event->job, "tasks", (int)event->tasks,
+                     "task", (int)event->task, "machine", event->machine, "cores", event->cores,
+                     "capacity", event->capacity, "completed", event->completed);
+  char *line = mm_json_to_text(json);
+
+  mm_json_unref(json);
   return line;
 }
 
 gboolean
 history_event_from_line(HistoryEvent *event, const char *line) {
-  json_t *json = json_loads(line, 0, NULL);
-  json_int_t us;
-  const char *kind, *job, *machine;
-  int tasks, task, completed;
+  g_autoptr(MmJson) json = mm_json_parse(line, strlen(line), NULL);
+  const char *kind = mm_json_string(json, "kind");
+  const char *job = mm_json_string(json, "job");
+  const char *machine = mm_json_string(json, "machine");
 
   memset(event, 0, sizeof *event);
-  if (json_unpack(json, "{s:I, s:s, s:s, s:i, s:i, s:s, s:F, s:F, s:b}", "us", &us, "kind", &kind,
-                  "job", &job, "tasks", &tasks, "task", &task, "machine", &machine, "cores",
-                  &event->cores, "capacity", &event->capacity, "completed", &completed)
-      != 0) {
-    json_decref(json);
+  if (!mm_json_is_count(mm_json_get(json, "us")) || kind == NULL || job == NULL || machine == NULL
+      || !mm_json_is_count(mm_json_get(json, "tasks"))
+      || !mm_json_is_count(mm_json_get(json, "task"))
+      || !mm_json_is_number(mm_json_get(json, "cores"))
+      || !mm_json_is_number(mm_json_get(json, "capacity"))
+      || !mm_json_is_boolean(mm_json_get(json, "completed")))
     return FALSE;
-  }
-  event->time_us = us;
-  event->tasks = (guint)tasks;
-  event->task = (guint)task;
-  event->completed = completed;
+  event->time_us = (gint64)mm_json_count(json, "us", 0);
+  event->tasks = (guint)mm_json_count(json, "tasks", 0);
+  event->task = (guint)mm_json_count(json, "task", 0);
+  event->cores = mm_json_number(json, "cores", 0);
+  event->capacity = mm_json_number(json, "capacity", 0);
+  event->completed = mm_json_flag(json, "completed");
   g_strlcpy(event->job, job, sizeof event->job);
   g_strlcpy(event->machine, machine, sizeof event->machine);
   event->kind = HISTORY_REFUSED;
   for (guint i = 0; i < G_N_ELEMENTS(kinds); i++)
     if (strcmp(kinds[i], kind) == 0)
       event->kind = (HistoryKind)i;
-  json_decref(json);
   return TRUE;
 }
--- a/tests/loopback/stand-ins.c
+++ b/tests/loopback/stand-ins.c
@@ -38,8 +38,8 @@
 /* Requests from nodes */
 
 static void
-send_response(SoupServerMessage *message, int status, const json_t *body) {
-  char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
+send_response(SoupServerMessage *message, int status, const MmJson *body) {
+  char *text = body != NULL ? mm_json_to_text(body) : NULL;
 
   soup_server_message_set_status(message, (guint)status, NULL);
   if (text != NULL)
@@ -49,7 +49,7 @@
 }
 
 static void
-on_watch_response(gpointer data, int status, json_t *body) {
+on_watch_response(gpointer data, int status, MmJson *body) {
   SoupServerMessage *message = data;
 
   send_response(message, status, body);
@@ -60,7 +60,7 @@
 /* Handles a request to the worker of a machine, such as "/m-000001/do". Returns the HTTP status;
  * 404 when no machine with this id is up. */
 static int
-handle_worker_request(World *world, const char *path, const json_t *body, json_t **reply) {
+handle_worker_request(World *world, const char *path, const MmJson *body, MmJson **reply) {
   for (guint i = 0; i < world->machines->len; i++) {
     WorldMachine *machine = world_machine_at(world, i);
     const char *rest = path + 1 + strlen(machine->id);
@@ -84,10 +84,10 @@
   g_autofree char *target
       = query_string != NULL ? g_strdup_printf("%s?%s", path, query_string) : g_strdup(path);
   const SoupMessageBody *request_body = soup_server_message_get_request_body(message);
-  g_autoptr(json_t) body = json_loadb(request_body->data != NULL ? request_body->data : "",
-                                      (gsize)request_body->length, JSON_DECODE_ANY, NULL);
+  g_autoptr(MmJson) body = mm_json_parse(request_body->data != NULL ? request_body->data : "",
+                                         (gsize)request_body->length, NULL);
   const char *method = soup_server_message_get_method(message);
-  g_autoptr(json_t) reply = NULL;
+  g_autoptr(MmJson) reply = NULL;
   int status;
 
   stand_ins_catch_up(stand_ins);
@@ -120,12 +120,11 @@
 on_response(GObject *source, GAsyncResult *result, gpointer data) {
   Request *request = data;
   g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, NULL);
-  g_autoptr(json_t) body = NULL;
+  g_autoptr(MmJson) body = NULL;
   int status = bytes != NULL ? (int)soup_message_get_status(request->message) : 0;
 
   if (bytes != NULL && g_bytes_get_size(bytes) > 0)
-    body
-        = json_loadb(g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes), JSON_DECODE_ANY, NULL);
+    body = mm_json_parse(g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes), NULL);
   if (request->timer != 0)
     g_source_remove(request->timer);
   request->stand_ins->n_requests_in_flight--;
@@ -147,7 +146,7 @@
 }
 
 static void
-send_to_node(World *world, guint index, const char *method, const char *path, json_t *body,
+send_to_node(World *world, guint index, const char *method, const char *path, MmJson *body,
              gint64 timeout_us, MmResponseCallback callback, gpointer data) {
   StandIns *stand_ins = world->request_handler_data;
   g_autofree char *uri = g_strconcat("http://", stand_ins->http_addresses[index], path, NULL);
@@ -161,10 +160,10 @@
   request->callback = callback;
   request->data = data;
   if (body != NULL) {
-    char *text = json_dumps(body, JSON_COMPACT);
+    char *text = mm_json_to_text(body);
     g_autoptr(GBytes) bytes = g_bytes_new_with_free_func(text, strlen(text), free, text);
     soup_message_set_request_body_from_bytes(request->message, "application/json", bytes);
-    json_decref(body);
+    mm_json_unref(body);
   }
   soup_session_send_and_read_async(stand_ins->session, request->message, G_PRIORITY_DEFAULT,
                                    request->cancellable, on_response, request);
--- a/tests/measure-sharing.c
+++ b/tests/measure-sharing.c
@@ -77,7 +77,7 @@
   for (guint i = 0; i < JOBS_PER_SECOND; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i % 4);
     world_submit(world,
-                 json_pack("{s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_TASKS, 4, WIRE_CORES, 1.0),
+                 mm_json_pack("{s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_TASKS, 4, WIRE_CORES, 1.0),
                  world_uniform(world, 2, 8));
   }
 }
--- a/tests/test-concurrent-faults-failover.c
+++ b/tests/test-concurrent-faults-failover.c
@@ -75,7 +75,7 @@
   for (guint i = 0; i < world->machines->len; i++)
     world_machine_at(world, i)->failure_rate = 0;
   for (guint i = 0; i < 6; i++)
-    world_submit(world, json_pack("{s:i}", WIRE_TASKS, 2 + i % 2), 2)->stagger_s = 14;
+    world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 2 + i % 2), 2)->stagger_s = 14;
   for (guint i = 0; i < 3; i++) {
     world_run(world, 8);
     world_kill_node(world, world_node_leading_most_shards(world), i % 2 == 0 ? 0.3 : 3);
@@ -96,8 +96,8 @@
 
   for (guint i = 0; i < 6; i++)
     world_submit(world,
-                 json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 3, WIRE_ZONE, "b", WIRE_KIND,
-                           i % 3 == 0 ? WIRE_KIND_SERVICE : WIRE_KIND_ARRAY),
+                 mm_json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 3, WIRE_ZONE, "b", WIRE_KIND,
+                              i % 3 == 0 ? WIRE_KIND_SERVICE : WIRE_KIND_ARRAY),
                  12);
   world_run(world, 8);
   for (guint i = 0; i < world->machines->len && n_killed < 2; i++) {
@@ -124,8 +124,8 @@
   for (guint i = 0; i < 36; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i % 4);
     world_submit(world,
-                 json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 5, WIRE_PRIORITY, priorities[i / 4 % 4],
-                           WIRE_TEAM, team),
+                 mm_json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 5, WIRE_PRIORITY,
+                              priorities[i / 4 % 4], WIRE_TEAM, team),
                  20);
   }
   world_run(world, 30);
@@ -175,7 +175,7 @@
     submit_jobs(world, 2, WIRE_KIND_ARRAY, 2, 5);
     world_run(world, 10.5);
   }
-  last_job = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 2), 3);
+  last_job = world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 2), 3);
   world_run(world, 25);
   g_assert_cmpint(last_job->first_start_at_us, >, 0);
   return highest_known_term(world) >= before + 10;
@@ -200,7 +200,7 @@
   guint n_running = 0;
 
   for (guint i = 0; i < 5; i++)
-    world_submit(world, json_pack("{s:i}", WIRE_TASKS, 6), 25);
+    world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 6), 25);
   world_run(world, 10);
   for (guint i = 0; i < 5; i++)
     n_running += world_count_running(world, world_job_at(world, i), NULL);
--- a/tests/test-concurrent-faults-fixtures.c
+++ b/tests/test-concurrent-faults-fixtures.c
@@ -8,9 +8,9 @@
 submit_jobs(World *world, guint n, const char *kind, guint tasks, double run_s) {
   for (guint i = 0; i < n; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i % 4);
-    world_submit(world,
-                 json_pack("{s:i, s:s, s:s}", WIRE_TASKS, tasks, WIRE_KIND, kind, WIRE_TEAM, team),
-                 run_s);
+    world_submit(
+        world, mm_json_pack("{s:i, s:s, s:s}", WIRE_TASKS, tasks, WIRE_KIND, kind, WIRE_TEAM, team),
+        run_s);
   }
 }
 
--- a/tests/test-faulty-nodes.c
+++ b/tests/test-faulty-nodes.c
@@ -17,7 +17,8 @@
     world_start(world);
     world_run(world, 3);
     for (guint i = 0; i < 4; i++)
-      world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE), 30);
+      world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE),
+                   30);
     for (guint round = 0; round < 12 && !is_broken; round++) {
       for (guint i = 0; i < 3; i++) {
         WorldMachine *machine
@@ -69,7 +70,7 @@
     world_run(world, 3);
     for (guint second = 0; second < 60 && !is_broken; second++) {
       if (second % 2 == 0)
-        world_submit(world, json_pack("{s:i}", WIRE_TASKS, 3), world_uniform(world, 1, 6));
+        world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 3), world_uniform(world, 1, 6));
       if (second % 20 == 10)
         world_kill_node(world, second / 20, 0.3);
       world_run(world, 1);
@@ -110,8 +111,8 @@
   world_add_machines(world, 6, "small", 2);
   world_start(world);
   world_run(world, 3);
-  service = world_submit(world,
-                         json_pack("{s:i, s:s}", WIRE_TASKS, 8, WIRE_KIND, WIRE_KIND_SERVICE), 0);
+  service = world_submit(
+      world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 8, WIRE_KIND, WIRE_KIND_SERVICE), 0);
   world_run(world, 12);
   unanswered = first_machine_with_tasks(world);
   unanswered->inbound_lost_until_us = world->now_us + 3600 * (gint64)G_USEC_PER_SEC;
@@ -122,7 +123,7 @@
     world_kill_node(world, i, 0.2);
   /* This job is submitted before the shards are acquired. Therefore the job waits until all
    * machines have acknowledged the term. */
-  later = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 3), 2);
+  later = world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 3), 2);
   world_run(world, 90);
   g_assert_cmpuint(world->violations->len, ==, 0);
   /* The invariants ensure that no task runs twice, so this count means that every replica runs. */
@@ -162,7 +163,8 @@
     world_start(world);
     world_run(world, 3);
     for (guint i = 0; i < 2; i++)
-      world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 3, WIRE_KIND, WIRE_KIND_SERVICE), 30);
+      world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 3, WIRE_KIND, WIRE_KIND_SERVICE),
+                   30);
     world_run(world, 8);
     world->cloud_down_until_us = G_MAXINT64;
     for (guint i = 0; i < WORLD_NODES && !is_broken; i++) {
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -84,8 +84,8 @@
   for (guint i = 0; i < n; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i % 4);
     world_submit(world,
-                 json_pack("{s:s, s:s, s:i}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_ARRAY,
-                           WIRE_TASKS, (int)tasks),
+                 mm_json_pack("{s:s, s:s, s:i}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_ARRAY,
+                              WIRE_TASKS, (int)tasks),
                  8);
   }
 }
--- a/tests/test-format.c
+++ b/tests/test-format.c
@@ -32,7 +32,7 @@
 }
 
 static int
-send_request(World *world, guint node, const char *method, const char *path, json_t *body) {
+send_request(World *world, guint node, const char *method, const char *path, MmJson *body) {
   int status = -1;
 
   world_send_request(world, node, NULL, method, path, body, 2 * SECOND, world_record_status,
@@ -54,7 +54,7 @@
   world_run(world, 3);
   run_under_load(world, 6);
   first = world_job_at(world, 0);
-  world_set_format(world, json_loads(data, 0, NULL));
+  world_set_format(world, mm_json_parse(data, strlen(data), NULL));
   world_run(world, 3);
   writes = world->n_writes;
   starts = world->n_starts;
@@ -62,7 +62,7 @@
     g_autofree char *path = g_strconcat(WIRE_JOBS_PATH "/", first->id, NULL);
     g_assert_cmpint(send_request(world, i, "GET", "/healthz", NULL), ==, 503);
     g_assert_cmpint(send_request(world, i, "GET", path, NULL), ==, 503);
-    g_assert_cmpint(send_request(world, i, "POST", WIRE_JOBS_PATH, json_deep_copy(first->body)), ==,
+    g_assert_cmpint(send_request(world, i, "POST", WIRE_JOBS_PATH, mm_json_copy(first->body)), ==,
                     503);
     g_assert_false(mm_node_lease_may_answer_workers(world->nodes[i].node->node_lease));
   }
@@ -85,7 +85,7 @@
 
   world_run(world, 3);
   run_under_load(world, 6);
-  world_set_format(world, json_pack("{s:i}", "f", NEXT_FORMAT));
+  world_set_format(world, mm_json_pack("{s:i}", "f", NEXT_FORMAT));
   run_under_load(world, 15);
   for (guint i = 0; i < 3; i++) {
     g_assert_null(g_tree_lookup(world->keys, "mm/r/n/n-2"));
@@ -116,8 +116,8 @@
     if (second > 5 && world_uniform(world, 0, 1) < 0.1)
       world_inject_random_fault(world);
     if (second % 17 == 9)
-      world_set_format(world,
-                       g_rand_boolean(world->rand) ? NULL : json_pack("{s:i}", "f", NEXT_FORMAT));
+      world_set_format(
+          world, g_rand_boolean(world->rand) ? NULL : mm_json_pack("{s:i}", "f", NEXT_FORMAT));
     world_run(world, 1);
     world_assert_invariants(world);
   }
--- a/tests/test-golden.c
+++ b/tests/test-golden.c
@@ -20,15 +20,32 @@
   return text;
 }
 
-static json_t *
+static MmJson *
 load_recorded_state(void) {
   g_autofree char *text = golden_text("production.json");
-  json_t *golden = json_loads(text, 0, NULL);
+  MmJson *golden = mm_json_parse(text, strlen(text), NULL);
 
   g_assert_nonnull(golden);
   return golden;
 }
 
+/* Returns the text of the value as a node reads it. */
+static char *
+canonical_text(const MmJson *json) {
+  g_autofree char *text = mm_json_to_text(json);
+  g_autoptr(MmJson) read = mm_json_parse(text, strlen(text), NULL);
+
+  return mm_json_to_sorted_text(read);
+}
+
+static gboolean
+is_equal(const MmJson *a, const MmJson *b) {
+  g_autofree char *a_text = canonical_text(a);
+  g_autofree char *b_text = canonical_text(b);
+
+  return strcmp(a_text, b_text) == 0;
+}
+
 static gboolean
 strip_prefix(const char *path, const char *prefix, const char **rest) {
   *rest = g_str_has_prefix(path, prefix) ? path + strlen(prefix) : NULL;
@@ -38,14 +55,14 @@
 /* Returns a world whose key-value store holds `keys`. Nodes of the current code have been started
  * on these keys. Free with world_free(). */
 static World *
-world_with_keys(json_t *keys) {
+world_with_keys(MmJson *keys) {
   World *world = world_new(1);
   const char *path;
-  json_t *value;
+  MmJson *value;
 
-  json_object_foreach(keys, path, value) {
+  MM_JSON_OBJECT_FOREACH (keys, path, value) {
     WorldKey *key = g_new(WorldKey, 1);
-    *key = (WorldKey){ json_incref(value), ++world->revision, 0 };
+    *key = (WorldKey){ mm_json_ref(value), ++world->revision, 0 };
     g_tree_insert(world->keys, g_strdup(path), key);
   }
   world_start(world);
@@ -54,58 +71,58 @@
 }
 
 static void
-check_job(const MmNode *node, const char *id, const json_t *value) {
+check_job(const MmNode *node, const char *id, const MmJson *value) {
   const MmJob *job = mm_job_table_find(node->job_table, id);
   g_autofree char *done = NULL;
-  g_autoptr(json_t) written = NULL;
+  g_autoptr(MmJson) written = NULL;
 
   g_assert_nonnull(job);
   g_assert_cmpint(job->is_cancelled, ==, mm_json_count(value, "c", 0) != 0);
   g_assert_cmpuint(job->spec.n_dependencies, ==, 0);
   done = mm_completed_tasks_to_text(&job->recorded_completed, 1000);
   written = mm_job_record_to_json(&job->spec, job->submitted_at_ms, job->is_cancelled, done);
-  g_assert_true(json_equal(written, (json_t *)value));
+  g_assert_true(is_equal(written, (MmJson *)value));
 }
 
 static void
-check_pack(const MmNode *node, const json_t *value) {
+check_pack(const MmNode *node, const MmJson *value) {
   size_t i;
-  json_t *entry;
+  MmJson *entry;
 
-  json_array_foreach(json_object_get(value, "v"), i, entry) {
-    const MmMachine *machine
-        = mm_machine_table_find(node->machine_table, json_string_value(json_array_get(entry, 0)));
+  MM_JSON_ARRAY_FOREACH (mm_json_get(value, "v"), i, entry) {
+    const MmMachine *machine = mm_machine_table_find(
+        node->machine_table, mm_json_string_value(mm_json_array_get(entry, 0)));
     g_assert_nonnull(machine);
     g_assert_true(machine->is_in_registry);
     g_assert_cmpuint(machine->registered_incarnation, ==,
-                     (guint64)json_integer_value(json_array_get(entry, 5)));
-    g_assert_cmpstr(machine->type_name.s, ==, json_string_value(json_array_get(entry, 2)));
+                     (guint64)mm_json_count_value(mm_json_array_get(entry, 5)));
+    g_assert_cmpstr(machine->type_name.s, ==, mm_json_string_value(mm_json_array_get(entry, 2)));
   }
 }
 
 /* Checks that the current code writes each field that the production version wrote, with the same
  * value. Additional fields are allowed. */
 static void
-check_terminal_record(const json_t *value) {
+check_terminal_record(const MmJson *value) {
   MmTerminalState state;
-  g_autoptr(json_t) written = NULL;
+  g_autoptr(MmJson) written = NULL;
   const char *field;
-  json_t *old;
+  MmJson *old;
 
   g_assert_true(mm_terminal_record_parse(value, &state));
   g_assert_cmpint(state.completed_at_ms, ==, 0);
   written = mm_terminal_record_to_json(&state);
-  json_object_foreach((json_t *)value, field, old)
-      g_assert_true(json_equal(json_object_get(written, field), old));
+  MM_JSON_OBJECT_FOREACH ((MmJson *)value, field, old)
+    g_assert_true(is_equal(mm_json_get(written, field), old));
 }
 
 /* Nodes of the current code start on the state of the production version. The term that each node
  * then has is the recorded term or a later term. */
 static void
 test_nodes_start_on_production_state(void) {
-  g_autoptr(json_t) golden = load_recorded_state();
-  json_t *keys = json_object_get(golden, "keys");
-  guint64 term = mm_json_count(json_object_get(keys, MM_KEY_TERM), "t", G_MAXUINT64);
+  g_autoptr(MmJson) golden = load_recorded_state();
+  MmJson *keys = mm_json_get(golden, "keys");
+  guint64 term = mm_json_count(mm_json_get(keys, MM_KEY_TERM), "t", G_MAXUINT64);
   World *world = world_with_keys(keys);
 
   for (guint i = 0; i < WORLD_NODES; i++) {
@@ -120,7 +137,7 @@
 } Counts;
 
 static void
-check_key(MmNode *node, const char *path, json_t *value, Counts *counts) {
+check_key(MmNode *node, const char *path, MmJson *value, Counts *counts) {
   const MmKeyVersion version = { 1000 };
   const char *rest;
 
@@ -146,16 +163,16 @@
  * terminal states are written as that version wrote them. */
 static void
 test_production_records_round_trip(void) {
-  g_autoptr(json_t) golden = load_recorded_state();
+  g_autoptr(MmJson) golden = load_recorded_state();
   World *world = world_new(2);
   Counts counts = { 0 };
   const char *path;
-  json_t *value;
+  MmJson *value;
 
   world_start(world);
   world_run(world, 3);
-  json_object_foreach(json_object_get(golden, "keys"), path, value)
-      check_key(world->nodes[0].node, path, value, &counts);
+  MM_JSON_OBJECT_FOREACH (mm_json_get(golden, "keys"), path, value)
+    check_key(world->nodes[0].node, path, value, &counts);
   g_assert_cmpuint(counts.jobs, >=, 3);
   g_assert_cmpuint(counts.cancelled, >=, 1);
   g_assert_cmpuint(counts.partly_done, >=, 1);
@@ -180,12 +197,12 @@
  * This shows that no field is lost. */
 static void
 test_production_frames_round_trip(void) {
-  g_autoptr(json_t) golden = load_recorded_state();
+  g_autoptr(MmJson) golden = load_recorded_state();
   guint kinds = 0;
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(json_object_get(golden, "frames"), i, item) {
+  MM_JSON_ARRAY_FOREACH (mm_json_get(golden, "frames"), i, item) {
     gsize length;
     g_autofree guint8 *bytes = decode_hex(mm_json_string(item, "bytes"), &length);
     g_autofree guint8 *again = g_malloc(length + 1);
--- a/tests/test-job-spec.c
+++ b/tests/test-job-spec.c
@@ -11,9 +11,9 @@
       "\"spread\":false,\"strays\":true,\"runGuessS\":240.0,\"cacheEveryS\":30.0,"
       "\"cacheTakeS\":4.0,\"dueS\":900.0,\"later\":[1]}";
 
-static json_t *
+static MmJson *
 parse_complete_spec(void) {
-  json_t *body = json_loads(complete_spec, 0, NULL);
+  MmJson *body = mm_json_parse(complete_spec, strlen(complete_spec), NULL);
 
   g_assert_nonnull(body);
   return body;
@@ -21,8 +21,8 @@
 
 static void
 test_complete_spec_is_parsed(void) {
-  g_autoptr(json_t) body = parse_complete_spec();
-  g_autoptr(json_t) stored = NULL;
+  g_autoptr(MmJson) body = parse_complete_spec();
+  g_autoptr(MmJson) stored = NULL;
   const char *reason = NULL;
   MmJobSpec spec, reparsed;
 
@@ -43,15 +43,15 @@
 /* Asserts that a specification in which the field has this value is refused, with an error that
  * names the field. If `value` is NULL, the field is missing. Takes ownership of `value`. */
 static void
-assert_field_is_refused(const char *field, json_t *value) {
-  g_autoptr(json_t) body = parse_complete_spec();
+assert_field_is_refused(const char *field, MmJson *value) {
+  g_autoptr(MmJson) body = parse_complete_spec();
   const char *reason = NULL;
   MmJobSpec spec;
 
   if (value == NULL)
-    json_object_del(body, field);
+    mm_json_object_remove(body, field);
   else
-    json_object_set_new(body, field, value);
+    mm_json_object_set(body, field, value);
   g_assert_false(mm_job_spec_parse(&spec, body, &reason));
   g_assert_nonnull(strstr(reason, field));
 }
@@ -62,34 +62,34 @@
 test_malformed_fields_are_refused(void) {
   const struct {
     const char *field;
-    json_t *value;
+    MmJson *value;
   } cases[] = {
-    { WIRE_JOB_ID, json_string("job-1") },
-    { WIRE_JOB_ID, json_string("run-") },
-    { WIRE_JOB_ID, json_integer(4) },
+    { WIRE_JOB_ID, mm_json_new_string("job-1") },
+    { WIRE_JOB_ID, mm_json_new_string("run-") },
+    { WIRE_JOB_ID, mm_json_new_count(4) },
     { WIRE_CLASS, NULL },
-    { WIRE_TEAM, json_null() },
-    { WIRE_KIND, json_string("gang") },
-    { WIRE_PRIORITY, json_string("top") },
-    { WIRE_TASKS, json_integer(0) },
-    { WIRE_TASKS, json_integer(100001) },
-    { WIRE_TASKS, json_real(2.0) },
-    { WIRE_CORES, json_real(-1) },
-    { WIRE_CORES, json_string("2") },
+    { WIRE_TEAM, mm_json_new_null() },
+    { WIRE_KIND, mm_json_new_string("gang") },
+    { WIRE_PRIORITY, mm_json_new_string("top") },
+    { WIRE_TASKS, mm_json_new_count(0) },
+    { WIRE_TASKS, mm_json_new_count(100001) },
+    { WIRE_TASKS, mm_json_new_real(2.5) },
+    { WIRE_CORES, mm_json_new_real(-1) },
+    { WIRE_CORES, mm_json_new_string("2") },
     { WIRE_MEMORY, NULL },
     { WIRE_ACCELERATORS, NULL },
-    { WIRE_IMAGE, json_string("") },
-    { WIRE_IMAGE_GB, json_true() },
-    { WIRE_TYPES, json_string("g8") },
-    { WIRE_TYPES, json_pack("[i]", 1) },
-    { WIRE_ZONE, json_integer(1) },
-    { WIRE_ONE_ZONE, json_string("yes") },
+    { WIRE_IMAGE, mm_json_new_string("") },
+    { WIRE_IMAGE_GB, mm_json_new_boolean(TRUE) },
+    { WIRE_TYPES, mm_json_new_string("g8") },
+    { WIRE_TYPES, mm_json_pack("[i]", 1) },
+    { WIRE_ZONE, mm_json_new_count(1) },
+    { WIRE_ONE_ZONE, mm_json_new_string("yes") },
     { WIRE_SPREAD, NULL },
-    { WIRE_SPOT, json_integer(1) },
+    { WIRE_SPOT, mm_json_new_count(1) },
     { WIRE_ESTIMATE, NULL },
-    { WIRE_CHECKPOINT_INTERVAL, json_real(-2) },
-    { WIRE_CHECKPOINT_DURATION, json_real(1e13) },
-    { WIRE_DEADLINE, json_string("soon") },
+    { WIRE_CHECKPOINT_INTERVAL, mm_json_new_real(-2) },
+    { WIRE_CHECKPOINT_DURATION, mm_json_new_real(1e13) },
+    { WIRE_DEADLINE, mm_json_new_string("soon") },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
@@ -104,7 +104,7 @@
 
   g_assert_false(mm_job_spec_parse(&spec, NULL, &reason));
   for (guint i = 0; i < G_N_ELEMENTS(texts); i++) {
-    g_autoptr(json_t) body = json_loads(texts[i], JSON_DECODE_ANY, NULL);
+    g_autoptr(MmJson) body = mm_json_parse(texts[i], strlen(texts[i]), NULL);
     g_assert_false(mm_job_spec_parse(&spec, body, &reason));
   }
 }
@@ -117,7 +117,7 @@
                                       "\"n\":18446744073709551615,\"m\":-7,\"f\":1.25,"
                                       "\"none\":null,\"l\":[[],{},true],\"deep\":[[[[[]]]]]},";
   g_autofree char *text = g_strconcat(unknown_field, complete_spec + 1, NULL);
-  g_autoptr(json_t) body = json_loadb(text, strlen(text), JSON_DECODE_ANY, NULL);
+  g_autoptr(MmJson) body = mm_json_parse(text, strlen(text), NULL);
   const char *reason = NULL;
   MmJobSpec spec;
 
@@ -128,12 +128,12 @@
 
 static void
 test_heartbeat_message_is_parsed(void) {
-  g_autoptr(json_t) body = json_loads(
-      "{\"burrow\":\"m-000231\",\"addr\":\"10.1.0.232:9000\",\"breed\":\"g8\",\"den\":\"a\","
-      "\"strays\":true,\"tenure\":1,\"tick\":88,\"warrant\":41,\"warningS\":12.5,\"kits\":["
-      "{\"kit\":\"run-000412/3\",\"try\":2,\"mood\":\"running\"},"
-      "{\"kit\":\"run-000398/0\",\"try\":1,\"mood\":\"ended\",\"cause\":\"no_room\"}]}",
-      0, NULL);
+  static const char text[]
+      = "{\"burrow\":\"m-000231\",\"addr\":\"10.1.0.232:9000\",\"breed\":\"g8\",\"den\":\"a\","
+        "\"strays\":true,\"tenure\":1,\"tick\":88,\"warrant\":41,\"warningS\":12.5,\"kits\":["
+        "{\"kit\":\"run-000412/3\",\"try\":2,\"mood\":\"running\"},"
+        "{\"kit\":\"run-000398/0\",\"try\":1,\"mood\":\"ended\",\"cause\":\"no_room\"}]}";
+  g_autoptr(MmJson) body = mm_json_parse(text, strlen(text), NULL);
   const char *reason = NULL;
   MmHeartbeat heartbeat;
   const MmReportedTask *tasks;
@@ -147,7 +147,8 @@
   g_assert_cmpint(tasks[1].state, ==, MM_REPORTED_ENDED);
   g_assert_cmpint(tasks[1].cause, ==, MM_CAUSE_NO_RESOURCES);
   mm_heartbeat_clear(&heartbeat);
-  json_object_set_new(json_array_get(json_object_get(body, "kits"), 0), "kit", json_string("x"));
+  mm_json_object_set(mm_json_array_get(mm_json_get(body, "kits"), 0), "kit",
+                     mm_json_new_string("x"));
   g_assert_false(mm_heartbeat_parse(&heartbeat, body, &reason));
   mm_heartbeat_clear(&heartbeat);
 }
--- a/tests/test-large-capacity.c
+++ b/tests/test-large-capacity.c
@@ -13,13 +13,13 @@
 submit_small_jobs(World *world, guint second) {
   g_autofree char *team = g_strdup_printf("team-%u", second % 2);
   world_submit(
-      world, json_pack("{s:s, s:i, s:s}", WIRE_TEAM, team, WIRE_TASKS, 6, WIRE_PRIORITY, "urgent"),
-      15);
+      world,
+      mm_json_pack("{s:s, s:i, s:s}", WIRE_TEAM, team, WIRE_TASKS, 6, WIRE_PRIORITY, "urgent"), 15);
   if (second % 3 == 0)
     world_submit(world,
-                 json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, team, WIRE_KIND,
-                           WIRE_KIND_GANG, WIRE_TASKS, 1, WIRE_ACCELERATORS, 2.0, WIRE_CORES, 6.0,
-                           WIRE_PRIORITY, "urgent"),
+                 mm_json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, team, WIRE_KIND,
+                              WIRE_KIND_GANG, WIRE_TASKS, 1, WIRE_ACCELERATORS, 2.0, WIRE_CORES,
+                              6.0, WIRE_PRIORITY, "urgent"),
                  20);
 }
 
@@ -27,13 +27,13 @@
 static WorldJob *
 submit_large_job(World *world, guint i) {
   g_autofree char *team = g_strdup_printf("team-%u", i % 2);
-  json_t *job
-      = i < 2 ? json_pack("{s:s, s:i, s:s}", WIRE_TEAM, team, WIRE_TASKS, 120, WIRE_PRIORITY, "low")
-        : i < 4 ? json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, team, WIRE_KIND,
-                            WIRE_KIND_GANG, WIRE_TASKS, 2, WIRE_ACCELERATORS, 2.0, WIRE_CORES, 6.0,
-                            WIRE_PRIORITY, "urgent")
-                : json_pack("{s:s, s:s, s:i, s:b}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_SERVICE,
-                            WIRE_TASKS, 12, WIRE_SPREAD, 1);
+  MmJson *job = i < 2   ? mm_json_pack("{s:s, s:i, s:s}", WIRE_TEAM, team, WIRE_TASKS, 120,
+                                       WIRE_PRIORITY, "low")
+                : i < 4 ? mm_json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, team, WIRE_KIND,
+                                       WIRE_KIND_GANG, WIRE_TASKS, 2, WIRE_ACCELERATORS, 2.0,
+                                       WIRE_CORES, 6.0, WIRE_PRIORITY, "urgent")
+                        : mm_json_pack("{s:s, s:s, s:i, s:b}", WIRE_TEAM, team, WIRE_KIND,
+                                       WIRE_KIND_SERVICE, WIRE_TASKS, 12, WIRE_SPREAD, 1);
 
   return world_submit(world, job, 20);
 }
@@ -85,14 +85,14 @@
   for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i);
     world_submit(world,
-                 json_pack("{s:s, s:i, s:s, s:s}", WIRE_TEAM, team, WIRE_TASKS, MM_JOB_MAX_TASKS,
-                           WIRE_PRIORITY, "urgent", WIRE_ZONE, "c"),
+                 mm_json_pack("{s:s, s:i, s:s, s:s}", WIRE_TEAM, team, WIRE_TASKS, MM_JOB_MAX_TASKS,
+                              WIRE_PRIORITY, "urgent", WIRE_ZONE, "c"),
                  5);
   }
   world_run(world, 5);
   for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i);
-    jobs[i] = world_submit(world, json_pack("{s:s, s:i}", WIRE_TEAM, team, WIRE_TASKS, 6), 3);
+    jobs[i] = world_submit(world, mm_json_pack("{s:s, s:i}", WIRE_TEAM, team, WIRE_TASKS, 6), 3);
   }
   world_run(world, 80);
   for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
@@ -147,18 +147,18 @@
   world_start(world);
   world_run(world, 8);
   world_submit(world,
-               json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, "team-1", WIRE_KIND,
-                         WIRE_KIND_GANG, WIRE_TASKS, 1, WIRE_ACCELERATORS, 2.0, WIRE_CORES, 16.0,
-                         WIRE_PRIORITY, "urgent"),
+               mm_json_pack("{s:s, s:s, s:i, s:f, s:f, s:s}", WIRE_TEAM, "team-1", WIRE_KIND,
+                            WIRE_KIND_GANG, WIRE_TASKS, 1, WIRE_ACCELERATORS, 2.0, WIRE_CORES, 16.0,
+                            WIRE_PRIORITY, "urgent"),
                60);
   world_run(world, 6);
   /* More replicas than fit on the small machines. */
   world_submit(world,
-               json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 10, WIRE_KIND, WIRE_KIND_SERVICE,
-                         WIRE_PRIORITY, "critical"),
+               mm_json_pack("{s:i, s:s, s:s}", WIRE_TASKS, 10, WIRE_KIND, WIRE_KIND_SERVICE,
+                            WIRE_PRIORITY, "critical"),
                0);
   world_run(world, 20);
-  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 300, WIRE_PRIORITY, "normal"), 90);
+  world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 300, WIRE_PRIORITY, "normal"), 90);
   world_run(world, 12);
   uses = count_machine_uses(world);
   g_test_message("big machines: %u run services, %u of these also arrays, %u only arrays, %u idle",
--- a/tests/test-large-fixtures.c
+++ b/tests/test-large-fixtures.c
@@ -11,9 +11,9 @@
   g_autofree char *image = g_strdup_printf("web-%d", g_rand_int_range(world->rand, 0, 20));
 
   world_submit(world,
-               json_pack("{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:f}", WIRE_TEAM, team, WIRE_KIND,
-                         WIRE_KIND_SERVICE, WIRE_PRIORITY, "critical", WIRE_IMAGE, image,
-                         WIRE_TASKS, tasks, WIRE_SPREAD, 1, WIRE_SPOT, 0, WIRE_MEMORY, 7.2),
+               mm_json_pack("{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:f}", WIRE_TEAM, team, WIRE_KIND,
+                            WIRE_KIND_SERVICE, WIRE_PRIORITY, "critical", WIRE_IMAGE, image,
+                            WIRE_TASKS, tasks, WIRE_SPREAD, 1, WIRE_SPOT, 0, WIRE_MEMORY, 7.2),
                0);
 }
 
@@ -23,8 +23,9 @@
   g_autofree char *image = g_strdup_printf("array-%d", g_rand_int_range(world->rand, 0, 16));
 
   world_submit(world,
-               json_pack("{s:s, s:s, s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_ARRAY,
-                         WIRE_IMAGE, image, WIRE_TASKS, tasks, WIRE_MEMORY, 3.7),
+               mm_json_pack("{s:s, s:s, s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_KIND,
+                            WIRE_KIND_ARRAY, WIRE_IMAGE, image, WIRE_TASKS, tasks, WIRE_MEMORY,
+                            3.7),
                run_s);
 }
 
--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -167,7 +167,7 @@
   WorldJob *array;
 
   world_run(world, 3);
-  array = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 40), 4);
+  array = world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 40), 4);
   world_run(world, 4);
   g_assert_cmpint(array->user_view, ==, USER_SEES_ACCEPTED);
   for (guint i = 0; i < WORLD_NODES; i++)
@@ -216,7 +216,7 @@
   WorldJob *job;
 
   world_run(world, 8);
-  job = world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE),
+  job = world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE),
                      0);
   world_run(world, 6);
   for (gint i = 0; i < WORLD_NODES; i++)
--- a/tests/test-machine-health.c
+++ b/tests/test-machine-health.c
@@ -31,7 +31,7 @@
     g_assert_nonnull(f.machines[i]);
   }
   for (guint i = 0; i < JOBS; i++)
-    f.jobs[i] = mm_name(world_submit(f.world, json_pack("{s:i}", WIRE_TASKS, MACHINES), 5)->id);
+    f.jobs[i] = mm_name(world_submit(f.world, mm_json_pack("{s:i}", WIRE_TASKS, MACHINES), 5)->id);
   world_run(f.world, 0.5);
   return f;
 }
--- a/tests/test-memory-bounds.c
+++ b/tests/test-memory-bounds.c
@@ -83,8 +83,8 @@
   for (guint i = 0; i < JOB_CLASSES_MAX + 100; i++) {
     g_autofree char *job_class = g_strdup_printf("class-%u", i);
     world_submit(world,
-                 json_pack("{s:s, s:s, s:i, s:f}", WIRE_CLASS, job_class, WIRE_TEAM, "team-0",
-                           WIRE_TASKS, 1, WIRE_ESTIMATE, 1.0),
+                 mm_json_pack("{s:s, s:s, s:i, s:f}", WIRE_CLASS, job_class, WIRE_TEAM, "team-0",
+                              WIRE_TASKS, 1, WIRE_ESTIMATE, 1.0),
                  1.5);
     world_run(world, 0.1);
     most = MAX(most, most_job_classes_on_a_node(world));
@@ -114,7 +114,7 @@
   world_run(world, 5);
   world->nodes[1].kv_refuses_until_us = world->now_us + 90 * (gint64)G_USEC_PER_SEC;
   for (guint i = 0; i < 60; i++) {
-    world_submit(world, json_pack("{s:i}", WIRE_TASKS, 2), 1);
+    world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 2), 1);
     world_run(world, 1.5);
   }
   world_run(world, 40);
@@ -163,7 +163,7 @@
   world_start(world);
   world_run(world, 3);
   for (guint i = 0; i < MANY_JOBS; i++) {
-    world_submit(world, json_pack("{s:i}", WIRE_TASKS, 2), 4);
+    world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 2), 4);
     world_run(world, 0.1);
   }
   world_run(world, 10);
@@ -195,25 +195,26 @@
 
 /* Returns a job with as many allowed types and dependencies as given. All names are of the greatest
  * length, and no two jobs have a dependency in common. */
-static json_t *
+static MmJson *
 job_record(guint job_number, guint n_types, guint n_dependencies) {
   g_autofree char *id = g_strdup_printf("run-%06u", job_number);
   g_autofree char *name = g_strnfill(MM_NAME_MAX, 'x');
   g_autofree char *dependencies_text = NULL;
-  g_autoptr(json_t) body = NULL;
-  json_t *types = n_types > 0 ? json_array() : json_null(), *dependencies = json_array();
+  g_autoptr(MmJson) body = NULL;
+  MmJson *types = n_types > 0 ? mm_json_new_array() : mm_json_new_null(),
+         *dependencies = mm_json_new_array();
   const char *reason = NULL;
   MmJobSpec spec;
-  json_t *record;
+  MmJson *record;
 
   for (guint i = 0; i < n_types; i++)
-    json_array_append_new(types, json_string(name));
+    mm_json_array_append(types, mm_json_new_string(name));
   for (guint i = 0; i < n_dependencies; i++) {
     g_autofree char *dependency
         = g_strdup_printf("run-%08u", 10000000 + job_number * n_dependencies + i);
-    json_array_append_new(dependencies, json_string(dependency));
+    mm_json_array_append(dependencies, mm_json_new_string(dependency));
   }
-  body = json_pack(
+  body = mm_json_pack(
       "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:o, s:b, s:b, s:b, s:s, s:f, s:f,"
       " s:f, s:f, s:o}",
       WIRE_JOB_ID, id, WIRE_CLASS, name, WIRE_TEAM, "team-0", WIRE_KIND, WIRE_KIND_ARRAY,
@@ -240,7 +241,7 @@
   before = heap_bytes();
   for (guint i = 0; i < JOBS_MEASURED; i++) {
     g_autofree char *id = g_strdup_printf("run-%06u", i);
-    g_autoptr(json_t) record = job_record(i, n_types, n_dependencies);
+    g_autoptr(MmJson) record = job_record(i, n_types, n_dependencies);
     MmJob *job;
     mm_job_table_put(job_table, id, record, (MmKeyVersion){ i + 1 });
     job = mm_job_table_find(job_table, id);
--- a/tests/test-memory.c
+++ b/tests/test-memory.c
@@ -37,10 +37,10 @@
 
 static WorldJob *
 submit_array(World *world, guint n_tasks, double run_s) {
-  return world_submit(
-      world,
-      json_pack("{s:s, s:i, s:f}", WIRE_TEAM, "team-0", WIRE_TASKS, (int)n_tasks, WIRE_CORES, 2.0),
-      run_s);
+  return world_submit(world,
+                      mm_json_pack("{s:s, s:i, s:f}", WIRE_TEAM, "team-0", WIRE_TASKS, (int)n_tasks,
+                                   WIRE_CORES, 2.0),
+                      run_s);
 }
 
 static guint
@@ -174,9 +174,9 @@
 submit_tiny(World *world, const char *kind, const char *priority, guint n_tasks, gboolean spread,
             double run_s) {
   return world_submit(world,
-                      json_pack("{s:s, s:s, s:i, s:f, s:f, s:b}", WIRE_KIND, kind, WIRE_PRIORITY,
-                                priority, WIRE_TASKS, (int)n_tasks, WIRE_CORES, 0.0, WIRE_MEMORY,
-                                0.0, WIRE_SPREAD, spread),
+                      mm_json_pack("{s:s, s:s, s:i, s:f, s:f, s:b}", WIRE_KIND, kind, WIRE_PRIORITY,
+                                   priority, WIRE_TASKS, (int)n_tasks, WIRE_CORES, 0.0, WIRE_MEMORY,
+                                   0.0, WIRE_SPREAD, spread),
                       run_s);
 }
 
@@ -272,9 +272,9 @@
   const char *kind = is_tiny ? kinds[g_rand_int_range(world->rand, 0, 3)] : WIRE_KIND_ARRAY;
 
   world_submit(world,
-               json_pack("{s:s, s:s, s:i, s:f, s:f}", WIRE_TEAM, team, WIRE_KIND, kind, WIRE_TASKS,
-                         g_rand_int_range(world->rand, 1000, LARGEST_ARRAY + 1), WIRE_CORES,
-                         is_tiny ? 0.0 : 1.0, WIRE_MEMORY, is_tiny ? 0.0 : 1.0),
+               mm_json_pack("{s:s, s:s, s:i, s:f, s:f}", WIRE_TEAM, team, WIRE_KIND, kind,
+                            WIRE_TASKS, g_rand_int_range(world->rand, 1000, LARGEST_ARRAY + 1),
+                            WIRE_CORES, is_tiny ? 0.0 : 1.0, WIRE_MEMORY, is_tiny ? 0.0 : 1.0),
                world_uniform(world, 0.5, 20));
 }
 
--- a/tests/test-pipelines-days.c
+++ b/tests/test-pipelines-days.c
@@ -23,11 +23,11 @@
   WorldJob *dependencies[3];
   guint n = world->jobs->len > 3 ? (guint)g_rand_int_range(world->rand, 0, 4) : 0, n_found = 0;
   gboolean is_gang = g_rand_int_range(world->rand, 0, 5) == 0;
-  json_t *body = team_job_body((guint)g_rand_int_range(world->rand, 0, 4),
+  MmJson *body = team_job_body((guint)g_rand_int_range(world->rand, 0, 4),
                                (guint)g_rand_int_range(world->rand, 1, 5));
 
   if (is_gang)
-    json_object_set_new(body, WIRE_KIND, json_string(WIRE_KIND_GANG));
+    mm_json_object_set(body, WIRE_KIND, mm_json_new_string(WIRE_KIND_GANG));
   for (guint i = 0; i < n; i++) {
     WorldJob *dependency = random_dependency(world);
     if (dependency != NULL)
--- a/tests/test-pipelines-faults.c
+++ b/tests/test-pipelines-faults.c
@@ -173,10 +173,10 @@
     WorldJob *start = submit_array(world, 0, 4, 3), *gang, *end;
 
     run_until_accepted(world, start);
-    gang = world_submit_dependent(
-        world,
-        json_pack("{s:s, s:i, s:s}", WIRE_KIND, WIRE_KIND_GANG, WIRE_TASKS, 3, WIRE_TEAM, "team-1"),
-        8, &start, 1);
+    gang = world_submit_dependent(world,
+                                  mm_json_pack("{s:s, s:i, s:s}", WIRE_KIND, WIRE_KIND_GANG,
+                                               WIRE_TASKS, 3, WIRE_TEAM, "team-1"),
+                                  8, &start, 1);
     run_until_accepted(world, gang);
     end = submit_dependent_array(world, 2, 2, 2, gang);
     run_until_accepted(world, end);
--- a/tests/test-pipelines-fixtures.c
+++ b/tests/test-pipelines-fixtures.c
@@ -20,11 +20,11 @@
   return world;
 }
 
-json_t *
+MmJson *
 team_job_body(guint team, guint tasks) {
   g_autofree char *name = g_strdup_printf("team-%u", team);
 
-  return json_pack("{s:s, s:i}", WIRE_TEAM, name, WIRE_TASKS, (int)tasks);
+  return mm_json_pack("{s:s, s:i}", WIRE_TEAM, name, WIRE_TASKS, (int)tasks);
 }
 
 WorldJob *
--- a/tests/test-pipelines.c
+++ b/tests/test-pipelines.c
@@ -31,33 +31,33 @@
   World *world = new_pipeline_world(2);
   WorldJob *good = submit_array(world, 0, 1, 2);
   WorldJob *service = world_submit(
-      world, json_pack("{s:s, s:i}", WIRE_KIND, WIRE_KIND_SERVICE, WIRE_TASKS, 1), 0);
+      world, mm_json_pack("{s:s, s:i}", WIRE_KIND, WIRE_KIND_SERVICE, WIRE_TASKS, 1), 0);
   const struct {
-    json_t *dependencies;
+    MmJson *dependencies;
     int status;
   } cases[] = {
-    { json_pack("[s]", "run-404404"), 422 },
-    { json_pack("[s, s]", good->id, "run-404404"), 422 },
-    { json_pack("[s]", "nobody"), 422 },
-    { json_pack("[s]", "run-900001"), 422 }, /* the submitted job itself */
-    { json_pack("[s]", service->id), 422 },
-    { json_pack("[s]", ""), 400 },
-    { json_pack("[i]", 4), 400 },
-    { json_string(good->id), 400 },
-    { json_object(), 400 },
-    { json_null(), 201 },
-    { json_array(), 200 }, /* from this case on, the submitted job is already accepted */
-    { json_pack("[s, s]", good->id, good->id), 200 },
-    { json_pack("[s]", "run-404404"), 200 },
+    { mm_json_pack("[s]", "run-404404"), 422 },
+    { mm_json_pack("[s, s]", good->id, "run-404404"), 422 },
+    { mm_json_pack("[s]", "nobody"), 422 },
+    { mm_json_pack("[s]", "run-900001"), 422 }, /* the submitted job itself */
+    { mm_json_pack("[s]", service->id), 422 },
+    { mm_json_pack("[s]", ""), 400 },
+    { mm_json_pack("[i]", 4), 400 },
+    { mm_json_new_string(good->id), 400 },
+    { mm_json_new_object(), 400 },
+    { mm_json_new_null(), 201 },
+    { mm_json_new_array(), 200 }, /* from this case on, the submitted job is already accepted */
+    { mm_json_pack("[s, s]", good->id, good->id), 200 },
+    { mm_json_pack("[s]", "run-404404"), 200 },
   };
 
   run_until_accepted(world, good);
   run_until_accepted(world, service);
   for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
-    json_t *body = json_deep_copy(good->body);
+    MmJson *body = mm_json_copy(good->body);
     int status = -1;
-    json_object_set_new(body, WIRE_JOB_ID, json_string("run-900001"));
-    json_object_set_new(body, WIRE_DEPENDENCIES, cases[i].dependencies);
+    mm_json_object_set(body, WIRE_JOB_ID, mm_json_new_string("run-900001"));
+    mm_json_object_set(body, WIRE_DEPENDENCIES, cases[i].dependencies);
     world_send_request(world, i % WORLD_NODES, NULL, "POST", WIRE_JOBS_PATH, body, 4 * SECOND,
                        world_record_status, &status);
     world_run(world, 3);
@@ -94,8 +94,8 @@
 submit_critical_dependent(World *world, WorldJob *dependency, double deadline_s) {
   WorldJob *job
       = world_submit_dependent(world,
-                               json_pack("{s:s, s:s, s:f}", WIRE_TEAM, "team-2", WIRE_PRIORITY,
-                                         "critical", WIRE_DEADLINE, deadline_s),
+                               mm_json_pack("{s:s, s:s, s:f}", WIRE_TEAM, "team-2", WIRE_PRIORITY,
+                                            "critical", WIRE_DEADLINE, deadline_s),
                                3, &dependency, 1);
 
   run_until_accepted(world, job);
@@ -122,7 +122,7 @@
 test_dependency_inherits_urgency(void) {
   World *world = new_pipeline_world(4);
   WorldJob *start
-      = world_submit(world, json_pack("{s:s, s:i}", WIRE_PRIORITY, "low", WIRE_TASKS, 1), 80);
+      = world_submit(world, mm_json_pack("{s:s, s:i}", WIRE_PRIORITY, "low", WIRE_TASKS, 1), 80);
   WorldJob *middle, *with_distant_deadline, *with_near_deadline;
 
   run_until_accepted(world, start);
--- a/tests/test-pipelines.h
+++ b/tests/test-pipelines.h
@@ -10,7 +10,7 @@
 World *new_pipeline_world(guint32 seed);
 /* Returns overrides for world_submit() that describe an array with `tasks` tasks. N in the name of
  * its team, `team-N`, is `team`. The caller owns the overrides. */
-json_t *team_job_body(guint team, guint tasks);
+MmJson *team_job_body(guint team, guint tasks);
 WorldJob *submit_array(World *world, guint team, guint tasks, double run_s);
 /* Submits an array that depends on one job. */
 WorldJob *submit_dependent_array(World *world, guint team, guint tasks, double run_s,
--- a/tests/test-scheduler-fixture.c
+++ b/tests/test-scheduler-fixture.c
@@ -15,7 +15,7 @@
   for (guint i = 0; i < 2; i++)
     world_machine_at(f.world, i)->suspended_until_us
         = f.world->now_us + 100 * (gint64)G_USEC_PER_SEC;
-  job = world_submit(f.world, json_pack("{s:i}", WIRE_TASKS, (int)tasks), 5);
+  job = world_submit(f.world, mm_json_pack("{s:i}", WIRE_TASKS, (int)tasks), 5);
   world_run(f.world, 0.5);
   for (guint i = 0; i < WORLD_NODES; i++) {
     MmNode *node = f.world->nodes[i].node;
--- a/tests/test-scheduler-preemption.c
+++ b/tests/test-scheduler-preemption.c
@@ -44,12 +44,13 @@
   world_start(world);
   world_run(world, 5);
   world_submit(world,
-               json_pack("{s:i, s:f, s:s, s:f, s:f}", WIRE_TASKS, 4, WIRE_CORES, 1.0, WIRE_PRIORITY,
-                         "low", WIRE_CHECKPOINT_INTERVAL, 30.0, WIRE_CHECKPOINT_DURATION, 3.0),
+               mm_json_pack("{s:i, s:f, s:s, s:f, s:f}", WIRE_TASKS, 4, WIRE_CORES, 1.0,
+                            WIRE_PRIORITY, "low", WIRE_CHECKPOINT_INTERVAL, 30.0,
+                            WIRE_CHECKPOINT_DURATION, 3.0),
                300);
   world_run(world, 6);
-  job = world_submit(world,
-                     json_pack("{s:i, s:s}", WIRE_TASKS, (int)tasks, WIRE_PRIORITY, priority), 30);
+  job = world_submit(
+      world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, (int)tasks, WIRE_PRIORITY, priority), 30);
   world_run(world, wait_s);
   g_assert_cmpuint(world_count_running(world, job, NULL), >, 0);
   g_assert_cmpuint(world->n_stops, >, 0);
@@ -90,8 +91,8 @@
   for (guint team = 0; team < 4; team++) {
     g_autofree char *name = g_strdup_printf("team-%u", team);
     WorldJob *job = world_submit(world,
-                                 json_pack("{s:i, s:s, s:s, s:f}", WIRE_TASKS, 2, WIRE_KIND,
-                                           WIRE_KIND_GANG, WIRE_TEAM, name, WIRE_CORES, 12.0),
+                                 mm_json_pack("{s:i, s:s, s:s, s:f}", WIRE_TASKS, 2, WIRE_KIND,
+                                              WIRE_KIND_GANG, WIRE_TEAM, name, WIRE_CORES, 12.0),
                                  60);
     world_run(world, 8);
     g_assert_cmpuint(world_count_running(world, job, NULL), ==, 2);
@@ -133,19 +134,19 @@
   world_start(world);
   world_run(world, 5);
   first = world_submit(world,
-                       json_pack("{s:i, s:s, s:f, s:f}", WIRE_TASKS, 1, WIRE_PRIORITY, "urgent",
-                                 WIRE_CORES, 16.0, WIRE_ACCELERATORS, 2.0),
+                       mm_json_pack("{s:i, s:s, s:f, s:f}", WIRE_TASKS, 1, WIRE_PRIORITY, "urgent",
+                                    WIRE_CORES, 16.0, WIRE_ACCELERATORS, 2.0),
                        3);
   world_run(world, 8);
   g_assert_cmpuint(first->n_done, ==, 1);
-  array = world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 60, WIRE_TEAM, "team-1"), 300);
+  array = world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 60, WIRE_TEAM, "team-1"), 300);
   world_run(world, 12);
   g_assert_cmpuint(world_count_running(world, array, NULL), >, 0);
   g_assert_cmpuint(count_machines_in_use(world), <=, 3);
   gang = world_submit(world,
-                      json_pack("{s:i, s:s, s:s, s:f, s:f}", WIRE_TASKS, 6, WIRE_KIND,
-                                WIRE_KIND_GANG, WIRE_PRIORITY, "urgent", WIRE_CORES, 16.0,
-                                WIRE_ACCELERATORS, 2.0),
+                      mm_json_pack("{s:i, s:s, s:s, s:f, s:f}", WIRE_TASKS, 6, WIRE_KIND,
+                                   WIRE_KIND_GANG, WIRE_PRIORITY, "urgent", WIRE_CORES, 16.0,
+                                   WIRE_ACCELERATORS, 2.0),
                       30);
   world_run(world, 10);
   g_assert_cmpuint(world_count_running(world, gang, NULL), ==, 6);
--- a/tests/test-sharing-world-fixtures.c
+++ b/tests/test-sharing-world-fixtures.c
@@ -18,7 +18,8 @@
 submit_small_job(World *world) {
   g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
 
-  world_submit(world, json_pack("{s:i, s:f, s:s}", WIRE_TASKS, 6, WIRE_CORES, 1.0, WIRE_TEAM, team),
+  world_submit(world,
+               mm_json_pack("{s:i, s:f, s:s}", WIRE_TASKS, 6, WIRE_CORES, 1.0, WIRE_TEAM, team),
                world_uniform(world, 0.5, 2));
 }
 
--- a/tests/test-sharing-world-moves.c
+++ b/tests/test-sharing-world-moves.c
@@ -159,9 +159,10 @@
 static void
 corrupt_target_key(Move *move) {
   g_autofree char *path = g_strdup_printf("mm/r/g/n-%u", move->target);
-  g_autoptr(json_t) body = json_pack("{s:[], s:[{s:s, s:{s:s}}]}", WIRE_CONDITIONS, WIRE_OPERATIONS,
-                                     WIRE_PUT, path, WIRE_VALUE, "g", "nonsense");
-  g_autoptr(json_t) response = NULL;
+  g_autoptr(MmJson) body
+      = mm_json_pack("{s:[], s:[{s:s, s:{s:s}}]}", WIRE_CONDITIONS, WIRE_OPERATIONS, WIRE_PUT, path,
+                     WIRE_VALUE, "g", "nonsense");
+  g_autoptr(MmJson) response = NULL;
 
   g_assert_cmpint(world_kv_handle(move->world, "POST", WIRE_TXN_PATH, body, &response), ==, 200);
 }
--- a/tests/test-sharing-world-settings.c
+++ b/tests/test-sharing-world-settings.c
@@ -51,7 +51,7 @@
   g_assert_cmpuint(world->n_starts, >, 20);
   /* The node's version key has the same bytes as the version key of a node without sharing. */
   key = g_tree_lookup(world->keys, "mm/r/v/n-2");
-  g_assert_cmpuint(json_object_size(key->value), ==, 1);
+  g_assert_cmpuint(mm_json_object_size(key->value), ==, 1);
   restart_with_groups(world, 2, GROUPS);
   run_under_load(world, 10);
   g_assert_cmpuint(count_active(world), ==, WORLD_NODES);
@@ -111,8 +111,8 @@
 static WorldJob *
 submit_gang(World *world, double run_s) {
   return world_submit(world,
-                      json_pack("{s:s, s:i, s:f, s:s}", WIRE_KIND, WIRE_KIND_GANG, WIRE_TASKS, 4,
-                                WIRE_CORES, 4.0, WIRE_PRIORITY, "urgent"),
+                      mm_json_pack("{s:s, s:i, s:f, s:s}", WIRE_KIND, WIRE_KIND_GANG, WIRE_TASKS, 4,
+                                   WIRE_CORES, 4.0, WIRE_PRIORITY, "urgent"),
                       run_s);
 }
 
--- a/tests/test-sharing.c
+++ b/tests/test-sharing.c
@@ -54,7 +54,7 @@
   }
 }
 
-static json_t *
+static MmJson *
 ownership_record_json(guint groups, guint64 lease, guint from, guint to, guint64 term) {
   g_autoptr(MmOwnershipRecordBuilder) builder = mm_ownership_record_builder_new(groups, lease);
 
@@ -73,9 +73,9 @@
 static void
 test_map_names_owners(void) {
   MmGroupMap *map = mm_group_map_new(GROUPS);
-  g_autoptr(json_t) a = ownership_record_json(GROUPS, 7, 0, 100, 3),
+  g_autoptr(MmJson) a = ownership_record_json(GROUPS, 7, 0, 100, 3),
                     b = ownership_record_json(GROUPS, 8, 100, 256, 4);
-  g_autoptr(json_t) with_later_term = ownership_record_json(GROUPS, 9, 0, 1, 9);
+  g_autoptr(MmJson) with_later_term = ownership_record_json(GROUPS, 9, 0, 1, 9);
 
   g_assert_true(mm_group_map_put(map, "n-0", a, (MmKeyVersion){ 11 }));
   g_assert_true(mm_group_map_put(map, "n-1", b, (MmKeyVersion){ 12 }));
@@ -97,7 +97,7 @@
 static void
 test_other_group_count_conflicts(void) {
   MmGroupMap *map = mm_group_map_new(GROUPS);
-  g_autoptr(json_t) a = ownership_record_json(GROUPS, 7, 0, 100, 3),
+  g_autoptr(MmJson) a = ownership_record_json(GROUPS, 7, 0, 100, 3),
                     other = ownership_record_json(128, 9, 0, 1, 9);
 
   g_assert_true(mm_group_map_put(map, "n-0", a, (MmKeyVersion){ 11 }));
@@ -123,10 +123,10 @@
                                          "{\"c\":1,\"of\":256,\"g\":[[5]]}",
                                          "{\"c\":1,\"of\":256,\"g\":[7]}" };
   MmGroupMap *map = mm_group_map_new(GROUPS);
-  g_autoptr(json_t) valid = ownership_record_json(GROUPS, 7, 0, 100, 3);
+  g_autoptr(MmJson) valid = ownership_record_json(GROUPS, 7, 0, 100, 3);
 
   for (guint i = 0; i < G_N_ELEMENTS(invalid); i++) {
-    g_autoptr(json_t) value = json_loads(invalid[i], 0, NULL);
+    g_autoptr(MmJson) value = mm_json_parse(invalid[i], strlen(invalid[i]), NULL);
     g_assert_true(mm_group_map_put(map, "n-0", valid, (MmKeyVersion){ 1 }));
     g_assert_false(mm_group_map_put(map, "n-0", value, (MmKeyVersion){ 21 }));
     g_assert_null(owner_label(map, 0));
@@ -145,15 +145,15 @@
 static void
 test_value_fits_smallest_limit(void) {
   g_autoptr(MmOwnershipRecordBuilder) builder = mm_ownership_record_builder_new(MM_GROUPS_MAX, 1);
-  g_autoptr(json_t) with_many_terms = NULL, with_one_term = NULL;
+  g_autoptr(MmJson) with_many_terms = NULL, with_one_term = NULL;
 
   for (guint group = 0; group < MM_GROUPS_MAX; group += 2)
     mm_ownership_record_builder_add(builder, group, (MmTerm){ 100000 + group });
   with_many_terms = mm_ownership_record_builder_to_json(builder);
-  g_assert_cmpuint(json_dumpb(with_many_terms, NULL, 0, JSON_COMPACT), >, SMALL_VALUE_BYTES);
+  g_assert_cmpuint(mm_json_text_length(with_many_terms), >, SMALL_VALUE_BYTES);
   mm_ownership_record_builder_set_all_terms(builder, (MmTerm){ 200000 });
   with_one_term = mm_ownership_record_builder_to_json(builder);
-  g_assert_cmpuint(json_dumpb(with_one_term, NULL, 0, JSON_COMPACT), <, SMALL_VALUE_BYTES);
+  g_assert_cmpuint(mm_json_text_length(with_one_term), <, SMALL_VALUE_BYTES);
 }
 
 /* Shares. */
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -42,11 +42,11 @@
 static void
 test_dependencies_wait_for_all_nodes(void) {
   World *world = new_old_version_world(1, 6);
-  WorldJob *first = world_submit(world, json_object(), 2), *dependent;
+  WorldJob *first = world_submit(world, mm_json_new_object(), 2), *dependent;
 
   world_run(world, 6);
   g_assert_cmpint(first->user_view, >=, USER_SEES_ACCEPTED);
-  dependent = world_submit_dependent(world, json_object(), 2, &first, 1);
+  dependent = world_submit_dependent(world, mm_json_new_object(), 2, &first, 1);
   for (guint i = 0; i < WORLD_NODES; i++) {
     world_run(world, 3);
     g_assert_false(dependent->was_accepted);
@@ -60,7 +60,7 @@
   world_kill_node(world, 2, 60);
   world_run(world, 6);
   g_assert_cmpuint(count_nodes_seeing_all_upgraded(world), ==, WORLD_NODES - 1);
-  dependent = world_submit_dependent(world, json_object(), 2, &first, 1);
+  dependent = world_submit_dependent(world, mm_json_new_object(), 2, &first, 1);
   world_run(world, 30);
   g_assert_cmpint(dependent->user_view, ==, USER_SEES_DONE);
   world_assert_invariants(world);
@@ -75,8 +75,8 @@
   for (guint i = 0; i < 4; i++) {
     g_autofree char *team = g_strdup_printf("team-%u", i);
     world_submit(world,
-                 json_pack("{s:s, s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_SERVICE,
-                           WIRE_TASKS, (int)machines / 4, WIRE_CORES, 4.0),
+                 mm_json_pack("{s:s, s:s, s:i, s:f}", WIRE_TEAM, team, WIRE_KIND, WIRE_KIND_SERVICE,
+                              WIRE_TASKS, (int)machines / 4, WIRE_CORES, 4.0),
                  0);
   }
   world_run(world, 20);
@@ -95,7 +95,7 @@
       g_autofree char *path = g_strdup_printf(MM_KEY_REGISTRY_PACK "n-%u/%u", i, k);
       const WorldKey *key = g_tree_lookup(world->keys, path);
       if (key != NULL)
-        most = MAX(most, json_dumpb(key->value, NULL, 0, JSON_COMPACT));
+        most = MAX(most, mm_json_text_length(key->value));
     }
   return most;
 }
@@ -135,8 +135,8 @@
 static void
 submit_random_job(World *world, gboolean with_dependencies) {
   g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
-  json_t *body
-      = json_pack("{s:s, s:i}", WIRE_TEAM, team, WIRE_TASKS, g_rand_int_range(world->rand, 1, 9));
+  MmJson *body = mm_json_pack("{s:s, s:i}", WIRE_TEAM, team, WIRE_TASKS,
+                              g_rand_int_range(world->rand, 1, 9));
   WorldJob *dependency = with_dependencies ? world_any_job(world) : NULL;
 
   if (dependency != NULL && dependency->was_accepted
--- a/tests/test-world.c
+++ b/tests/test-world.c
@@ -21,7 +21,7 @@
   for (guint i = 0; i < WORLD_NODES; i++)
     world_kill_node(world, i, 0.5);
   world_run(world, 3);
-  job = world_submit(world, json_pack("{s:i}", WIRE_TASKS, 4), 2);
+  job = world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 4), 2);
   world_run(world, 25);
   world_assert_invariants(world);
   g_assert_cmpint(job->user_view, ==, USER_SEES_DONE);
@@ -40,7 +40,7 @@
   world_add_machines(world, 6, "small", 2);
   world_start(world);
   world_run(world, 3);
-  world_submit(world, json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE), 0);
+  world_submit(world, mm_json_pack("{s:i, s:s}", WIRE_TASKS, 6, WIRE_KIND, WIRE_KIND_SERVICE), 0);
   world_run(world, 10);
   world->nodes[0].kv_refuses_until_us = world->nodes[1].kv_refuses_until_us
       = world->now_us + 30 * second;
@@ -95,15 +95,15 @@
 test_partitioned_node_answers_users_503(void) {
   World *world = world_new(7);
   int submitted = -1, health = -1, polled = -1;
-  json_t *body = json_pack("{s:s}", WIRE_JOB_ID, "run-000001");
+  MmJson *body;
 
   world_add_machines(world, 6, "small", 2);
   world_start(world);
   world_run(world, 8);
-  world_submit(world, json_pack("{s:i}", WIRE_TASKS, 4), 5);
+  world_submit(world, mm_json_pack("{s:i}", WIRE_TASKS, 4), 5);
   world_run(world, 2);
-  json_object_update(body, world_job_at(world, 0)->body);
-  json_object_set_new(body, WIRE_JOB_ID, json_string("run-000001"));
+  body = mm_json_copy(world_job_at(world, 0)->body);
+  mm_json_object_set(body, WIRE_JOB_ID, mm_json_new_string("run-000001"));
   world_partition_node(world, 1, 20, FALSE);
   world_run(world, 4);
   g_assert_false(mm_node_lease_may_answer_workers(world->nodes[1].node->node_lease));
@@ -125,7 +125,7 @@
 /* Returns the status of a request to a node whose ticks are at least `tick_delay_ms` late. */
 static int
 status_of_late_node(World *world, gint64 tick_delay_ms, const char *method, const char *path,
-                    json_t *body) {
+                    MmJson *body) {
   int status = -1;
 
   world_send_request(world, 0, NULL, method, path, body, 4000000, world_record_status, &status);
@@ -148,9 +148,10 @@
   world_run(world, 8);
   g_assert_cmpint(status_of_late_node(world, 0, "GET", poll, NULL), ==, 404);
   g_assert_cmpint(status_of_late_node(world, 1400, "GET", poll, NULL), ==, 503);
-  g_assert_cmpint(status_of_late_node(world, 1400, "POST", WIRE_JOBS_PATH, json_object()), ==, 400);
-  g_assert_cmpint(status_of_late_node(world, 100000, "POST", WIRE_JOBS_PATH, json_object()), ==,
-                  503);
+  g_assert_cmpint(status_of_late_node(world, 1400, "POST", WIRE_JOBS_PATH, mm_json_new_object()),
+                  ==, 400);
+  g_assert_cmpint(status_of_late_node(world, 100000, "POST", WIRE_JOBS_PATH, mm_json_new_object()),
+                  ==, 503);
   g_assert_cmpint(status_of_late_node(world, 100000, "GET", "/healthz", NULL), ==, 200);
   world_run(world, 2);
   g_assert_cmpint(status_of_late_node(world, 0, "GET", poll, NULL), ==, 404);
--- a/tests/world-digest.c
+++ b/tests/world-digest.c
@@ -34,8 +34,8 @@
 }
 
 static void
-add_json(const json_t *value) {
-  char *text = value != NULL ? json_dumps(value, JSON_SORT_KEYS | JSON_COMPACT) : NULL;
+add_json(const MmJson *value) {
+  char *text = value != NULL ? mm_json_to_sorted_text(value) : NULL;
 
   add_text(text != NULL ? text : "");
   free(text);
@@ -51,18 +51,18 @@
 /* The linker's --wrap option redirects calls of each of these functions to its digest_ variant. */
 size_t real_pack(const Mm__Frame *frame, uint8_t *out) __asm__("__real_mm__frame__pack");
 size_t digest_pack(const Mm__Frame *frame, uint8_t *out) __asm__("__wrap_mm__frame__pack");
-int real_store(World *world, const char *method, const char *path, const json_t *body,
-               json_t **answer) __asm__("__real_world_kv_handle");
-int digest_store(World *world, const char *method, const char *path, const json_t *body,
-                 json_t **answer) __asm__("__wrap_world_kv_handle");
-int real_cloud(World *world, const char *method, const char *path, const json_t *body,
-               json_t **answer) __asm__("__real_world_cloud_handle");
-int digest_cloud(World *world, const char *method, const char *path, const json_t *body,
-                 json_t **answer) __asm__("__wrap_world_cloud_handle");
-int real_direct(WorldMachine *machine, const json_t *body,
-                json_t **answer) __asm__("__real_world_machine_handle_direct");
-int digest_direct(WorldMachine *machine, const json_t *body,
-                  json_t **answer) __asm__("__wrap_world_machine_handle_direct");
+int real_store(World *world, const char *method, const char *path, const MmJson *body,
+               MmJson **answer) __asm__("__real_world_kv_handle");
+int digest_store(World *world, const char *method, const char *path, const MmJson *body,
+                 MmJson **answer) __asm__("__wrap_world_kv_handle");
+int real_cloud(World *world, const char *method, const char *path, const MmJson *body,
+               MmJson **answer) __asm__("__real_world_cloud_handle");
+int digest_cloud(World *world, const char *method, const char *path, const MmJson *body,
+                 MmJson **answer) __asm__("__wrap_world_cloud_handle");
+int real_direct(WorldMachine *machine, const MmJson *body,
+                MmJson **answer) __asm__("__real_world_machine_handle_direct");
+int digest_direct(WorldMachine *machine, const MmJson *body,
+                  MmJson **answer) __asm__("__wrap_world_machine_handle_direct");
 
 size_t
 digest_pack(const Mm__Frame *frame, uint8_t *out) {
@@ -73,7 +73,7 @@
 }
 
 static void
-add_request(const World *world, const char *method, const char *path, const json_t *body) {
+add_request(const World *world, const char *method, const char *path, const MmJson *body) {
   add_number(world->now_us);
   add_text(method);
   add_text(path);
@@ -81,21 +81,21 @@
 }
 
 int
-digest_store(World *world, const char *method, const char *path, const json_t *body,
-             json_t **answer) {
+digest_store(World *world, const char *method, const char *path, const MmJson *body,
+             MmJson **answer) {
   add_request(world, method, path, body);
   return real_store(world, method, path, body, answer);
 }
 
 int
-digest_cloud(World *world, const char *method, const char *path, const json_t *body,
-             json_t **answer) {
+digest_cloud(World *world, const char *method, const char *path, const MmJson *body,
+             MmJson **answer) {
   add_request(world, method, path, body);
   return real_cloud(world, method, path, body, answer);
 }
 
 int
-digest_direct(WorldMachine *machine, const json_t *body, json_t **answer) {
+digest_direct(WorldMachine *machine, const MmJson *body, MmJson **answer) {
   int status;
 
   add_request(machine->world, "direct", machine->id, body);
