--- a/tests/world/cloud.c
+++ b/tests/world/cloud.c
@@ -70,35 +70,35 @@
   machine->has_failed = TRUE;
 }
 
-static json_t *
+static MmJson *
 type_list(void) {
-  json_t *list = json_array();
+  MmJson *list = mm_json_new_array();
 
   for (guint i = 0; i < G_N_ELEMENTS(machine_types); i++)
-    json_array_append_new(
+    mm_json_array_append(
         list,
-        json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:[s,s,s]}", WIRE_TYPE_NAME,
-                  machine_types[i].name, WIRE_CORES, machine_types[i].cores, WIRE_ACCELERATORS,
-                  machine_types[i].accelerators, WIRE_MEMORY, machine_types[i].memory_gb,
-                  WIRE_CACHE_GB, 10.0, WIRE_FETCH_RATE, 1.0, WIRE_PRICE,
-                  machine_types[i].cores * 0.05, WIRE_SPOT_PRICE, machine_types[i].cores * 0.02,
-                  WIRE_BOOT, machine_types[i].boot_s, WIRE_ZONES, zones[0], zones[1], zones[2]));
-  return json_pack("{s:o}", WIRE_TYPES, list);
+        mm_json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:[s,s,s]}", WIRE_TYPE_NAME,
+                     machine_types[i].name, WIRE_CORES, machine_types[i].cores, WIRE_ACCELERATORS,
+                     machine_types[i].accelerators, WIRE_MEMORY, machine_types[i].memory_gb,
+                     WIRE_CACHE_GB, 10.0, WIRE_FETCH_RATE, 1.0, WIRE_PRICE,
+                     machine_types[i].cores * 0.05, WIRE_SPOT_PRICE, machine_types[i].cores * 0.02,
+                     WIRE_BOOT, machine_types[i].boot_s, WIRE_ZONES, zones[0], zones[1], zones[2]));
+  return mm_json_pack("{s:o}", WIRE_TYPES, list);
 }
 
 static int
-launch_machines(World *world, const json_t *body, json_t **response) {
+launch_machines(World *world, const MmJson *body, MmJson **response) {
   const char *launch_id = mm_json_string(body, WIRE_REQUEST),
              *type = mm_json_string(body, WIRE_TYPE);
   const char *zone = mm_json_string(body, WIRE_ZONE);
   gboolean spot = mm_json_flag(body, WIRE_SPOT);
   guint count = (guint)mm_json_count(body, WIRE_COUNT, 0), n_existing = 0;
-  json_t *names;
+  MmJson *names;
   double boot_s = 0;
 
   g_assert_true(launch_id != NULL && type != NULL && zone != NULL && count >= 1 && count <= 50);
   if (g_hash_table_contains(world->launch_responses, launch_id)) {
-    *response = json_incref(g_hash_table_lookup(world->launch_responses, launch_id));
+    *response = mm_json_ref(g_hash_table_lookup(world->launch_responses, launch_id));
     return 200;
   }
   for (guint i = 0; i < G_N_ELEMENTS(machine_types); i++)
@@ -113,38 +113,38 @@
     *response = mm_json_error("no capacity");
     return 503;
   }
-  names = json_array();
+  names = mm_json_new_array();
   for (; count > 0 && n_existing < world->capacity; count--, n_existing++)
-    json_array_append_new(names,
-                          json_string(world_add_machine(world, type, zone, spot,
-                                                        boot_s * world_uniform(world, 0.6, 1.5))
-                                          ->id));
-  *response = json_pack("{s:o}", WIRE_MACHINES, names);
-  g_hash_table_insert(world->launch_responses, g_strdup(launch_id), json_incref(*response));
+    mm_json_array_append(
+        names, mm_json_new_string(world_add_machine(world, type, zone, spot,
+                                                    boot_s * world_uniform(world, 0.6, 1.5))
+                                      ->id));
+  *response = mm_json_pack("{s:o}", WIRE_MACHINES, names);
+  g_hash_table_insert(world->launch_responses, g_strdup(launch_id), mm_json_ref(*response));
   return 200;
 }
 
 static int
-release_machines(World *world, const json_t *body, json_t **response) {
+release_machines(World *world, const MmJson *body, MmJson **response) {
   size_t i;
-  json_t *name;
+  MmJson *name;
 
-  json_array_foreach(json_object_get(body, WIRE_MACHINES), i, name) {
+  MM_JSON_ARRAY_FOREACH (mm_json_get(body, WIRE_MACHINES), i, name) {
     for (guint k = 0; k < world->machines->len; k++) {
       WorldMachine *machine = world_machine_at(world, k);
-      if (strcmp(machine->id, json_string_value(name)) == 0) {
+      if (strcmp(machine->id, mm_json_string_value(name)) == 0) {
         world_kill_machine(world, machine);
         machine->is_terminated = TRUE;
       }
     }
   }
-  *response = json_object();
+  *response = mm_json_new_object();
   return 200;
 }
 
-static json_t *
+static MmJson *
 machine_list(World *world) {
-  json_t *list = json_array();
+  MmJson *list = mm_json_new_array();
 
   for (guint i = 0; i < world->machines->len; i++) {
     const WorldMachine *machine = world_machine_at(world, i);
@@ -153,21 +153,21 @@
      * too. */
     if (machine->is_terminated || age_s < 2)
       continue;
-    json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:f}", WIRE_JOB_ID,
-                                          machine->id, WIRE_ADDRESS, machine->address, WIRE_TYPE,
-                                          machine->type, WIRE_ZONE, machine->zone, WIRE_SPOT,
-                                          machine->is_spot, WIRE_STATE,
-                                          machine->has_failed ? WIRE_FAILED
-                                          : machine->is_up    ? WIRE_RUNNING
-                                                              : WIRE_BOOTING,
-                                          WIRE_AGE, age_s));
+    mm_json_array_append(list, mm_json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:f}", WIRE_JOB_ID,
+                                            machine->id, WIRE_ADDRESS, machine->address, WIRE_TYPE,
+                                            machine->type, WIRE_ZONE, machine->zone, WIRE_SPOT,
+                                            machine->is_spot, WIRE_STATE,
+                                            machine->has_failed ? WIRE_FAILED
+                                            : machine->is_up    ? WIRE_RUNNING
+                                                                : WIRE_BOOTING,
+                                            WIRE_AGE, age_s));
   }
-  return json_pack("{s:o, s:b}", WIRE_MACHINES, list, WIRE_MORE, FALSE);
+  return mm_json_pack("{s:o, s:b}", WIRE_MACHINES, list, WIRE_MORE, FALSE);
 }
 
 int
-world_cloud_handle(World *world, const char *method, const char *path, const json_t *body,
-                   json_t **response) {
+world_cloud_handle(World *world, const char *method, const char *path, const MmJson *body,
+                   MmJson **response) {
   if (world->now_us < world->cloud_down_until_us) {
     *response = mm_json_error("trouble");
     return 503;
--- a/tests/world/fault-injection.c
+++ b/tests/world/fault-injection.c
@@ -109,7 +109,7 @@
 } ExpectedResponse;
 
 static void
-on_unusual_response(gpointer data, int status, json_t *body) {
+on_unusual_response(gpointer data, int status, MmJson *body) {
   ExpectedResponse *expected = data;
   const char *state = mm_json_string(body, WIRE_STATE);
 
@@ -124,7 +124,7 @@
 }
 
 static void
-send_unusual_request(World *world, const char *method, const char *path, json_t *body, int status,
+send_unusual_request(World *world, const char *method, const char *path, MmJson *body, int status,
                      const char *state, const char *description) {
   ExpectedResponse *expected = g_new(ExpectedResponse, 1);
   guint node = (guint)g_rand_int_range(world->rand, 0, WORLD_NODES);
@@ -134,31 +134,31 @@
                      on_unusual_response, expected);
 }
 
-static json_t *
+static MmJson *
 copy_body_with_new_id(World *world, const WorldJob *template) {
-  json_t *body = json_deep_copy(template->body);
+  MmJson *body = mm_json_copy(template->body);
   g_autofree char *id = g_strdup_printf("run-9%08u", ++world->last_job_number);
 
-  json_object_set_new(body, WIRE_JOB_ID, json_string(id));
+  mm_json_object_set(body, WIRE_JOB_ID, mm_json_new_string(id));
   return body;
 }
 
 void
 world_send_unusual_requests(World *world) {
   WorldJob *template = world_job_at(world, 0);
-  json_t *body = copy_body_with_new_id(world, template);
+  MmJson *body = copy_body_with_new_id(world, template);
   const char *field;
-  json_t *value;
+  MmJson *value;
 
-  json_object_set_new(body, WIRE_CORES, json_real(17));
+  mm_json_object_set(body, WIRE_CORES, mm_json_new_real(17));
   send_unusual_request(world, "POST", WIRE_JOBS_PATH, body, 422, NULL,
                        "submission of a job that fits no machine");
-  json_object_foreach(template->body, field, value) {
+  MM_JSON_OBJECT_FOREACH (template->body, field, value) {
     /* These two fields may be null and may therefore also be absent. */
     if (strcmp(field, WIRE_ZONE) == 0 || strcmp(field, WIRE_DEPENDENCIES) == 0)
       continue;
     body = copy_body_with_new_id(world, template);
-    json_object_del(body, field);
+    mm_json_object_remove(body, field);
     send_unusual_request(world, "POST", WIRE_JOBS_PATH, body, 400, NULL, field);
   }
   send_unusual_request(world, "GET", WIRE_JOBS_PATH "/run-555555555", NULL, 404, NULL,
@@ -171,7 +171,7 @@
     if (job->user_view == USER_SEES_DONE)
       send_unusual_request(world, "POST", path, NULL, 200, WIRE_DONE, job->id);
     else if (job->was_accepted)
-      send_unusual_request(world, "POST", WIRE_JOBS_PATH, json_deep_copy(job->body), 200, NULL,
+      send_unusual_request(world, "POST", WIRE_JOBS_PATH, mm_json_copy(job->body), 200, NULL,
                            job->id);
   }
 }
--- a/tests/world/formats.c
+++ b/tests/world/formats.c
@@ -11,20 +11,20 @@
 #define CHANGE_PROPAGATION_US (4 * G_USEC_PER_SEC)
 
 void
-world_set_format(World *world, json_t *value) {
-  const json_t *number = mm_json_get(value, "f");
-  json_t *change = value != NULL
-                       ? json_pack("{s:s, s:O}", WIRE_PUT, MM_KEY_FORMAT, WIRE_VALUE, value)
-                       : json_pack("{s:s}", WIRE_DELETE, MM_KEY_FORMAT);
-  g_autoptr(json_t) body = json_pack("{s:[], s:[o]}", WIRE_CONDITIONS, WIRE_OPERATIONS, change);
-  g_autoptr(json_t) answer = NULL;
+world_set_format(World *world, MmJson *value) {
+  const MmJson *number = mm_json_get(value, "f");
+  MmJson *change = value != NULL
+                       ? mm_json_pack("{s:s, s:O}", WIRE_PUT, MM_KEY_FORMAT, WIRE_VALUE, value)
+                       : mm_json_pack("{s:s}", WIRE_DELETE, MM_KEY_FORMAT);
+  g_autoptr(MmJson) body = mm_json_pack("{s:[], s:[o]}", WIRE_CONDITIONS, WIRE_OPERATIONS, change);
+  g_autoptr(MmJson) answer = NULL;
 
   g_assert_cmpint(world_kv_handle(world, "POST", WIRE_TXN_PATH, body, &answer), ==, 200);
   world->format = value == NULL
                       ? MM_FORMAT_LOWEST
-                      : (json_is_integer(number) ? (guint64)json_integer_value(number) : 0);
+                      : (mm_json_is_count(number) ? (guint64)mm_json_count_value(number) : 0);
   world->format_set_at_us = world->now_us;
-  json_decref(value);
+  mm_json_unref(value);
 }
 
 void
--- a/tests/world/internal.h
+++ b/tests/world/internal.h
@@ -57,7 +57,7 @@
  * changes. */
 void world_kv_watches_free(World *world);
 /* Records that a key changed in the current revision. Takes ownership of the event. */
-void world_kv_record_change(World *world, const char *path, json_t *event);
+void world_kv_record_change(World *world, const char *path, MmJson *event);
 /* Answers each watch that has changes or has timed out. A watch is not answered while the store
  * refuses requests of the node that opened the watch. */
 void world_kv_answer_watches(World *world);
@@ -104,9 +104,9 @@
   guint generation; /* generation of that node's process */
   char *method;
   char *path;
-  json_t *body;
+  MmJson *body;
   int status;
-  json_t *response_body;
+  MmJson *response_body;
   MmResponseCallback callback; /* NULL: no caller waits for the response */
   gpointer data;
   gboolean is_finished; /* the request was answered or has timed out */
@@ -115,7 +115,7 @@
 /* Allocates `size` bytes for a struct that begins with a WorldRequest. Takes ownership of the body.
  * The caller owns a reference; release it with world_request_release(). */
 gpointer world_request_new(gsize size, World *world, guint node, const char *method,
-                           const char *path, json_t *body);
+                           const char *path, MmJson *body);
 /* Schedules a callback that receives the request as its argument. The callback owns a reference to
  * the request and must release the reference. */
 void world_request_schedule(gpointer request, gint64 at_us, WorldCallback callback);
@@ -123,12 +123,12 @@
 void world_request_release(gpointer request);
 /* Calls the callback of the request with the response. Status 0 means that there is no response.
  * Only the first call for a request invokes the callback; every call drops a reference. */
-void world_request_finish(gpointer request, int status, json_t *response_body);
+void world_request_finish(gpointer request, int status, MmJson *response_body);
 
 /* requests-of-nodes.c */
 
 /* Implements MmPlatform.request of a node: sends a request to the key-value store, the cloud or a
  * worker. */
 void world_platform_request(gpointer data, MmTarget target, const char *address, const char *method,
-                            const char *path, const json_t *body, guint timeout_ms,
+                            const char *path, const MmJson *body, guint timeout_ms,
                             MmResponseCallback callback, gpointer callback_data);
--- a/tests/world/kv-store.c
+++ b/tests/world/kv-store.c
@@ -10,7 +10,7 @@
 
 static void
 key_free(gpointer data) {
-  json_decref(((WorldKey *)data)->value);
+  mm_json_unref(((WorldKey *)data)->value);
   g_free(data);
 }
 
@@ -39,16 +39,17 @@
 static void
 delete_key(World *world, const char *path) {
   if (g_tree_remove(world->keys, path))
-    world_kv_record_change(world, path, json_pack("{s:s}", WIRE_DELETE, path));
+    world_kv_record_change(world, path, mm_json_pack("{s:s}", WIRE_DELETE, path));
 }
 
 static void
-put_key(World *world, const char *path, json_t *value, guint64 lease_id) {
+put_key(World *world, const char *path, MmJson *value, guint64 lease_id) {
   WorldKey *key = g_new(WorldKey, 1);
 
-  *key = (WorldKey){ json_incref(value), world->revision, lease_id };
+  *key = (WorldKey){ mm_json_ref(value), world->revision, lease_id };
   g_tree_replace(world->keys, g_strdup(path), key);
-  world_kv_record_change(world, path, json_pack("{s:s, s:O}", WIRE_PUT, path, WIRE_VALUE, value));
+  world_kv_record_change(world, path,
+                         mm_json_pack("{s:s, s:O}", WIRE_PUT, path, WIRE_VALUE, value));
 }
 
 /* Paths of the keys attached to a lease, as collected by collect_leased_key. */
@@ -139,41 +140,42 @@
 }
 
 static gboolean
-is_too_large(const World *world, const json_t *conditions, const json_t *changes) {
+is_too_large(const World *world, const MmJson *conditions, const MmJson *changes) {
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  if (json_array_size(changes) > world->txn_ops || json_array_size(conditions) > 4 * world->txn_ops)
+  if (mm_json_array_size(changes) > world->txn_ops
+      || mm_json_array_size(conditions) > 4 * world->txn_ops)
     return TRUE;
-  json_array_foreach(changes, i,
-                     item) if (json_dumpb(json_object_get(item, WIRE_VALUE), NULL, 0, JSON_COMPACT)
-                               > world->value_bytes) return TRUE;
+  MM_JSON_ARRAY_FOREACH (changes, i, item)
+    if (mm_json_text_length(mm_json_get(item, WIRE_VALUE)) > world->value_bytes)
+      return TRUE;
   return FALSE;
 }
 
 /* Returns the keys whose versions differ from the versions in the conditions. The caller owns the
  * list. */
-static json_t *
-failed_conditions(const World *world, const json_t *conditions) {
-  json_t *failed = json_array();
+static MmJson *
+failed_conditions(const World *world, const MmJson *conditions) {
+  MmJson *failed = mm_json_new_array();
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(conditions, i, item) {
+  MM_JSON_ARRAY_FOREACH (conditions, i, item) {
     const char *path = mm_json_string(item, WIRE_KEY);
     const WorldKey *key = g_tree_lookup(world->keys, path);
     if ((key != NULL ? key->version : 0) != mm_json_count(item, WIRE_VERSION, 0))
-      json_array_append_new(failed, json_string(path));
+      mm_json_array_append(failed, mm_json_new_string(path));
   }
   return failed;
 }
 
 static gboolean
-all_leases_exist(const World *world, const json_t *changes) {
+all_leases_exist(const World *world, const MmJson *changes) {
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(changes, i, item) {
+  MM_JSON_ARRAY_FOREACH (changes, i, item) {
     guint64 lease_id = mm_json_count(item, WIRE_LEASE, 0);
     if (lease_id != 0 && g_hash_table_lookup(world->leases, &lease_id) == NULL)
       return FALSE;
@@ -182,16 +184,16 @@
 }
 
 static void
-apply_changes(World *world, const json_t *changes) {
+apply_changes(World *world, const MmJson *changes) {
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  if (json_array_size(changes) > 0)
+  if (mm_json_array_size(changes) > 0)
     world->revision++;
-  json_array_foreach(changes, i, item) {
+  MM_JSON_ARRAY_FOREACH (changes, i, item) {
     world->n_writes++;
     if (mm_json_string(item, WIRE_PUT) != NULL)
-      put_key(world, mm_json_string(item, WIRE_PUT), json_object_get(item, WIRE_VALUE),
+      put_key(world, mm_json_string(item, WIRE_PUT), mm_json_get(item, WIRE_VALUE),
               mm_json_count(item, WIRE_LEASE, 0));
     else
       delete_key(world, mm_json_string(item, WIRE_DELETE));
@@ -199,10 +201,10 @@
 }
 
 static int
-commit_transaction(World *world, const json_t *body, json_t **response) {
-  const json_t *conditions = json_object_get(body, WIRE_CONDITIONS),
-               *changes = json_object_get(body, WIRE_OPERATIONS);
-  g_autoptr(json_t) failed = NULL;
+commit_transaction(World *world, const MmJson *body, MmJson **response) {
+  const MmJson *conditions = mm_json_get(body, WIRE_CONDITIONS),
+               *changes = mm_json_get(body, WIRE_OPERATIONS);
+  g_autoptr(MmJson) failed = NULL;
 
   if (world->has_unannounced_limits && is_too_large(world, conditions, changes)) {
     world->n_too_large++;
@@ -210,14 +212,14 @@
     return 400;
   }
   g_assert_false(is_too_large(world, conditions, changes));
-  if (!is_within_write_rate(world, json_array_size(changes))) {
+  if (!is_within_write_rate(world, mm_json_array_size(changes))) {
     *response = mm_json_error("too many changes");
     return 429;
   }
   failed = failed_conditions(world, conditions);
-  if (json_array_size(failed) > 0) {
-    *response = json_pack("{s:O, s:I}", WIRE_CONFLICT, failed, WIRE_REVISION,
-                          (json_int_t)world->revision);
+  if (mm_json_array_size(failed) > 0) {
+    *response = mm_json_pack("{s:O, s:I}", WIRE_CONFLICT, failed, WIRE_REVISION,
+                             (guint64)world->revision);
     world->n_conflicts++;
     return 409;
   }
@@ -226,7 +228,7 @@
     return 400;
   }
   apply_changes(world, changes);
-  *response = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->revision);
+  *response = mm_json_pack("{s:I}", WIRE_REVISION, (guint64)world->revision);
   world_kv_answer_watches(world);
   return 200;
 }
@@ -237,7 +239,7 @@
   const char *prefix;
   const char *after; /* NULL: from the first key */
   guint64 max_items;
-  json_t *items;
+  MmJson *items;
   gboolean has_more;
 } KeyPage;
 
@@ -249,66 +251,66 @@
   if (!g_str_has_prefix(path, page->prefix)
       || (page->after != NULL && strcmp(path, page->after) <= 0))
     return FALSE;
-  if (json_array_size(page->items) >= page->max_items) {
+  if (mm_json_array_size(page->items) >= page->max_items) {
     page->has_more = TRUE;
     return TRUE;
   }
-  json_array_append_new(page->items, json_pack("{s:s, s:O, s:I}", WIRE_KEY, path, WIRE_VALUE,
-                                               key->value, WIRE_VERSION, (json_int_t)key->version));
+  mm_json_array_append(page->items, mm_json_pack("{s:s, s:O, s:I}", WIRE_KEY, path, WIRE_VALUE,
+                                                 key->value, WIRE_VERSION, (guint64)key->version));
   return FALSE;
 }
 
 static int
-list_keys(World *world, const char *path, json_t **response) {
+list_keys(World *world, const char *path, MmJson **response) {
   g_autofree char *prefix = world_kv_query_parameter(path, WIRE_PREFIX);
   g_autofree char *after = world_kv_query_parameter(path, WIRE_AFTER);
-  KeyPage page = { prefix, after, KEYS_PER_PAGE, json_array(), FALSE };
+  KeyPage page = { prefix, after, KEYS_PER_PAGE, mm_json_new_array(), FALSE };
 
   g_tree_foreach(world->keys, append_key, &page);
-  *response = json_pack("{s:o, s:b, s:I}", WIRE_ITEMS, page.items, WIRE_MORE, page.has_more,
-                        WIRE_REVISION, (json_int_t)world->revision);
+  *response = mm_json_pack("{s:o, s:b, s:I}", WIRE_ITEMS, page.items, WIRE_MORE, page.has_more,
+                           WIRE_REVISION, (guint64)world->revision);
   return 200;
 }
 
 static int
-get_key(const World *world, const char *key_path, json_t **response) {
+get_key(const World *world, const char *key_path, MmJson **response) {
   const WorldKey *key = g_tree_lookup(world->keys, key_path);
 
   if (key == NULL) {
-    *response = json_pack("{s:I}", WIRE_REVISION, (json_int_t)world->revision);
+    *response = mm_json_pack("{s:I}", WIRE_REVISION, (guint64)world->revision);
     return 404;
   }
   *response
-      = json_pack("{s:O, s:I}", WIRE_VALUE, key->value, WIRE_VERSION, (json_int_t)key->version);
+      = mm_json_pack("{s:O, s:I}", WIRE_VALUE, key->value, WIRE_VERSION, (guint64)key->version);
   return 200;
 }
 
 static int
-grant_lease(World *world, const json_t *body, json_t **response) {
+grant_lease(World *world, const MmJson *body, MmJson **response) {
   WorldLease *lease = g_new(WorldLease, 1);
 
   lease->id = ++world->last_lease_id;
   lease->ttl_us = (gint64)mm_json_count(body, WIRE_TTL, 0) * 1000;
   lease->expires_at_us = world->now_us + lease->ttl_us;
   g_hash_table_insert(world->leases, &lease->id, lease);
-  *response = json_pack("{s:I}", WIRE_LEASE, (json_int_t)lease->id);
+  *response = mm_json_pack("{s:I}", WIRE_LEASE, (guint64)lease->id);
   return 200;
 }
 
 static int
-renew_lease(World *world, guint64 id, json_t **response) {
+renew_lease(World *world, guint64 id, MmJson **response) {
   WorldLease *lease = g_hash_table_lookup(world->leases, &id);
 
   if (lease == NULL)
     return 404;
   lease->expires_at_us = world->now_us + lease->ttl_us;
-  *response = json_object();
+  *response = mm_json_new_object();
   return 200;
 }
 
 int
-world_kv_handle(World *world, const char *method, const char *path, const json_t *body,
-                json_t **response) {
+world_kv_handle(World *world, const char *method, const char *path, const MmJson *body,
+                MmJson **response) {
   if (strcmp(path, WIRE_TXN_PATH) == 0)
     return commit_transaction(world, body, response);
   if (g_str_has_prefix(path, WIRE_KEYS_PATH "?"))
--- a/tests/world/kv-watches.c
+++ b/tests/world/kv-watches.c
@@ -23,12 +23,12 @@
 typedef struct {
   guint64 revision;
   char *path;
-  json_t *event;
+  MmJson *event;
 } KeyChange;
 
 static void
 change_free(gpointer data) {
-  json_decref(((KeyChange *)data)->event);
+  mm_json_unref(((KeyChange *)data)->event);
   g_free(((KeyChange *)data)->path);
   g_free(data);
 }
@@ -56,25 +56,25 @@
 }
 
 void
-world_kv_record_change(World *world, const char *path, json_t *event) {
+world_kv_record_change(World *world, const char *path, MmJson *event) {
   KeyChange *change = g_new(KeyChange, 1);
 
-  json_object_set_new(event, WIRE_VERSION, json_integer((json_int_t)world->revision));
+  mm_json_object_set(event, WIRE_VERSION, mm_json_new_count((guint64)world->revision));
   *change = (KeyChange){ world->revision, g_strdup(path), event };
   g_ptr_array_add(world->changes, change);
 }
 
 /* Returns the changes after the watch's revision, in order. The caller owns the list. */
-static json_t *
+static MmJson *
 watched_changes(const World *world, const Watch *watch) {
-  json_t *events = json_array();
+  MmJson *events = mm_json_new_array();
 
   for (guint k = world->changes->len; k > 0; k--) {
     const KeyChange *change = g_ptr_array_index(world->changes, k - 1);
     if (change->revision <= watch->after_revision)
       break;
     if (g_str_has_prefix(change->path, watch->prefix))
-      json_array_insert(events, 0, change->event);
+      mm_json_array_insert(events, 0, mm_json_ref(change->event));
   }
   return events;
 }
@@ -83,23 +83,23 @@
 world_kv_answer_watches(World *world) {
   for (guint i = 0; i < world->watches->len; i++) {
     Watch *watch = g_ptr_array_index(world->watches, i);
-    g_autoptr(json_t) response = NULL;
-    json_t *events;
+    g_autoptr(MmJson) response = NULL;
+    MmJson *events;
 
     if (watch->is_answered || world->now_us < world->outage_until_us
         || world->now_us < world->nodes[watch->node].kv_refuses_until_us)
       continue;
     events = watched_changes(world, watch);
-    if (json_array_size(events) == 0 && world->now_us < watch->expires_at_us) {
-      json_decref(events);
+    if (mm_json_array_size(events) == 0 && world->now_us < watch->expires_at_us) {
+      mm_json_unref(events);
       continue;
     }
     response
-        = json_pack("{s:I, s:o}", WIRE_REVISION, (json_int_t)world->revision, WIRE_EVENTS, events);
+        = mm_json_pack("{s:I, s:o}", WIRE_REVISION, (guint64)world->revision, WIRE_EVENTS, events);
     watch->is_answered = TRUE;
     if (world->now_us < watch->expires_at_us + WATCH_CLIENT_TIMEOUT_US)
       world->most_changes_at_once
-          = MAX(world->most_changes_at_once, (guint)json_array_size(events));
+          = MAX(world->most_changes_at_once, (guint)mm_json_array_size(events));
     watch->callback(watch->data, 200, response);
   }
   for (guint i = world->watches->len; i > 0; i--)
--- a/tests/world/pipelines.c
+++ b/tests/world/pipelines.c
@@ -5,14 +5,14 @@
 #include "base/wire.h"
 
 WorldJob *
-world_submit_dependent(World *world, json_t *overrides, double run_s, WorldJob *const *dependencies,
+world_submit_dependent(World *world, MmJson *overrides, double run_s, WorldJob *const *dependencies,
                        guint n_dependencies) {
-  json_t *list = json_array();
+  MmJson *list = mm_json_new_array();
   WorldJob *job;
 
   for (guint i = 0; i < n_dependencies; i++)
-    json_array_append_new(list, json_string(dependencies[i]->id));
-  json_object_set_new(overrides, WIRE_DEPENDENCIES, list);
+    mm_json_array_append(list, mm_json_new_string(dependencies[i]->id));
+  mm_json_object_set(overrides, WIRE_DEPENDENCIES, list);
   job = world_submit(world, overrides, run_s);
   for (guint i = 0; i < n_dependencies; i++)
     g_ptr_array_add(job->dependencies, dependencies[i]);
--- a/tests/world/request.c
+++ b/tests/world/request.c
@@ -3,7 +3,7 @@
 
 gpointer
 world_request_new(gsize size, World *world, guint node, const char *method, const char *path,
-                  json_t *body) {
+                  MmJson *body) {
   WorldRequest *request = g_rc_box_alloc0(size);
 
   request->world = world;
@@ -18,8 +18,8 @@
 request_clear(gpointer data) {
   WorldRequest *request = data;
 
-  json_decref(request->response_body);
-  json_decref(request->body);
+  mm_json_unref(request->response_body);
+  mm_json_unref(request->body);
   g_free(request->method);
   g_free(request->path);
 }
@@ -35,7 +35,7 @@
 }
 
 void
-world_request_finish(gpointer request, int status, json_t *response_body) {
+world_request_finish(gpointer request, int status, MmJson *response_body) {
   WorldRequest *base = request;
 
   if (!base->is_finished) {
--- a/tests/world/requests-of-nodes.c
+++ b/tests/world/requests-of-nodes.c
@@ -42,7 +42,7 @@
 }
 
 static void
-on_watch_response(gpointer data, int status, json_t *body) {
+on_watch_response(gpointer data, int status, MmJson *body) {
   NodeRequest *request = data;
   WorldRequest *base = &request->base;
   World *world = base->world;
@@ -51,7 +51,7 @@
   if (!base->is_finished && world->now_us >= world_node->partitioned_until_us
       && world->now_us >= world_node->watches_lost_until_us) {
     base->status = is_sender_alive(base) ? status : 0;
-    base->response_body = json_incref(body);
+    base->response_body = mm_json_ref(body);
     world_request_schedule(request, world->now_us + world_network_delay(world),
                            node_request_respond);
   }
@@ -167,14 +167,14 @@
 /* Returns whether the request is a transaction that must be applied late according to the world's
  * parameters. May draw a random number. */
 static gboolean
-should_apply_late(World *world, const char *path, const json_t *body) {
-  const json_t *changes = mm_json_get(body, WIRE_OPERATIONS);
+should_apply_late(World *world, const char *path, const MmJson *body) {
+  const MmJson *changes = mm_json_get(body, WIRE_OPERATIONS);
   size_t i;
-  json_t *item;
+  MmJson *item;
 
   if (strcmp(path, WIRE_TXN_PATH) != 0)
     return FALSE;
-  json_array_foreach(changes, i, item) {
+  MM_JSON_ARRAY_FOREACH (changes, i, item) {
     const char *key = mm_json_string(item, WIRE_PUT);
     if (world->delays_acquisitions && key != NULL
         && (g_str_has_prefix(key, MM_KEY_SHARD) || g_str_has_prefix(key, MM_KEY_MACHINE_GROUPS)))
@@ -185,9 +185,9 @@
 
 static NodeRequest *
 node_request_new(const WorldNode *world_node, MmTarget target, const char *address,
-                 const char *method, const char *path, const json_t *body) {
+                 const char *method, const char *path, const MmJson *body) {
   NodeRequest *request = world_request_new(sizeof *request, world_node->world, world_node->index,
-                                           method, path, json_deep_copy(body));
+                                           method, path, mm_json_copy(body));
 
   request->base.generation = world_node->generation;
   request->target = target;
@@ -200,7 +200,7 @@
  * by half the time-out plus 0.5 s, so that the node may time out before the response arrives. A
  * request whose delay reaches the time-out is lost too. */
 static void
-node_request_send(NodeRequest *request, const json_t *body, gint64 timeout_us) {
+node_request_send(NodeRequest *request, const MmJson *body, gint64 timeout_us) {
   World *world = request->base.world;
   gint64 delay_us = world_network_delay(world);
 
@@ -232,7 +232,7 @@
 
 void
 world_platform_request(gpointer data, MmTarget target, const char *address, const char *method,
-                       const char *path, const json_t *body, guint timeout_ms,
+                       const char *path, const MmJson *body, guint timeout_ms,
                        MmResponseCallback callback, gpointer callback_data) {
   const WorldNode *world_node = data;
   World *world = world_node->world;
--- a/tests/world/requests-to-nodes.c
+++ b/tests/world/requests-to-nodes.c
@@ -35,7 +35,7 @@
 }
 
 static void
-inbound_request_respond(MmHttpExchange *exchange, int status, json_t *body, guint retry_after_s) {
+inbound_request_respond(MmHttpExchange *exchange, int status, MmJson *body, guint retry_after_s) {
   InboundRequest *request
       = (InboundRequest *)((char *)exchange - G_STRUCT_OFFSET(InboundRequest, exchange));
   WorldRequest *base = &request->base;
@@ -100,7 +100,7 @@
 inbound_request_duplicate(World *world, guint index, const InboundRequest *request, gint64 at_us) {
   InboundRequest *duplicate
       = world_request_new(sizeof *duplicate, world, index, request->base.method, request->base.path,
-                          json_deep_copy(request->base.body));
+                          mm_json_copy(request->base.body));
 
   duplicate->exchange.respond = inbound_request_respond;
   duplicate->duplicate_of = request->sender;
@@ -142,7 +142,7 @@
 
 void
 world_send_request(World *world, guint index, WorldMachine *sender, const char *method,
-                   const char *path, json_t *body, gint64 timeout_us, MmResponseCallback callback,
+                   const char *path, MmJson *body, gint64 timeout_us, MmResponseCallback callback,
                    gpointer data) {
   InboundRequest *request;
   gint64 delay_us = world_network_delay(world);
@@ -163,6 +163,6 @@
 }
 
 void
-world_record_status(gpointer data, int status, json_t *body) {
+world_record_status(gpointer data, int status, MmJson *body) {
   *(int *)data = status;
 }
--- a/tests/world/sharing.c
+++ b/tests/world/sharing.c
@@ -115,7 +115,7 @@
 }
 
 static double
-task_cores(World *world, const json_t *task) {
+task_cores(World *world, const MmJson *task) {
   const char *task_name = mm_json_string(task, WIRE_TASK);
   g_autofree char *id = g_strndup(task_name, strcspn(task_name, "/"));
   const WorldJob *job = world_find_job(world, id);
@@ -124,12 +124,12 @@
 }
 
 static double
-free_cores(World *world, const json_t *heartbeat) {
+free_cores(World *world, const MmJson *heartbeat) {
   double cores = world_type_cores(mm_json_string(heartbeat, WIRE_TYPE));
   size_t i;
-  json_t *task;
+  MmJson *task;
 
-  json_array_foreach(json_object_get(heartbeat, "kits"), i, task) {
+  MM_JSON_ARRAY_FOREACH (mm_json_get(heartbeat, "kits"), i, task) {
     if (g_strcmp0(mm_json_string(task, WIRE_STATE), "ended") != 0)
       cores -= task_cores(world, task);
   }
@@ -137,12 +137,12 @@
 }
 
 static double
-started_cores(World *world, const json_t *response) {
+started_cores(World *world, const MmJson *response) {
   double cores = 0;
   size_t i;
-  json_t *command;
+  MmJson *command;
 
-  json_array_foreach(json_object_get(response, WIRE_COMMANDS), i, command) {
+  MM_JSON_ARRAY_FOREACH (mm_json_get(response, WIRE_COMMANDS), i, command) {
     if (g_strcmp0(mm_json_string(command, WIRE_COMMAND_KIND), WIRE_START) == 0)
       cores += task_cores(world, command);
   }
@@ -150,8 +150,8 @@
 }
 
 void
-world_check_heartbeat_response(World *world, guint node, const json_t *heartbeat,
-                               const json_t *response) {
+world_check_heartbeat_response(World *world, guint node, const MmJson *heartbeat,
+                               const MmJson *response) {
   const MmNode *controller = world->nodes[node].node;
   double cores = started_cores(world, response);
   char *key;
@@ -177,7 +177,7 @@
 }
 
 static void
-on_move_response(gpointer data, int status, json_t *body) {
+on_move_response(gpointer data, int status, MmJson *body) {
   World *world = data;
 
   world->n_moves_started += status == 202;
@@ -191,7 +191,7 @@
   g_autofree char *path = g_strdup_printf(MM_ADMIN_GROUPS_PATH "/%u/move", group);
   g_autofree char *label = g_strdup_printf("n-%u", target);
 
-  world_send_request(world, via_node, NULL, "POST", path, json_pack("{s:s}", MM_ADMIN_TO, label),
+  world_send_request(world, via_node, NULL, "POST", path, mm_json_pack("{s:s}", MM_ADMIN_TO, label),
                      2 * SECOND, on_move_response, world);
 }
 
--- a/tests/world/types.h
+++ b/tests/world/types.h
@@ -63,7 +63,7 @@
 struct WorldJob {
   World *world;
   char id[32];
-  json_t *body; /* body of the submission request */
+  MmJson *body; /* body of the submission request */
   MmJobSpec spec;
   GPtrArray *dependencies; /* WorldJob, not owned */
   double run_s;            /* run time of each task, varied randomly by up to a fifth */
@@ -140,7 +140,7 @@
 
 /* A key of the simulated key-value store. */
 typedef struct {
-  json_t *value;
+  MmJson *value;
   guint64 version;
   guint64 lease_id; /* 0: the key is not attached to a lease */
 } WorldKey;
@@ -164,7 +164,7 @@
                                   WorldTaskEvent event);
 /* Replaces world_send_request() and has the same contract. Takes ownership of the body. */
 typedef void (*WorldRequestHandler)(World *world, guint index, const char *method, const char *path,
-                                    json_t *body, gint64 timeout_us, MmResponseCallback answered,
+                                    MmJson *body, gint64 timeout_us, MmResponseCallback answered,
                                     gpointer data);
 
 struct World {
@@ -241,7 +241,7 @@
   /* Cloud */
   GPtrArray *machines;       /* WorldMachine */
   guint last_machine_number; /* number in the name of the most recent machine */
-  /* Id of a launch request -> json_t response. A repeated request gets the same response again. */
+  /* Id of a launch request -> MmJson response. A repeated request gets the same response again. */
   GHashTable *launch_responses;
   gint64 cloud_down_until_us;
 
--- a/tests/world/upgrade.c
+++ b/tests/world/upgrade.c
@@ -6,23 +6,23 @@
 #include "kv/kv-client.h"
 
 void
-world_downgrade_request(const World *world, guint node, json_t *request) {
-  json_t *changes = json_object_get(request, WIRE_OPERATIONS);
+world_downgrade_request(const World *world, guint node, MmJson *request) {
+  MmJson *changes = mm_json_get(request, WIRE_OPERATIONS);
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  for (i = json_array_size(changes); i > 0; i--) {
-    const char *key = mm_json_string(json_array_get(changes, i - 1), WIRE_PUT);
+  for (i = mm_json_array_size(changes); i > 0; i--) {
+    const char *key = mm_json_string(mm_json_array_get(changes, i - 1), WIRE_PUT);
     if (key != NULL && g_str_has_prefix(key, MM_KEY_NODE_VERSION))
-      json_array_remove(changes, i - 1);
+      mm_json_array_remove(changes, i - 1);
   }
-  json_array_foreach(changes, i, item) {
+  MM_JSON_ARRAY_FOREACH (changes, i, item) {
     const char *key = mm_json_string(item, WIRE_PUT);
-    json_t *value = json_object_get(item, WIRE_VALUE);
+    MmJson *value = mm_json_get(item, WIRE_VALUE);
     if (key == NULL)
       continue;
     if (g_str_has_prefix(key, MM_KEY_TERMINAL_RECORD))
-      json_object_del(value, "t");
+      mm_json_object_remove(value, "t");
     /* The old release does not know the dependency field. It would drop the field if it rewrote the
      * record. */
     if (g_str_has_prefix(key, MM_KEY_JOB) && mm_json_get(value, "w") != NULL)
--- a/tests/world/users.c
+++ b/tests/world/users.c
@@ -61,7 +61,7 @@
 }
 
 static void
-record_job_state(const UserRequest *request, const json_t *body) {
+record_job_state(const UserRequest *request, const MmJson *body) {
   WorldJob *job = request->job;
   World *world = job->world;
   const char *state = mm_json_string(body, WIRE_STATE);
@@ -93,7 +93,7 @@
 }
 
 static void
-on_submit_response(gpointer data, int status, json_t *body) {
+on_submit_response(gpointer data, int status, MmJson *body) {
   g_autofree UserRequest *request = data;
   WorldJob *job = request->job;
   World *world = job->world;
@@ -119,12 +119,12 @@
   if (job->world->is_shutting_down)
     return;
   world_send_request(job->world, pick_node(job->world), NULL, "POST", WIRE_JOBS_PATH,
-                     json_deep_copy(job->body), 5 * (gint64)G_USEC_PER_SEC, on_submit_response,
+                     mm_json_copy(job->body), 5 * (gint64)G_USEC_PER_SEC, on_submit_response,
                      user_request_new(job));
 }
 
 static void
-on_resubmit_response(gpointer data, int status, json_t *body) {
+on_resubmit_response(gpointer data, int status, MmJson *body) {
   g_autofree UserRequest *request = data;
   WorldJob *job = request->job;
 
@@ -137,7 +137,7 @@
 }
 
 static void
-on_poll_response(gpointer data, int status, json_t *body) {
+on_poll_response(gpointer data, int status, MmJson *body) {
   g_autofree UserRequest *request = data;
   WorldJob *job = request->job;
   World *world = job->world;
@@ -149,7 +149,7 @@
   /* Users continue to poll finished jobs, but less often, and sometimes submit a job again. */
   if (world_uniform(world, 0, 1) < 0.05)
     world_send_request(world, pick_node(world), NULL, "POST", WIRE_JOBS_PATH,
-                       json_deep_copy(job->body), 5 * (gint64)G_USEC_PER_SEC, on_resubmit_response,
+                       mm_json_copy(job->body), 5 * (gint64)G_USEC_PER_SEC, on_resubmit_response,
                        user_request_new(job));
   world_schedule(world,
                  world->now_us
@@ -168,7 +168,7 @@
 }
 
 static void
-on_cancel_response(gpointer data, int status, json_t *body) {
+on_cancel_response(gpointer data, int status, MmJson *body) {
   g_autofree UserRequest *request = data;
   WorldJob *job = request->job;
 
@@ -200,29 +200,31 @@
 }
 
 static void
-on_unknown_job_response(gpointer data, int status, json_t *body) {
+on_unknown_job_response(gpointer data, int status, MmJson *body) {
   if (status == 200)
     world_report_violation(
         data, "invented: query of a job that was never submitted answered with status 200");
 }
 
 WorldJob *
-world_submit(World *world, json_t *overrides, double run_s) {
+world_submit(World *world, MmJson *overrides, double run_s) {
   WorldJob *job = g_new0(WorldJob, 1);
-  const char *reason = NULL;
+  const char *reason = NULL, *field;
+  MmJson *value;
 
   job->world = world;
   job->run_s = run_s;
   job->submitted_at_us = world->now_us;
   g_snprintf(job->id, sizeof job->id, "run-%06u", (++world->last_job_number * 7919) % 1000000);
-  job->body = json_pack(
+  job->body = mm_json_pack(
       "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:b, s:b, s:b, s:f, s:f, s:f}",
       WIRE_JOB_ID, job->id, WIRE_CLASS, "work", WIRE_TEAM, "team-0", WIRE_KIND, WIRE_KIND_ARRAY,
       WIRE_PRIORITY, "normal", WIRE_TASKS, 4, WIRE_CORES, 2.0, WIRE_ACCELERATORS, 0.0, WIRE_MEMORY,
       4.0, WIRE_IMAGE, "img-1", WIRE_IMAGE_GB, 1.0, WIRE_ONE_ZONE, 0, WIRE_SPREAD, 0, WIRE_SPOT, 1,
       WIRE_ESTIMATE, run_s, WIRE_CHECKPOINT_INTERVAL, 0.0, WIRE_CHECKPOINT_DURATION, 0.0);
-  json_object_update(job->body, overrides);
-  json_decref(overrides);
+  MM_JSON_OBJECT_FOREACH (overrides, field, value)
+    mm_json_object_set(job->body, field, mm_json_ref(value));
+  mm_json_unref(overrides);
   g_assert_true(mm_job_spec_parse(&job->spec, job->body, &reason));
   job->is_task_done = g_new0(gboolean, job->spec.n_tasks);
   job->dependencies = g_ptr_array_new();
@@ -233,7 +235,7 @@
   return job;
 }
 
-json_t *
+MmJson *
 world_random_job_body(World *world) {
   static const char *const kinds[]
       = { WIRE_KIND_ARRAY, WIRE_KIND_ARRAY, WIRE_KIND_SERVICE, WIRE_KIND_GANG };
@@ -242,13 +244,13 @@
   g_autofree char *team = g_strdup_printf("team-%d", g_rand_int_range(world->rand, 0, 4));
   g_autofree char *image = g_strdup_printf("img-%d", g_rand_int_range(world->rand, 0, 5));
   gint max_tasks = kind < 2 ? 9 : 5;
-  json_t *job = json_pack(
+  MmJson *job = mm_json_pack(
       "{s:s, s:s, s:s, s:s, s:i, s:b, s:b, s:b}", WIRE_TEAM, team, WIRE_KIND, kinds[kind],
       WIRE_IMAGE, image, WIRE_PRIORITY, priorities[g_rand_int_range(world->rand, 0, 4)], WIRE_TASKS,
       g_rand_int_range(world->rand, 1, max_tasks), WIRE_SPOT, g_rand_boolean(world->rand),
       WIRE_SPREAD, kind == 2, WIRE_ONE_ZONE, kind == 3 && g_rand_boolean(world->rand));
 
   if (world_uniform(world, 0, 1) < 0.2)
-    json_object_set_new(job, WIRE_ZONE, json_string("b"));
+    mm_json_object_set(job, WIRE_ZONE, mm_json_new_string("b"));
   return job;
 }
--- a/tests/world/worker.c
+++ b/tests/world/worker.c
@@ -39,42 +39,41 @@
   worker_tick(machine);
 }
 
-json_t *
+MmJson *
 world_machine_heartbeat(WorldMachine *machine) {
   World *world = machine->world;
-  json_t *tasks = json_array();
-  json_t *heartbeat;
+  MmJson *tasks = mm_json_new_array();
+  MmJson *heartbeat;
 
   machine->sequence++;
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WorldTask *task = g_ptr_array_index(machine->tasks, i);
     g_autofree char *name = g_strdup_printf("%s/%u", task->job->id, task->number);
-    json_t *item
-        = json_pack("{s:s, s:I, s:s}", WIRE_TASK, name, WIRE_ATTEMPT, (json_int_t)task->attempt,
-                    WIRE_STATE, reported_state_names[task->state]);
+    MmJson *item
+        = mm_json_pack("{s:s, s:I, s:s}", WIRE_TASK, name, WIRE_ATTEMPT, (guint64)task->attempt,
+                       WIRE_STATE, reported_state_names[task->state]);
     if (task->state == MM_REPORTED_ENDED)
-      json_object_set_new(item, WIRE_CAUSE, json_string(world_task_cause_name(task)));
-    json_array_append_new(tasks, item);
+      mm_json_object_set(item, WIRE_CAUSE, mm_json_new_string(world_task_cause_name(task)));
+    mm_json_array_append(tasks, item);
   }
-  heartbeat
-      = json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:o}", WIRE_MACHINE, machine->id,
-                  WIRE_ADDRESS, machine->address, WIRE_TYPE, machine->type, WIRE_ZONE,
-                  machine->zone, WIRE_SPOT, machine->is_spot, WIRE_INCARNATION,
-                  (json_int_t)machine->incarnation, WIRE_SEQUENCE, (json_int_t)machine->sequence,
-                  WIRE_FENCING_TOKEN, (json_int_t)machine->fencing_token, "kits", tasks);
+  heartbeat = mm_json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:o}", WIRE_MACHINE,
+                           machine->id, WIRE_ADDRESS, machine->address, WIRE_TYPE, machine->type,
+                           WIRE_ZONE, machine->zone, WIRE_SPOT, machine->is_spot, WIRE_INCARNATION,
+                           (guint64)machine->incarnation, WIRE_SEQUENCE, (guint64)machine->sequence,
+                           WIRE_FENCING_TOKEN, (guint64)machine->fencing_token, "kits", tasks);
   if (machine->termination_notice_at_us != 0)
-    json_object_set_new(
+    mm_json_object_set(
         heartbeat, WIRE_TERMINATION_NOTICE,
-        json_real((double)(machine->reclaimed_at_us - world->now_us) / G_USEC_PER_SEC));
+        mm_json_new_real((double)(machine->reclaimed_at_us - world->now_us) / G_USEC_PER_SEC));
   return heartbeat;
 }
 
 static void
-execute_commands(WorldMachine *machine, const json_t *commands) {
+execute_commands(WorldMachine *machine, const MmJson *commands) {
   size_t i;
-  json_t *item;
+  MmJson *item;
 
-  json_array_foreach(commands, i, item) {
+  MM_JSON_ARRAY_FOREACH (commands, i, item) {
     const char *kind = mm_json_string(item, WIRE_COMMAND_KIND),
                *task_name = mm_json_string(item, WIRE_TASK);
     const char *slash = strrchr(task_name, '/');
@@ -100,15 +99,15 @@
 }
 
 int
-world_machine_handle_direct(WorldMachine *machine, const json_t *body, json_t **response) {
+world_machine_handle_direct(WorldMachine *machine, const MmJson *body, MmJson **response) {
   guint64 fencing_token = mm_json_count(body, WIRE_FENCING_TOKEN, 0);
   size_t i;
-  json_t *item;
+  MmJson *item;
 
   /* Nodes must not send starts as direct commands, because a direct command may be executed minutes
    * late. */
-  json_array_foreach(json_object_get(body, WIRE_COMMANDS), i,
-                     item) if (g_strcmp0(mm_json_string(item, WIRE_COMMAND_KIND), WIRE_START) == 0)
+  MM_JSON_ARRAY_FOREACH (mm_json_get(body, WIRE_COMMANDS), i, item)
+    if (g_strcmp0(mm_json_string(item, WIRE_COMMAND_KIND), WIRE_START) == 0)
       world_report_violation(machine->world,
                              "direct_start: start command sent as a direct command to machine %s",
                              machine->id);
@@ -119,7 +118,7 @@
   }
   machine->has_changed = machine->has_changed || fencing_token > machine->fencing_token;
   machine->fencing_token = fencing_token;
-  execute_commands(machine, json_object_get(body, WIRE_COMMANDS));
+  execute_commands(machine, mm_json_get(body, WIRE_COMMANDS));
   *response = world_machine_heartbeat(machine);
   return 200;
 }
@@ -134,7 +133,7 @@
 } HeartbeatRequest;
 
 static void
-on_heartbeat_response(gpointer data, int status, json_t *body) {
+on_heartbeat_response(gpointer data, int status, MmJson *body) {
   HeartbeatRequest *request = data;
   WorldMachine *machine = request->machine;
   World *world = machine->world;
@@ -148,7 +147,7 @@
           && fencing_token >= machine->fencing_token) {
         machine->fencing_token = fencing_token;
         machine->lease_renewed_at_us = request->sent_at_us;
-        execute_commands(machine, json_object_get(body, WIRE_COMMANDS));
+        execute_commands(machine, mm_json_get(body, WIRE_COMMANDS));
       }
     } else if (status == 421 && redirect_label != NULL) {
       machine->serving_node = (guint)atoi(redirect_label + 2);
@@ -169,8 +168,8 @@
 /* Reports a violation if the heartbeat is longer than a request may be. A node would refuse it, and
  * the machine would lose its lease with all its tasks. */
 static void
-check_length(World *world, const WorldMachine *machine, const json_t *heartbeat) {
-  gsize length = json_dumpb(heartbeat, NULL, 0, 0);
+check_length(World *world, const WorldMachine *machine, const MmJson *heartbeat) {
+  gsize length = mm_json_text_length(heartbeat);
 
   if (length > REQUEST_BYTES_MAX)
     world_report_violation(world,
@@ -195,7 +194,7 @@
   if (world->now_us < machine->outbound_lost_until_us)
     world_schedule(world, world->now_us + 500000, on_connect_failure, request);
   else {
-    json_t *heartbeat = world_machine_heartbeat(machine);
+    MmJson *heartbeat = world_machine_heartbeat(machine);
     check_length(world, machine, heartbeat);
     world_send_request(world, machine->serving_node, machine, "POST", WIRE_HEARTBEAT_PATH,
                        heartbeat, WORLD_HEARTBEAT_TIMEOUT_US, on_heartbeat_response, request);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -53,7 +53,7 @@
   world->jobs = g_ptr_array_new();
   world->cores_granted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   world->launch_responses
-      = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
+      = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)mm_json_unref);
   world_kv_init(world);
   return world;
 }
@@ -105,7 +105,7 @@
 free_jobs(World *world) {
   for (guint i = 0; i < world->jobs->len; i++) {
     WorldJob *job = world_job_at(world, i);
-    json_decref(job->body);
+    mm_json_unref(job->body);
     mm_job_spec_clear(&job->spec);
     g_ptr_array_unref(job->dependencies);
     g_free(job->is_task_done);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -68,10 +68,10 @@
  * of the body. `callback` is called once, with status 0 if no response arrived within
  * `timeout_us`. */
 void world_send_request(World *world, guint index, WorldMachine *sender, const char *method,
-                        const char *path, json_t *body, gint64 timeout_us,
+                        const char *path, MmJson *body, gint64 timeout_us,
                         MmResponseCallback callback, gpointer data);
 /* MmResponseCallback that stores the status in the int to which `data` points. */
-void world_record_status(gpointer data, int status, json_t *body);
+void world_record_status(gpointer data, int status, MmJson *body);
 
 /* Key-value store (kv-store.c) */
 
@@ -79,8 +79,8 @@
 void world_kv_free(World *world);
 /* Executes a request other than a watch immediately and returns the status. The caller owns
  * `response`. */
-int world_kv_handle(World *world, const char *method, const char *path, const json_t *body,
-                    json_t **response);
+int world_kv_handle(World *world, const char *method, const char *path, const MmJson *body,
+                    MmJson **response);
 /* Makes the store respond with 503 to all nodes for `seconds`. No lease expires during the outage.
  * When the outage ends, each lease has its full time to live. */
 void world_kv_outage(World *world, double seconds);
@@ -141,7 +141,7 @@
 
 /* Submits a job that depends on the jobs in `dependencies`. Each dependency must have been accepted
  * before. Takes ownership of `overrides`. */
-WorldJob *world_submit_dependent(World *world, json_t *overrides, double run_s,
+WorldJob *world_submit_dependent(World *world, MmJson *overrides, double run_s,
                                  WorldJob *const *dependencies, guint n_dependencies);
 /* Returns whether all dependencies of the job are actually done. */
 gboolean world_job_is_ready(const WorldJob *job);
@@ -158,7 +158,7 @@
 /* Upgrades (upgrade.c) */
 
 /* Changes the request to the request that a node of the old release would have sent. */
-void world_downgrade_request(const World *world, guint node, json_t *request);
+void world_downgrade_request(const World *world, guint node, MmJson *request);
 /* Kills the node and restarts it with the new release `down_s` seconds later. */
 void world_upgrade_node(World *world, guint index, double down_s);
 /* Puts the announced, lower limits of the key-value store into effect. */
@@ -175,8 +175,8 @@
 /* Checks the start commands in a node's response to a heartbeat. All tasks that are started by
  * responses to the same heartbeat must fit the resources that were free on the machine when the
  * heartbeat was sent. Responses to copies of the heartbeat count too. */
-void world_check_heartbeat_response(World *world, guint node, const json_t *heartbeat,
-                                    const json_t *response);
+void world_check_heartbeat_response(World *world, guint node, const MmJson *heartbeat,
+                                    const MmJson *response);
 /* Sends an administrator's request to move a group. The node that receives the request, the group
  * and the target node are random. */
 void world_random_move(World *world);
@@ -191,7 +191,7 @@
 
 /* Writes the active format to the key-value store; NULL deletes the key. Takes ownership of the
  * value. */
-void world_set_format(World *world, json_t *value);
+void world_set_format(World *world, MmJson *value);
 /* Checks a write by a node. Reports a violation if the node does not support the active format
  * although it has had enough time to learn the active format. */
 void world_check_write(const World *world, guint node);
@@ -199,8 +199,8 @@
 /* Cloud (cloud.c) */
 
 /* Executes a request to the cloud and returns the status. The caller owns `response`. */
-int world_cloud_handle(World *world, const char *method, const char *path, const json_t *body,
-                       json_t **response);
+int world_cloud_handle(World *world, const char *method, const char *path, const MmJson *body,
+                       MmJson **response);
 /* Adds a machine whose worker starts after `boot_s` seconds. A few machines never start. */
 WorldMachine *world_add_machine(World *world, const char *type, const char *zone, gboolean spot,
                                 double boot_s);
@@ -219,9 +219,9 @@
 void world_machine_boot(gpointer data);
 /* Returns the machine's status as a heartbeat with the next sequence number. The caller owns the
  * heartbeat. */
-json_t *world_machine_heartbeat(WorldMachine *machine);
+MmJson *world_machine_heartbeat(WorldMachine *machine);
 /* Executes a direct command and returns the status. The caller owns `response`. */
-int world_machine_handle_direct(WorldMachine *machine, const json_t *body, json_t **response);
+int world_machine_handle_direct(WorldMachine *machine, const MmJson *body, MmJson **response);
 WorldMachine *world_find_machine_by_address(World *world, const char *address);
 /* Ends all tasks on the machine. */
 void world_machine_clear_tasks(WorldMachine *machine);
@@ -230,11 +230,11 @@
 
 /* Returns overrides for world_submit() with a random kind, priority, team, image, number of tasks
  * and placement. */
-json_t *world_random_job_body(World *world);
+MmJson *world_random_job_body(World *world);
 /* Submits a job. Repeats the submission until a node confirms the job, and polls the job's state
  * from then on. Takes ownership of `overrides`, the fields of the request that replace the
  * defaults. */
-WorldJob *world_submit(World *world, json_t *overrides, double run_s);
+WorldJob *world_submit(World *world, MmJson *overrides, double run_s);
 /* Requests the cancellation of the job. Repeats the request until the cancellation is confirmed. */
 void world_cancel(WorldJob *job);
 WorldJob *world_find_job(World *world, const char *id);
