--- a/src/heartbeat-server/heartbeat-server.c
+++ b/src/heartbeat-server/heartbeat-server.c
@@ -271,9 +271,13 @@
   const char *reason = NULL;
   g_auto(MmHeartbeat) heartbeat = { 0 };
 
-  if (!mm_heartbeat_parse(&heartbeat, body, &reason))
+  if (!mm_heartbeat_parse(&heartbeat, body, &reason)) {
+    const MmJsonError *error = &exchange->body_error;
+    mm_info("heartbeat refused machine=%s reason=\"%s\" detail=\"%s\" position=%" G_GSIZE_FORMAT,
+            mm_name_is_empty(&heartbeat.machine_id) ? "unknown" : heartbeat.machine_id.s, reason,
+            error->reason != NULL ? error->reason : "", error->position);
     mm_http_exchange_respond(exchange, 400, mm_json_error(reason), 0);
-  else
+  } else
     process_heartbeat(server, &heartbeat, exchange, mm_node_now(server->node));
 }
 
--- a/src/job-api/job-api.h
+++ b/src/job-api/job-api.h
@@ -6,6 +6,7 @@
  * its queues. */
 #pragma once
 
+#include "job-api/refusals.h"
 #include "node/node.h"
 
 struct MmJobApi {
@@ -18,6 +19,7 @@
    * specs of submissions in progress */
   gsize unfinished_jobs_bytes;
   gsize submissions_bytes;
+  MmRefusals refusals; /* of submissions */
 };
 
 MmJobApi *mm_job_api_new(MmNode *node);
--- a/src/job-api/submission.c
+++ b/src/job-api/submission.c
@@ -32,6 +32,24 @@
 
 static void write_job_record(MmUserRequest *request);
 
+/* Refuses the submission for good and frees the request. */
+static void
+refuse(MmUserRequest *request, MmRefusal refusal, const char *reason) {
+  MmNode *node = request->node;
+
+  mm_refusals_record(&node->job_api->refusals, mm_node_now(node), refusal,
+                     mm_name_is_empty(&request->job_id) ? NULL : request->job_id.s, reason);
+  mm_user_request_respond(request, mm_refusal_status(refusal), mm_json_error(reason), 0);
+}
+
+static void
+refuse_malformed_text(MmUserRequest *request, const MmJsonError *error) {
+  g_autofree char *reason = g_strdup_printf("the body is not JSON: %s at byte %" G_GSIZE_FORMAT,
+                                            error->reason, error->position);
+
+  refuse(request, MM_REFUSAL_NOT_JSON, reason);
+}
+
 /* Returns whether the job is cancelled from the start, because one of its dependencies is
  * cancelled. */
 static gboolean
@@ -82,7 +100,7 @@
 
   if (mm_json_text_length(record) + reserved_bytes > value_max_bytes) {
     mm_json_unref(record);
-    mm_user_request_respond(request, 400, mm_json_error("the job's description is too long"), 0);
+    refuse(request, MM_REFUSAL_TOO_LONG, "the job's description is too long");
     return;
   }
   transaction = mm_transaction_begin();
@@ -97,11 +115,6 @@
 
 static void look_up_dependencies(MmUserRequest *request);
 
-static void
-reject_dependencies(MmUserRequest *request, const char *reason) {
-  mm_user_request_respond(request, 422, mm_json_error(reason), 0);
-}
-
 /* Advances next_dependency to the first dependency that this node does not know. Returns FALSE if
  * the request was rejected and freed. */
 static gboolean
@@ -114,7 +127,7 @@
     MmTerminalState terminal;
 
     if (dependency != NULL && dependency->spec.kind == MM_JOB_KIND_SERVICE) {
-      reject_dependencies(request, "a job cannot depend on a service");
+      refuse(request, MM_REFUSAL_NEVER_RUNS, "a job cannot depend on a service");
       return FALSE;
     }
     if (dependency == NULL && !mm_job_table_get_terminal_state(job_table, dependency_id, &terminal))
@@ -131,7 +144,7 @@
     /* The replica contains everything that was written before the request arrived, but no job
      * record of the dependency. Every job record that is deleted leaves a terminal record, so the
      * dependency has never existed. */
-    reject_dependencies(request, "a job that it depends on was never accepted");
+    refuse(request, MM_REFUSAL_NEVER_RUNS, "a job that it depends on was never accepted");
     return;
   }
   if (status != 200 || !mm_time_before(mm_node_now(request->node), request->deadline)) {
@@ -176,11 +189,11 @@
 check_dependencies(MmUserRequest *request) {
   for (guint i = 0; i < request->spec.n_dependencies; i++) {
     if (mm_name_equal(&request->spec.dependencies[i], &request->job_id)) {
-      reject_dependencies(request, "a job cannot depend on itself");
+      refuse(request, MM_REFUSAL_NEVER_RUNS, "a job cannot depend on itself");
       return;
     }
     if (!mm_job_id_is_valid(request->spec.dependencies[i].s)) {
-      reject_dependencies(request, "a job that it depends on was never accepted");
+      refuse(request, MM_REFUSAL_NEVER_RUNS, "a job that it depends on was never accepted");
       return;
     }
   }
@@ -267,17 +280,34 @@
          || mm_job_table_has_ended(node->job_table, job_id);
 }
 
+/* Sets the request's spec and job id. Returns FALSE if the request was refused and freed. */
+static gboolean
+parse_submission(MmUserRequest *request, const MmJson *json) {
+  const MmJsonError *body_error = &request->exchange->body_error;
+  const char *job_id = mm_json_string(json, WIRE_JOB_ID);
+  const char *reason = NULL;
+
+  if (body_error->reason != NULL) {
+    refuse_malformed_text(request, body_error);
+    return FALSE;
+  }
+  if (mm_job_id_is_valid(job_id))
+    request->job_id = mm_name(job_id);
+  if (!mm_job_spec_parse(&request->spec, json, &reason)) {
+    refuse(request, MM_REFUSAL_INVALID_FIELD, reason);
+    return FALSE;
+  }
+  return TRUE;
+}
+
 void
 mm_job_api_submit(MmNode *node, const MmJson *json, MmHttpExchange *exchange) {
   MmUserRequest *request = mm_user_request_new(node, exchange, "");
   const char *reason = NULL;
   gboolean is_known;
 
-  if (!mm_job_spec_parse(&request->spec, json, &reason)) {
-    mm_user_request_respond(request, 400, mm_json_error(reason), 0);
+  if (!parse_submission(request, json))
     return;
-  }
-  request->job_id = request->spec.id;
   if (!mm_instance_types_are_known(node->instance_types)) {
     mm_user_request_respond(request, 503, mm_json_error("the machine types are not known yet"),
                             TYPES_UNKNOWN_RETRY_S);
@@ -285,7 +315,7 @@
   }
   reason = infeasibility_reason(node, &request->spec);
   if (reason != NULL) {
-    mm_user_request_respond(request, 422, mm_json_error(reason), 0);
+    refuse(request, MM_REFUSAL_NEVER_RUNS, reason);
     return;
   }
   if (mm_user_request_kv_is_unavailable(node)) {
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -65,6 +65,8 @@
   /* Sends the response and takes ownership of `body`. If `retry_after_s` is 0, no Retry-After
    * header is sent. */
   void (*respond)(MmHttpExchange *exchange, int status, MmJson *body, guint retry_after_s);
+  /* Why the body is not JSON, or zeros if it is JSON or empty. */
+  MmJsonError body_error;
 };
 
 static inline void
--- a/src/transport/http-client.c
+++ b/src/transport/http-client.c
@@ -88,6 +88,7 @@
   g_autoptr(GError) error = NULL;
   g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
   g_autoptr(MmJson) body = NULL;
+  MmJsonError error_in_body = { 0 };
   int status = 0;
 
   if (request->timeout_source != 0)
@@ -97,9 +98,11 @@
     const char *text = g_bytes_get_data(bytes, &length);
     status = (int)soup_message_get_status(request->message);
     if (length > 0)
-      body = mm_json_parse(text, length, NULL);
+      body = mm_json_parse(text, length, &error_in_body);
     if (length > 0 && body == NULL && status == 200) {
-      mm_info("response discarded, body is not JSON target=%d", (int)request->target);
+      mm_info(
+          "response discarded, body is not JSON target=%d reason=\"%s\" position=%" G_GSIZE_FORMAT,
+          (int)request->target, error_in_body.reason, error_in_body.position);
       status = 0;
     }
   } else {
--- a/src/transport/http-server.c
+++ b/src/transport/http-server.c
@@ -142,7 +142,8 @@
   g_autoptr(MmJson) body = NULL;
 
   if (exchange->body != NULL)
-    body = mm_json_parse((const char *)exchange->body->data, exchange->body->len, NULL);
+    body = mm_json_parse((const char *)exchange->body->data, exchange->body->len,
+                         &exchange->base.body_error);
   free_body(exchange);
   exchange->awaits_node_response = TRUE;
   exchange->is_in_handler = TRUE;
