Refuse a heartbeat whose task number would wrap into that of another task

Change: a task number at or above the largest number of tasks makes the report malformed. Test: /heartbeat/large-task-number-is-refused; it failed without the check (the report was taken).

--- a/src/heartbeat/heartbeat.c
+++ b/src/heartbeat/heartbeat.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/wire.h"
+#include "jobs/job-spec.h"
 
 /* Maximum number of tasks in one heartbeat; a heartbeat with more is rejected. */
 #define REPORTED_TASKS_MAX 4096
@@ -40,12 +41,16 @@
   const char *task_path = mm_json_string(json, WIRE_TASK);
   const char *slash = task_path != NULL ? strrchr(task_path, '/') : NULL;
   char *number_end;
+  guint64 number;
 
   memset(task, 0, sizeof *task);
   if (slash == NULL || slash - task_path > MM_NAME_MAX || !g_ascii_isdigit(slash[1]))
     return FALSE;
   memcpy(task->job.s, task_path, (gsize)(slash - task_path));
-  task->number = (guint)g_ascii_strtoull(slash + 1, &number_end, 10);
+  number = g_ascii_strtoull(slash + 1, &number_end, 10);
+  if (number >= MM_JOB_MAX_TASKS)
+    return FALSE;
+  task->number = (guint)number;
   task->attempt.v = mm_json_count(json, WIRE_ATTEMPT, 0);
   task->is_checkpointed = mm_json_flag(json, WIRE_CHECKPOINTED);
   if (*number_end != '\0' || !parse_state(task, mm_json_string(json, WIRE_STATE)))
--- a/tests/test-job-spec.c
+++ b/tests/test-job-spec.c
@@ -126,6 +126,20 @@
   mm_job_spec_clear(&spec);
 }
 
+/* A task's number that does not fit must not become that of another task. */
+static void
+test_heartbeat_with_large_task_number_is_refused(void) {
+  static const char text[] = "{\"burrow\":\"m-1\",\"tenure\":1,\"tick\":1,\"kits\":[{\"kit\":"
+                             "\"run-1/4294967299\",\"try\":2,\"mood\":\"running\"}]}";
+  g_autoptr(MmJson) body = mm_json_parse(text, strlen(text), NULL);
+  const char *reason = NULL;
+  MmHeartbeat heartbeat;
+
+  g_assert_nonnull(body);
+  g_assert_false(mm_heartbeat_parse(&heartbeat, body, &reason));
+  mm_heartbeat_clear(&heartbeat);
+}
+
 static void
 test_heartbeat_message_is_parsed(void) {
   static const char text[]
@@ -162,5 +176,7 @@
   g_test_add_func("/job-spec/large-integer-in-unknown-field-is-taken",
                   test_large_integer_in_unknown_field_is_taken);
   g_test_add_func("/heartbeat/message-is-parsed", test_heartbeat_message_is_parsed);
+  g_test_add_func("/heartbeat/large-task-number-is-refused",
+                  test_heartbeat_with_large_task_number_is_refused);
   return g_test_run();
 }
