Close connections whose request does not become complete, and the longest waiting when room is short

What callers saw: no answer from /healthz, so that the load balancer takes a sound node out, and none to workers' reports, while clients held all connections with a byte of a head or a body now and then. libmicrohttpd counts each byte as activity, so its time-out of 45 s never ended them.

Cause: nothing bounded how long a request may take to arrive, and at the limit of connections new ones were not accepted, whoever held the old ones.

Change: src/transport/http-connections.c keeps connections without a complete request, and idle ones, in the order in which they began to wait. A request has to be complete 10 s after its connection was opened or its head arrived; with fewer than an eighth of the connections left, the one that has waited longest is closed, those without a complete request first. Requests that the node is working on are never closed. Workers and health checks complete their requests at once, so they are not among the oldest. Counters with reasons are logged, twice a second at most. Two lengths of a body that contradict are answered 400.

Test: tests/test-slow-requests.py: 320 slow senders at max_sockets = 300, half with heads and half with bodies; health check, heartbeat and submission are answered, and all senders are closed in the end; half-sent, too long, chunked and malformed requests. The functions that run one node moved from test-request-bodies.py to single_node.py; its checks are as they were.

--- a/src/transport/http-server.c
+++ b/src/transport/http-server.c
@@ -6,11 +6,17 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 
+#include "base/clock.h"
+#include "transport/http-connections.h"
+
 #define BODY_MAX_BYTES (64 * 1024)
 /* Memory of a connection for headers and the read buffer. A body that does not fit into the read
  * buffer is received in several pieces. */
 #define CONNECTION_MEMORY_BYTES 4096
+/* For how long a connection may be silent. Those that send something now and then are bounded by
+ * http-connections.c. */
 #define IDLE_TIMEOUT_S 45
+#define OVERDUE_CHECK_INTERVAL_MS 500
 /* Number of sockets that the server leaves unused, because connections to the key-value store, the
  * cloud, peers and workers need sockets too. */
 #define RESERVED_SOCKETS 100
@@ -25,6 +31,7 @@
 struct MmHttpServer {
   struct MHD_Daemon *daemon;
   MmNode *node;
+  MmHttpConnections *connections;
   GSource *source;
   gsize bodies_bytes;     /* length of the bodies that are being received */
   gsize bodies_max_bytes; /* a request whose body would exceed this is answered 503 */
@@ -108,6 +115,32 @@
   return queue_response(connection, status, body, retry_after_s);
 }
 
+static MmHttpConnection *
+connection_state(struct MHD_Connection *connection) {
+  return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+}
+
+static void
+on_connection_change(gpointer data, struct MHD_Connection *connection, void **socket_context,
+                     enum MHD_ConnectionNotificationCode code) {
+  MmHttpServer *server = data;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+    mm_http_connections_closed(*socket_context);
+    return;
+  }
+  *socket_context = mm_http_connections_opened(
+      server->connections,
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd,
+      mm_clock_now());
+}
+
+static gboolean
+close_overdue_connections(gpointer data) {
+  mm_http_connections_close_overdue(((MmHttpServer *)data)->connections, mm_clock_now());
+  return G_SOURCE_CONTINUE;
+}
+
 static ServerExchange *
 exchange_new(MmHttpServer *server, struct MHD_Connection *connection) {
   ServerExchange *exchange = g_new0(ServerExchange, 1);
@@ -151,6 +184,35 @@
   exchange->is_in_handler = FALSE;
 }
 
+typedef struct {
+  const char *length; /* the first Content-Length, or NULL */
+  gboolean is_chunked;
+  gboolean is_contradictory;
+} BodyLength;
+
+static enum MHD_Result
+read_length_header(gpointer data, enum MHD_ValueKind kind, const char *name, const char *value) {
+  BodyLength *body_length = data;
+
+  if (g_ascii_strcasecmp(name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0)
+    body_length->is_chunked = TRUE;
+  if (g_ascii_strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) != 0)
+    return MHD_YES;
+  if (body_length->length != NULL && g_strcmp0(body_length->length, value) != 0)
+    body_length->is_contradictory = TRUE;
+  body_length->length = value;
+  return MHD_YES;
+}
+
+/* Whether the head states two lengths of the body, of which libmicrohttpd would choose one. */
+static gboolean
+has_contradictory_length(struct MHD_Connection *connection) {
+  BodyLength body_length = { 0 };
+
+  MHD_get_connection_values(connection, MHD_HEADER_KIND, read_length_header, &body_length);
+  return body_length.is_contradictory || (body_length.is_chunked && body_length.length != NULL);
+}
+
 /* Called by libmicrohttpd once for the headers, once for each piece of the body and once when the
  * body is complete. If the node does not respond at once, the connection is suspended.
  * libmicrohttpd calls this function again after the response has resumed the connection. */
@@ -161,7 +223,10 @@
   ServerExchange *exchange = *request_state;
 
   if (exchange == NULL) {
+    mm_http_connections_head_received(connection_state(connection), mm_clock_now());
     *request_state = exchange_new(data, connection);
+    if (has_contradictory_length(connection))
+      return queue_error(connection, 400, "the length of the body is contradictory", 0);
     return MHD_YES;
   }
   if (*length > 0) {
@@ -169,6 +234,7 @@
     *length = 0;
     return MHD_YES;
   }
+  mm_http_connections_request_received(connection_state(connection));
   if (exchange->is_body_too_large)
     return queue_error(connection, 413, "the body is over 64 KiB", 0);
   if (exchange->is_body_discarded)
@@ -188,6 +254,7 @@
   ServerExchange *exchange = *request_state;
 
   *request_state = NULL;
+  mm_http_connections_request_done(connection_state(connection), mm_clock_now());
   if (exchange == NULL)
     return;
   if (exchange->awaits_node_response)
@@ -246,6 +313,7 @@
   g_autoptr(GSocketAddress) address = mm_transport_parse_address(listen);
   MmHttpServer *server = g_new0(MmHttpServer, 1);
   guint max_sockets = node->settings->max_sockets;
+  guint max_connections = max_sockets - MIN(RESERVED_SOCKETS, max_sockets / 3);
   struct sockaddr_in socket_address;
 
   server->node = node;
@@ -256,18 +324,22 @@
     g_free(server);
     return NULL;
   }
+  server->connections = mm_http_connections_new(max_connections);
   server->daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_request, server,
       MHD_OPTION_SOCK_ADDR, &socket_address, MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_CONNECTION_LIMIT,
-      max_sockets - MIN(RESERVED_SOCKETS, max_sockets / 3), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-      MHD_OPTION_NOTIFY_COMPLETED, on_request_completed, server, MHD_OPTION_END);
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_CONNECTION_LIMIT, max_connections,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
+      on_request_completed, server, MHD_OPTION_NOTIFY_CONNECTION, on_connection_change, server,
+      MHD_OPTION_END);
   if (server->daemon == NULL) {
     g_set_error(error, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE, "%s cannot be served", listen);
+    g_free(server->connections);
     g_free(server);
     return NULL;
   }
+  g_timeout_add(OVERDUE_CHECK_INTERVAL_MS, close_overdue_connections, server);
   attach_source(server);
   return server;
 }
--- a/tests/test-request-bodies.py
+++ b/tests/test-request-bodies.py
@@ -8,15 +8,10 @@
 is free again once a body has been processed.
 """
 
-import os
-import re
-import socket
-import subprocess
 import sys
-import tempfile
 
-SAMPLE = os.path.join(os.environ["MM_SOURCE_ROOT"], "docs", "sample.toml")
-TIMEOUT_S = 60
+from single_node import connect, expect, read_head, running
+
 MEMORY_MB = 1  # a sixteenth of it, 64 KiB, is for bodies
 BODY_BYTES = 50000
 FIRST_PIECE_BYTES = 40000
@@ -24,33 +19,6 @@
 REQUESTS_AFTER = 10
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def write_settings(folder, front_port):
-    with open(SAMPLE, encoding="utf-8") as file:
-        text = file.read()
-    text = re.sub(r'front = "[^"]*"', f'front = "127.0.0.1:{front_port}"', text)
-    text = re.sub(r'cluster_listen = "[^"]*"', f'cluster_listen = "127.0.0.1:{free_port()}"', text)
-    text = re.sub(r"ram_mb = .*", f"ram_mb = {MEMORY_MB}.0", text)
-    path = os.path.join(folder, "node.toml")
-    with open(path, "w", encoding="utf-8") as file:
-        file.write(text)
-    return path
-
-
-def connect(port, process):
-    while True:
-        try:
-            return socket.create_connection(("127.0.0.1", port), TIMEOUT_S)
-        except ConnectionRefusedError:
-            if process.poll() is not None:
-                sys.exit(f"the node ended with status {process.returncode}")
-
-
 def begin_request(port, process):
     """Sends a request without the end of its body, which is not JSON."""
     connection = connect(port, process)
@@ -62,19 +30,9 @@
 def finish_request(connection):
     """Sends the rest of the body. Returns the status and the head of the response."""
     connection.sendall(b"x" * (BODY_BYTES - FIRST_PIECE_BYTES))
-    head = b""
-    while b"\r\n\r\n" not in head:
-        piece = connection.recv(4096)
-        if not piece:
-            sys.exit("the connection was closed without a response")
-        head += piece
+    status, head = read_head(connection)
     connection.close()
-    return int(head.split()[1]), head.decode()
-
-
-def expect(what, expected, actual):
-    if expected != actual:
-        sys.exit(f"{what}: expected {expected}, got {actual}")
+    return status, head
 
 
 def send_pair(port, process):
@@ -105,15 +63,8 @@
 
 
 def main():
-    with tempfile.TemporaryDirectory() as folder:
-        port = free_port()
-        settings = write_settings(folder, port)
-        process = subprocess.Popen([sys.argv[1], "--config", settings], stderr=subprocess.DEVNULL)
-        try:
-            check(port, process)
-        finally:
-            process.kill()
-            process.wait()
+    with running(sys.argv[1], {"ram_mb": f"{MEMORY_MB}.0"}) as (port, process):
+        check(port, process)
 
 
 main()
