--- a/tests/world/requests-of-nodes.c
+++ b/tests/world/requests-of-nodes.c
@@ -9,6 +9,7 @@
   MmTarget target;
   char address[64];         /* address of the worker if `target` is MM_TARGET_WORKER */
   gboolean is_applied_late; /* a transaction that is applied late and not answered */
+  gboolean acts_late;       /* a command or a request to the cloud that is carried out late */
   gboolean was_delayed;     /* a direct command delivered after a partition or suspension ended */
 } NodeRequest;
 
@@ -143,6 +144,16 @@
   return TRUE;
 }
 
+static void
+count_late_action(const NodeRequest *request) {
+  World *world = request->base.world;
+
+  if (request->target == MM_TARGET_CLOUD)
+    world->n_late_cloud_requests++;
+  else
+    world->n_late_commands++;
+}
+
 static void
 node_request_arrive(gpointer data) {
   NodeRequest *request = data;
@@ -155,6 +166,8 @@
       world->n_late_applied += base->status == 200;
       world->n_late_rejected += base->status == 409 || base->status == 400;
     }
+    if (request->acts_late)
+      count_late_action(request);
     if (!is_sender_alive(base))
       base->status = 0;
     if (request->target == MM_TARGET_KV_STORE && world->now_us < world->kv_slow_until_us)
@@ -183,6 +196,18 @@
   return world->late_write_rate > 0 && world_uniform(world, 0, 1) < world->late_write_rate;
 }
 
+/* Returns whether the request is a command or a request to the cloud that must be carried out late
+ * according to the world's parameters. May draw a random number. */
+static gboolean
+should_act_late(const NodeRequest *request) {
+  World *world = request->base.world;
+  double rate = request->target == MM_TARGET_CLOUD    ? world->late_cloud_rate
+                : request->target == MM_TARGET_WORKER ? world->late_command_rate
+                                                      : 0;
+
+  return rate > 0 && strcmp(request->base.method, "POST") == 0 && world_uniform(world, 0, 1) < rate;
+}
+
 static NodeRequest *
 node_request_new(const WorldNode *world_node, MmTarget target, const char *address,
                  const char *method, const char *path, const MmJson *body) {
@@ -211,6 +236,10 @@
     world_request_schedule(request,
                            world->now_us + (gint64)(world_uniform(world, 2, 12) * G_USEC_PER_SEC),
                            node_request_arrive);
+  } else if (should_act_late(request)) {
+    request->acts_late = TRUE;
+    delay_us = (gint64)(world_uniform(world, 2, world->late_max_s) * G_USEC_PER_SEC);
+    world_request_schedule(request, world->now_us + delay_us, node_request_arrive);
   } else if (world_uniform(world, 0, 1) >= 0.001 && delay_us < timeout_us) {
     world_request_schedule(request, world->now_us + delay_us, node_request_arrive);
   }
--- a/tests/world/types.h
+++ b/tests/world/types.h
@@ -235,7 +235,12 @@
   double late_write_rate;
   /* All transactions that write shard leaders or group owners are applied 2 to 12 s late. */
   gboolean delays_acquisitions;
-  guint n_late_applied;  /* late transactions that were applied */
+  /* Shares of commands to machines, and of launch and release requests to the cloud, that are
+   * carried out 2 to `late_max_s` s late and not answered. */
+  double late_command_rate, late_cloud_rate;
+  double late_max_s;
+  guint n_late_commands, n_late_cloud_requests; /* that were carried out late */
+  guint n_late_applied;                         /* late transactions that were applied */
   guint n_late_rejected; /* late transactions that the store rejected with 400 or 409 */
 
   /* Cloud */
