Read a negative whole number of the settings as negative again

Cause: the settings' reader made a count of every TOML integer, without a look at its sign. mm_json_pack had the right conversion in a function of its own. Change: mm_json_new_integer is that function, and both call it. The reader's check for a real that JSON can't hold is gone, since mm_json_new_real returns null for it. Test: /settings/negative-whole-numbers-keep-their-sign; it failed before the change (1.84467441e+19 == -1).

--- a/src/base/json-builder.c
+++ b/src/base/json-builder.c
@@ -51,16 +51,6 @@
   builder->depth--;
 }
 
-static MmJson *
-new_int(int value) {
-  g_autofree char *digits = NULL;
-
-  if (value >= 0)
-    return mm_json_new_count((guint64)value);
-  digits = g_strdup_printf("%d", value);
-  return mm_json_new_number(digits, strlen(digits));
-}
-
 /* Adds a string as the name of a member where a name is expected, or else as a value. */
 static void
 add_string(MmJsonBuilder *builder, MmJson *string) {
@@ -100,7 +90,7 @@
       add_string(&builder, mm_json_new_string(va_arg(arguments, const char *)));
       break;
     case 'i':
-      mm_json_builder_add(&builder, new_int(va_arg(arguments, int)));
+      mm_json_builder_add(&builder, mm_json_new_integer(va_arg(arguments, int)));
       break;
     case 'I':
       mm_json_builder_add(&builder, mm_json_new_count(va_arg(arguments, guint64)));
--- a/src/base/json.c
+++ b/src/base/json.c
@@ -40,6 +40,16 @@
   return json;
 }
 
+MmJson *
+mm_json_new_integer(gint64 value) {
+  g_autofree char *digits = NULL;
+
+  if (value >= 0)
+    return mm_json_new_count((guint64)value);
+  digits = g_strdup_printf("%" G_GINT64_FORMAT, value);
+  return mm_json_new_number(digits, strlen(digits));
+}
+
 MmJson *
 mm_json_new_real(double value) {
   MmJson *json;
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -40,6 +40,8 @@
 MmJson *mm_json_new_null(void);
 MmJson *mm_json_new_boolean(gboolean value);
 MmJson *mm_json_new_count(guint64 value);
+/* A value of 0 or more is a count. */
+MmJson *mm_json_new_integer(gint64 value);
 /* Returns JSON null if `value` is infinite or not a number, which JSON can't represent. */
 MmJson *mm_json_new_real(double value);
 /* Reads a number in the syntax of JSON. `text` must be such a number. */
--- a/src/config/toml.cc
+++ b/src/config/toml.cc
@@ -27,11 +27,9 @@
   if (auto text = node.as_string())
     return mm_json_new_string(text->get().c_str());
   if (auto number = node.as_integer())
-    return mm_json_new_count(number->get());
-  if (auto number = node.as_floating_point()) {
-    MmJson *real = mm_json_new_real(number->get());
-    return real != nullptr ? real : mm_json_new_null(); // JSON cannot represent infinity or NaN
-  }
+    return mm_json_new_integer(number->get());
+  if (auto number = node.as_floating_point())
+    return mm_json_new_real(number->get());
   if (auto flag = node.as_boolean())
     return mm_json_new_boolean(flag->get());
   return mm_json_new_null();
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -26,6 +26,20 @@
   g_assert_cmpfloat(settings->worker_lease_s, ==, 10);
 }
 
+/* Guards against a negative whole number that is read as one near 2^64. */
+static void
+test_negative_whole_numbers_keep_their_sign(void) {
+  const char *field = "within_s = 2.0";
+  const char *at = strstr(sample_settings, field);
+  g_autofree char *text = g_strdup_printf("%.*swithin_s = -1%s", (int)(at - sample_settings),
+                                          sample_settings, at + strlen(field));
+  g_autoptr(GError) error = NULL;
+  g_autoptr(MmSettings) settings = read_text(text, &error);
+
+  g_assert_nonnull(settings);
+  g_assert_cmpfloat(g_array_index(settings->objectives, MmObjective, 0).within_s, ==, -1);
+}
+
 /* An error message is a single line that names the file, the field and the mistake. */
 static void
 test_errors_name_file_and_field(void) {
@@ -140,6 +154,8 @@
 
   g_test_init(&argc, &argv, NULL);
   directory = g_dir_make_tmp("mm-test-XXXXXX", NULL);
+  g_test_add_func("/settings/negative-whole-numbers-keep-their-sign",
+                  test_negative_whole_numbers_keep_their_sign);
   g_test_add_func("/settings/settings-are-read", test_settings_are_read);
   g_test_add_func("/settings/errors-name-file-and-field", test_errors_name_file_and_field);
   g_test_add_func("/settings/smaller-of-announced-limits-holds",
