--- a/src/heartbeat/heartbeat.c
+++ b/src/heartbeat/heartbeat.c
@@ -109,7 +109,7 @@
   static const char *const ops[] = { WIRE_START, WIRE_STOP, WIRE_FORGET };
   g_autofree char *task_path = g_strdup_printf("%s/%u", command->job.s, command->number);
   MmJson *json = mm_json_pack("{s:s, s:s, s:I}", WIRE_COMMAND_KIND, ops[command->op], WIRE_TASK,
-                              task_path, WIRE_ATTEMPT, (guint64)command->attempt.v);
+                              task_path, WIRE_ATTEMPT, command->attempt.v);
 
   if (command->op == MM_OP_STOP)
     mm_json_object_set(json, WIRE_GRACE, mm_json_new_real(command->grace_s));
@@ -122,5 +122,5 @@
 
   for (guint i = 0; i < commands->len; i++)
     mm_json_array_append(list, mm_command_to_json(&g_array_index(commands, MmCommand, i)));
-  return mm_json_pack("{s:I, s:o}", WIRE_FENCING_TOKEN, (guint64)term.v, WIRE_COMMANDS, list);
+  return mm_json_pack("{s:I, s:o}", WIRE_FENCING_TOKEN, term.v, WIRE_COMMANDS, list);
 }
--- a/src/kv/records.c
+++ b/src/kv/records.c
@@ -15,7 +15,7 @@
 MmJson *
 mm_record_encode_shard(const MmShard *shard) {
   return mm_json_pack("{s:s, s:I, s:I}", FIELD_LEADER, shard->leader.s, FIELD_LEASE,
-                      (guint64)shard->lease_id, FIELD_TERM, (guint64)shard->term.v);
+                      shard->lease_id, FIELD_TERM, shard->term.v);
 }
 
 MmShard
@@ -29,7 +29,7 @@
 
 MmJson *
 mm_record_encode_term(MmTerm term) {
-  return mm_json_pack("{s:I}", FIELD_TERM, (guint64)term.v);
+  return mm_json_pack("{s:I}", FIELD_TERM, term.v);
 }
 
 MmTerm
@@ -39,7 +39,7 @@
 
 MmJson *
 mm_record_encode_live_node(guint64 lease_id) {
-  return mm_json_pack("{s:I}", FIELD_LEASE, (guint64)lease_id);
+  return mm_json_pack("{s:I}", FIELD_LEASE, lease_id);
 }
 
 guint64
--- a/src/kv/transaction.c
+++ b/src/kv/transaction.c
@@ -21,8 +21,8 @@
                                MmKeyVersion version) {
   g_autofree char *path = g_strconcat(prefix, key, NULL);
 
-  mm_json_array_append(transaction->conditions, mm_json_pack("{s:s, s:I}", WIRE_KEY, path,
-                                                             WIRE_VERSION, (guint64)version.v));
+  mm_json_array_append(transaction->conditions,
+                       mm_json_pack("{s:s, s:I}", WIRE_KEY, path, WIRE_VERSION, version.v));
 }
 
 void
@@ -32,7 +32,7 @@
   MmJson *operation = mm_json_pack("{s:s, s:o}", WIRE_PUT, path, WIRE_VALUE, value);
 
   if (lease_id != MM_NO_LEASE)
-    mm_json_object_set(operation, WIRE_LEASE, mm_json_new_count((guint64)lease_id));
+    mm_json_object_set(operation, WIRE_LEASE, mm_json_new_count(lease_id));
   mm_json_array_append(transaction->operations, operation);
   transaction->n_operations++;
 }
--- a/src/machines/registry-pack.c
+++ b/src/machines/registry-pack.c
@@ -36,7 +36,7 @@
     const MmRegistryEntry *entry = &g_array_index(entries, MmRegistryEntry, i);
     mm_json_array_append(list, mm_json_pack("[s, s, s, s, i, I]", entry->machine_id.s, entry->addr,
                                             entry->type.s, entry->zone.s, entry->is_spot ? 1 : 0,
-                                            (guint64)entry->incarnation));
+                                            entry->incarnation));
   }
   return mm_json_pack("{s:o}", RECORD_ENTRIES, list);
 }
--- a/src/scheduler/direct-commands.c
+++ b/src/scheduler/direct-commands.c
@@ -46,7 +46,7 @@
   MmNode *node = scheduler->node;
   MmJson *command_list = mm_json_new_array();
   g_autoptr(MmJson) body = mm_json_pack(
-      "{s:I, s:I, s:o}", WIRE_FENCING_TOKEN, (guint64)node->replica->term.v, WIRE_INCARNATION,
+      "{s:I, s:I, s:o}", WIRE_FENCING_TOKEN, node->replica->term.v, WIRE_INCARNATION,
       (guint64)MAX(machine->latest_message_id.incarnation, 1), WIRE_COMMANDS, command_list);
 
   if (machine->addr[0] == '\0' || !mm_node_lease_may_answer_workers(node->node_lease))
--- a/src/sharing/admin.c
+++ b/src/sharing/admin.c
@@ -20,9 +20,8 @@
     const MmGroupAcquisition *acquisition = g_ptr_array_index(record->acquisitions, i);
     g_autofree char *ranges = mm_group_set_to_text(acquisition->groups);
     count += roaring_bitmap_get_cardinality(acquisition->groups);
-    mm_json_array_append(owned,
-                         mm_json_pack("{s:I, s:s}", MM_ADMIN_TERM, (guint64)acquisition->term.v,
-                                      MM_ADMIN_GROUPS, ranges));
+    mm_json_array_append(owned, mm_json_pack("{s:I, s:s}", MM_ADMIN_TERM, acquisition->term.v,
+                                             MM_ADMIN_GROUPS, ranges));
   }
   return mm_json_pack("{s:s, s:f, s:I, s:o}", MM_ADMIN_NODE, label, MM_ADMIN_WEIGHT,
                       mm_operators_group_weight(sharing->node->operators, label), MM_ADMIN_COUNT,
--- a/src/sharing/group-map.c
+++ b/src/sharing/group-map.c
@@ -277,7 +277,7 @@
     if (builder->terms[group].v == term.v)
       roaring_bitmap_add(set, group);
   ranges = mm_group_set_to_text(set);
-  mm_json_array_append(acquisitions, mm_json_pack("[I, s]", (guint64)term.v, ranges));
+  mm_json_array_append(acquisitions, mm_json_pack("[I, s]", term.v, ranges));
 }
 
 MmJson *
@@ -290,6 +290,6 @@
       continue;
     append_acquisition(acquisitions, builder, builder->terms[group]);
   }
-  return mm_json_pack("{s:I, s:i, s:o}", FIELD_LEASE, (guint64)builder->lease_id, FIELD_GROUP_COUNT,
+  return mm_json_pack("{s:I, s:i, s:o}", FIELD_LEASE, builder->lease_id, FIELD_GROUP_COUNT,
                       (int)builder->n_groups, FIELD_ACQUISITIONS, acquisitions);
 }
